--- /dev/null
+++ b/daemon/src/main/java/org/crocushaven/fleet/AdapterPlacement.java
@@ -0,0 +1,21 @@
+package org.crocushaven.fleet;
+
+import java.util.Optional;
+
+/**
+ * Where an adapter goes.
+ *
+ * @param backend the engine
+ * @param key the adapter
+ * @param version version that is there or is to be loaded; 0 for the newest
+ * @param victim adapter that must leave first
+ * @param needsLoad whether the adapter must be loaded
+ * @param readyInMillis when it is expected to be usable
+ */
+record AdapterPlacement(
+        String backend,
+        AdapterKey key,
+        long version,
+        Optional<AdapterKey> victim,
+        boolean needsLoad,
+        long readyInMillis) {}
--- /dev/null
+++ b/daemon/src/main/java/org/crocushaven/fleet/AdapterPlanner.java
@@ -0,0 +1,308 @@
+package org.crocushaven.fleet;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.crocushaven.ingress.EngineProfile;
+
+/**
+ * Decides on which engine an adapter is loaded and which one leaves for it.
+ *
+ * <p>Answers load that shifts between many adapters on few places: an adapter goes to the engine
+ * with the least work that has a place, or whose least wanted idle adapter can leave. Not
+ * thread-safe; times are on a monotonic clock.
+ */
+final class AdapterPlanner {
+    /** An adapter that was used this recently does not leave for another. */
+    private static final long PROTECTED_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
+
+    /** Weight of one adapter on its way against an engine full of requests. */
+    private static final double TRANSIT_WEIGHT = 0.15;
+
+    /** Weight of the wanted-ness of the adapter that would leave. */
+    private static final double VICTIM_WEIGHT = 0.05;
+
+    /** Half-life of the count of an adapter's requests. */
+    private static final double POPULARITY_HALF_LIFE_NANOS = 15e9;
+
+    /** Asked to come back when no engine can take an adapter, in milliseconds. */
+    private static final long RETRY_MILLIS = 150;
+
+    private final Map<String, Engine> engines = new HashMap<>();
+    private final Map<AdapterKey, Popularity> popularity = new HashMap<>();
+    private final Map<AdapterKey, Long> namedVersions = new HashMap<>();
+    private final AdapterLoadTime loadTime = new AdapterLoadTime();
+
+    /** Takes in an engine's announcement. */
+    void announced(BackendAnnouncement announcement, EngineProfile profile, long nowNanos) {
+        final Engine engine =
+                engines.computeIfAbsent(announcement.backend(), id -> new Engine(announcement));
+        engine.announcement = announcement;
+        engine.profile = profile;
+        if (announcement.holdsModels()) {
+            engine.slots.told(announcement.held(), nowNanos);
+        }
+    }
+
+    /** Forgets an engine. */
+    void remove(String backend) {
+        engines.remove(backend);
+    }
+
+    /** Takes in an engine's report. */
+    void reported(String backend, EngineReport report, long nowNanos) {
+        final Engine engine = engines.get(backend);
+        if (engine == null) {
+            return;
+        }
+        final List<HeldAdapter> all = new ArrayList<>(report.held());
+        all.addAll(report.pending());
+        engine.slots.told(all, nowNanos);
+        for (final HeldAdapter pending : report.pending()) {
+            engine.slots
+                    .find(AdapterKey.of(pending))
+                    .filter(slot -> slot.readyNanos() - nowNanos <= 0)
+                    .ifPresent(
+                            slot -> {
+                                loadTime.isStillOnItsWay();
+                                slot.ready(nowNanos + loadTime.extraNanos(), nowNanos);
+                            });
+        }
+    }
+
+    /** Takes in the versions that the operator named. */
+    void versionsNamed(Collection<AdapterVersion> versions) {
+        versions.forEach(
+                named ->
+                        namedVersions.put(
+                                new AdapterKey(named.model(), named.adapter()), named.version()));
+    }
+
+    /** Takes in the requests under way at an engine, over all gateways. */
+    void loaded(String backend, int requests) {
+        final Engine engine = engines.get(backend);
+        if (engine != null) {
+            engine.requests = requests;
+        }
+    }
+
+    /** Takes in the running requests by adapter of all gateways, and how many were started. */
+    void used(Collection<AdapterUse> running, Collection<AdapterUse> started, long nowNanos) {
+        engines.values()
+                .forEach(engine -> engine.slots.all().values().forEach(EngineSlots.Slot::idle));
+        for (final AdapterUse use : running) {
+            final Engine engine = engines.get(use.backend());
+            if (engine != null && use.running() > 0) {
+                engine.slots
+                        .find(new AdapterKey(use.model(), use.adapter()))
+                        .ifPresent(slot -> slot.used(slot.running() + use.running(), nowNanos));
+            }
+        }
+        for (final AdapterUse use : started) {
+            count(new AdapterKey(use.model(), use.adapter()), use.started(), nowNanos);
+        }
+    }
+
+    /** Returns what can be used on an engine now. */
+    List<HeldAdapter> usable(String backend, long nowNanos) {
+        final Engine engine = engines.get(backend);
+        return engine == null ? List.of() : engine.slots.usable(nowNanos);
+    }
+
+    /** Returns the engine's places, for the giver of orders. */
+    Optional<EngineSlots> slotsOf(String backend) {
+        return Optional.ofNullable(engines.get(backend)).map(engine -> engine.slots);
+    }
+
+    /** Returns when a caller may ask again for whom no place was found, in milliseconds. */
+    long retryMillis() {
+        return RETRY_MILLIS;
+    }
+
+    /** Returns where an adapter can be used or is to be loaded; empty when nowhere now. */
+    Optional<AdapterPlacement> place(AdapterAsk ask, long nowNanos) {
+        final AdapterKey key = new AdapterKey(ask.model(), ask.adapter());
+        final long version = namedVersions.getOrDefault(key, 0L);
+        final Optional<AdapterPlacement> present = presentPlace(ask, key, version, nowNanos);
+        return present.isPresent() ? present : newPlace(ask, key, version, nowNanos);
+    }
+
+    /** Takes the place that a placement needs and lets its victim leave. */
+    void commit(AdapterPlacement placement, long nowNanos) {
+        final EngineSlots slots = engines.get(placement.backend()).slots;
+        placement.victim().flatMap(slots::find).ifPresent(victim -> victim.startLeaving(nowNanos));
+        final long readyNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(placement.readyInMillis());
+        slots.reserve(placement.key(), placement.version(), readyNanos, nowNanos);
+        loadTime.hasBegun();
+    }
+
+    /** Returns a base model that an engine without any should load; empty when none fits. */
+    Optional<String> missingModel(String backend) {
+        final Engine engine = engines.get(backend);
+        if (engine == null
+                || engine.announcement.state() != BackendState.READY
+                || !engine.slots.isEmpty()) {
+            return Optional.empty();
+        }
+        return engine.profile.models().stream()
+                .filter(model -> model.weightsMegabytes() <= engine.profile.weightsMegabytes())
+                .min(Comparator.comparingLong(model -> holders(model.name())))
+                .map(model -> model.name());
+    }
+
+    /** Returns all engines' identifiers. */
+    List<String> engines() {
+        return List.copyOf(engines.keySet());
+    }
+
+    private long holders(String model) {
+        return engines.values().stream().filter(engine -> engine.slots.holdsModel(model)).count();
+    }
+
+    private Optional<AdapterPlacement> presentPlace(
+            AdapterAsk ask, AdapterKey key, long version, long nowNanos) {
+        AdapterPlacement best = null;
+        double bestCost = Double.MAX_VALUE;
+        for (final Engine engine : engines.values()) {
+            final Optional<EngineSlots.Slot> slot = engine.slots.find(key);
+            final boolean usable =
+                    isCandidate(engine, ask)
+                            && slot.isPresent()
+                            && !slot.get().isLeaving()
+                            && slot.get().version() >= version;
+            if (!usable || engine.load() >= 1) {
+                continue;
+            }
+            final long wait = Math.max(0, slot.get().readyNanos() - nowNanos);
+            final double cost = engine.load() + wait / (double) loadTime.nanos(0);
+            if (cost < bestCost) {
+                bestCost = cost;
+                best =
+                        new AdapterPlacement(
+                                engine.announcement.backend(),
+                                key,
+                                slot.get().version(),
+                                Optional.empty(),
+                                false,
+                                TimeUnit.NANOSECONDS.toMillis(wait));
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    private Optional<AdapterPlacement> newPlace(
+            AdapterAsk ask, AdapterKey key, long version, long nowNanos) {
+        final int onTheirWay = onTheirWay(nowNanos);
+        AdapterPlacement best = null;
+        double bestCost = Double.MAX_VALUE;
+        for (final Engine engine : engines.values()) {
+            final int inTransit = engine.slots.inTransit(nowNanos);
+            if (!isCandidate(engine, ask)
+                    || engine.slots.find(key).isPresent()
+                    || inTransit >= EngineSlots.MAXIMUM_IN_TRANSIT) {
+                continue;
+            }
+            final boolean hasRoom = engine.slots.taken() < engine.profile.adapterSlots();
+            final Optional<AdapterKey> victim =
+                    hasRoom ? Optional.empty() : victim(engine, nowNanos);
+            if (!hasRoom && victim.isEmpty()) {
+                continue;
+            }
+            final double cost =
+                    engine.load()
+                            + TRANSIT_WEIGHT * inTransit
+                            + VICTIM_WEIGHT
+                                    * victim.map(leaving -> popularity(leaving, nowNanos))
+                                            .orElse(0.0);
+            if (cost < bestCost) {
+                bestCost = cost;
+                best =
+                        new AdapterPlacement(
+                                engine.announcement.backend(),
+                                key,
+                                version,
+                                victim,
+                                true,
+                                TimeUnit.NANOSECONDS.toMillis(
+                                        loadTime.nanos(onTheirWay / (double) engines.size())));
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    private boolean isCandidate(Engine engine, AdapterAsk ask) {
+        return engine.announcement.state() == BackendState.READY
+                && engine.announcement.service().equals(ask.service())
+                && engine.slots.holdsModel(ask.model())
+                && !ask.avoided().contains(engine.announcement.backend());
+    }
+
+    /** Returns the idle adapter that is wanted least; one of an old version before all others. */
+    private Optional<AdapterKey> victim(Engine engine, long nowNanos) {
+        AdapterKey best = null;
+        double bestWanted = Double.MAX_VALUE;
+        for (final Map.Entry<AdapterKey, EngineSlots.Slot> entry : engine.slots.all().entrySet()) {
+            final EngineSlots.Slot slot = entry.getValue();
+            if (slot.running() > 0
+                    || !slot.isUsable(nowNanos)
+                    || nowNanos - slot.usedNanos() < PROTECTED_NANOS) {
+                continue;
+            }
+            final boolean old = slot.version() < namedVersions.getOrDefault(entry.getKey(), 0L);
+            final double wanted = old ? -1 : popularity(entry.getKey(), nowNanos);
+            if (wanted < bestWanted) {
+                bestWanted = wanted;
+                best = entry.getKey();
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    private int onTheirWay(long nowNanos) {
+        return engines.values().stream().mapToInt(engine -> engine.slots.inTransit(nowNanos)).sum();
+    }
+
+    private void count(AdapterKey key, int requests, long nowNanos) {
+        popularity.computeIfAbsent(key, name -> new Popularity()).add(requests, nowNanos);
+    }
+
+    private double popularity(AdapterKey key, long nowNanos) {
+        final Popularity known = popularity.get(key);
+        return known == null ? 0 : known.at(nowNanos);
+    }
+
+    private static final class Engine {
+        private final EngineSlots slots = new EngineSlots();
+        private BackendAnnouncement announcement;
+        private EngineProfile profile;
+        private int requests;
+
+        private Engine(BackendAnnouncement announcement) {
+            this.announcement = announcement;
+        }
+
+        /** Returns the part of its slots that is taken; more than 1 when requests wait. */
+        private double load() {
+            return requests / (double) Math.max(1, announcement.slots());
+        }
+    }
+
+    private static final class Popularity {
+        private double count;
+        private long updatedNanos;
+
+        private void add(int requests, long nowNanos) {
+            count = at(nowNanos) + requests;
+            updatedNanos = nowNanos;
+        }
+
+        private double at(long nowNanos) {
+            return count * Math.pow(2, (updatedNanos - nowNanos) / POPULARITY_HALF_LIFE_NANOS);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocushaven/fleet/BackendLoad.java
@@ -0,0 +1,12 @@
+package org.crocushaven.fleet;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+
+/**
+ * Requests under way at a backend server.
+ *
+ * @param backend identifier of the backend server
+ * @param requests how many
+ */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+public record BackendLoad(String backend, int requests) {}
--- /dev/null
+++ b/daemon/src/main/java/org/crocushaven/fleet/BackendRegistry.java
@@ -0,0 +1,136 @@
+package org.crocushaven.fleet;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The backend servers by what they announced, in any order of arrival.
+ *
+ * <p>An announcement counts only if it is newer, by start and sequence, than what is known of its
+ * identifier. A farewell is kept for a while, so that a late heartbeat cannot bring a backend
+ * server back. Not thread-safe.
+ */
+public final class BackendRegistry {
+    /** Heartbeats that may be missed before a backend server counts as silent. */
+    private static final int SILENT_HEARTBEATS = 3;
+
+    /** Heartbeats that may be missed before a backend server is forgotten. */
+    private static final int FORGOTTEN_HEARTBEATS = 12;
+
+    private static final long FAREWELL_KEPT_NANOS = TimeUnit.SECONDS.toNanos(60);
+
+    private final long silentNanos;
+    private final long forgottenNanos;
+    private final Map<String, Entry> entries = new LinkedHashMap<>();
+
+    private BackendRegistry(long heartbeatMillis) {
+        this.silentNanos = TimeUnit.MILLISECONDS.toNanos(heartbeatMillis * SILENT_HEARTBEATS);
+        this.forgottenNanos = TimeUnit.MILLISECONDS.toNanos(heartbeatMillis * FORGOTTEN_HEARTBEATS);
+    }
+
+    /**
+     * Returns an empty registry.
+     *
+     * @param heartbeatMillis time between two heartbeats of a backend server
+     */
+    public static BackendRegistry of(long heartbeatMillis) {
+        return new BackendRegistry(heartbeatMillis);
+    }
+
+    /** Takes in an announcement; returns whether it was news. */
+    public boolean accept(BackendAnnouncement announcement, long nowNanos) {
+        final Entry known = entries.get(announcement.backend());
+        if (known == null) {
+            removeOlderAtAddress(announcement);
+            entries.put(announcement.backend(), new Entry(announcement, nowNanos));
+            return true;
+        }
+        if (!isNewer(announcement, known.announcement)) {
+            return false;
+        }
+        if (announcement.service().isEmpty()) {
+            known.announcement = known.announcement.in(BackendState.GONE);
+        } else {
+            known.announcement = announcement;
+        }
+        known.heardNanos = nowNanos;
+        return true;
+    }
+
+    /** Forgets those that have been silent for long; returns their identifiers. */
+    public List<String> expire(long nowNanos) {
+        final List<String> expired = new ArrayList<>();
+        entries.forEach(
+                (backend, entry) -> {
+                    final long bound =
+                            entry.announcement.state() == BackendState.GONE
+                                    ? FAREWELL_KEPT_NANOS
+                                    : forgottenNanos;
+                    if (nowNanos - entry.heardNanos >= bound) {
+                        expired.add(backend);
+                    }
+                });
+        expired.forEach(entries::remove);
+        return expired;
+    }
+
+    /** Returns what a backend server announced last. */
+    public Optional<BackendAnnouncement> find(String backend) {
+        return Optional.ofNullable(entries.get(backend)).map(entry -> entry.announcement);
+    }
+
+    /** Returns whether a backend server has missed several heartbeats. */
+    public boolean isSilent(String backend, long nowNanos) {
+        final Entry entry = entries.get(backend);
+        return entry == null || nowNanos - entry.heardNanos >= silentNanos;
+    }
+
+    /** Returns the last announcements of all backend servers that have not ended. */
+    public Collection<BackendAnnouncement> present() {
+        return entries.values().stream()
+                .map(entry -> entry.announcement)
+                .filter(announcement -> announcement.state() != BackendState.GONE)
+                .toList();
+    }
+
+    private static boolean isNewer(BackendAnnouncement candidate, BackendAnnouncement known) {
+        if (candidate.service().isEmpty()) {
+            return known.state() != BackendState.GONE;
+        }
+        if (candidate.bornMillis() != known.bornMillis()) {
+            return candidate.bornMillis() > known.bornMillis();
+        }
+        return known.state() != BackendState.GONE && candidate.sequence() > known.sequence();
+    }
+
+    /** An address belongs to the backend server that started there last. */
+    private void removeOlderAtAddress(BackendAnnouncement announcement) {
+        final Map<String, Entry> older = new HashMap<>();
+        entries.forEach(
+                (backend, entry) -> {
+                    final BackendAnnouncement other = entry.announcement;
+                    if (other.address().equals(announcement.address())
+                            && other.bornMillis() < announcement.bornMillis()) {
+                        older.put(backend, entry);
+                    }
+                });
+        older.values()
+                .forEach(entry -> entry.announcement = entry.announcement.in(BackendState.GONE));
+    }
+
+    private static final class Entry {
+        private BackendAnnouncement announcement;
+        private long heardNanos;
+
+        private Entry(BackendAnnouncement announcement, long heardNanos) {
+            this.announcement = announcement;
+            this.heardNanos = heardNanos;
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocushaven/fleet/ControlCall.java
@@ -0,0 +1,31 @@
+package org.crocushaven.fleet;
+
+import org.crocushaven.ingress.IngressConfiguration;
+
+/** A call of an operator or a backend server. */
+public interface ControlCall {
+    /**
+     * A backend server announces itself.
+     *
+     * @param announcement what it says
+     */
+    record Announce(BackendAnnouncement announcement) implements ControlCall {}
+
+    /**
+     * An operator sends a configuration.
+     *
+     * @param configuration the configuration
+     * @param document as it was sent
+     */
+    record Replace(IngressConfiguration configuration, byte[] document) implements ControlCall {}
+
+    /** An operator asks for the configuration in force. */
+    record Describe() implements ControlCall {}
+
+    /**
+     * An operator names the version of an adapter.
+     *
+     * @param version the version
+     */
+    record NameVersion(AdapterVersion version) implements ControlCall {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocushaven/fleet/ControlDialect.java
@@ -0,0 +1,37 @@
+package org.crocushaven.fleet;
+
+import io.netty.handler.codec.http.FullHttpRequest;
+import org.crocushaven.ingress.IngressConfiguration;
+
+/** Reads and writes the calls between this system, operators and backend servers. */
+public interface ControlDialect {
+    /**
+     * Decodes a call of an operator or a backend server.
+     *
+     * @throws org.crocushaven.result.ResultException when the call is malformed
+     */
+    ControlCall decode(FullHttpRequest request);
+
+    /**
+     * Decodes a configuration.
+     *
+     * @throws org.crocushaven.result.ResultException when it is invalid
+     */
+    IngressConfiguration decodeConfiguration(byte[] document);
+
+    /** Encodes an order to an engine. */
+    FullHttpRequest encodeOrder(String backend, EngineOrder order, OrderFence fence);
+
+    /** Returns what an engine's answer to an order means. */
+    OrderOutcome decodeOrderAnswer(int status);
+
+    /** Encodes the question for an engine's report. */
+    FullHttpRequest encodeReportQuestion(String backend);
+
+    /**
+     * Decodes an engine's report.
+     *
+     * @throws org.crocushaven.result.ResultException when it is malformed
+     */
+    EngineReport decodeReport(byte[] body);
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocushaven/fleet/ControlHint.java
@@ -0,0 +1,18 @@
+package org.crocushaven.fleet;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+import java.util.List;
+import org.crocushaven.protocol.Message;
+
+/**
+ * Answer of an instance that does not lead.
+ *
+ * @param leader name of the instance that it believes to lead; empty text when none
+ * @param controls names of the instances that hold control state
+ */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+public record ControlHint(String leader, List<String> controls) implements Message {
+    public ControlHint {
+        controls = List.copyOf(controls);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocushaven/fleet/ControlInstance.java
@@ -0,0 +1,445 @@
+package org.crocushaven.fleet;
+
+import io.netty.channel.EventLoop;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.agrona.concurrent.EpochClock;
+import org.agrona.concurrent.NanoClock;
+import org.crocushaven.consensus.GroupHost;
+import org.crocushaven.consensus.GroupRouter;
+import org.crocushaven.consensus.GroupSettings;
+import org.crocushaven.network.SuspensionDetector;
+import org.crocushaven.observability.EventLine;
+import org.crocushaven.observability.GuardedTask;
+import org.crocushaven.outbound.BackendPool;
+import org.crocushaven.protocol.Message;
+import org.crocushaven.protocol.MessageCodec;
+import org.crocushaven.protocol.PeerTransport;
+import org.crocushaven.result.ResultCode;
+import org.crocushaven.result.ResultException;
+import org.crocushaven.storage.FirstVoters;
+
+/**
+ * The part of an instance that holds control state: a replica of the group, the registry, and the
+ * leader's work while it leads.
+ *
+ * <p>Everything but the replica runs on one event loop.
+ */
+public final class ControlInstance {
+    private static final int GROUP = 0;
+    private static final long TICK_MILLIS = 200;
+    private static final long JOIN_TICKS = 5;
+
+    /** Time for which a leader that may have been suspended does not trust its lease. */
+    private static final long DISTRUST_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
+    private static final Duration FORWARD_TIMEOUT = Duration.ofMillis(900);
+
+    private final ControlSettings settings;
+    private final PeerTransport transport;
+    private final EventLoop loop;
+    private final ControlDialect dialect;
+    private final NanoClock clock;
+    private final EpochClock epochClock;
+    private final FleetState state = FleetState.create();
+    private final BackendRegistry registry;
+    private final BackendPool pool;
+    private final GroupHost group;
+    private final SuspensionDetector suspension = new SuspensionDetector();
+    private final Set<String> controls = new LinkedHashSet<>();
+    private FleetLeader leader;
+    private VoterUpkeep upkeep;
+    private long distrustedUntilNanos;
+    private boolean changingVoters;
+    private long ticks;
+    private boolean stopped;
+
+    private ControlInstance(
+            ControlSettings settings,
+            PeerTransport transport,
+            EventLoop loop,
+            ControlDialect dialect,
+            NanoClock clock,
+            EpochClock epochClock,
+            long seed) {
+        this.settings = settings;
+        this.transport = transport;
+        this.loop = loop;
+        this.dialect = dialect;
+        this.clock = clock;
+        this.epochClock = epochClock;
+        this.registry = BackendRegistry.of(settings.heartbeatMillis());
+        this.pool = BackendPool.create(loop, clock);
+        this.distrustedUntilNanos = clock.nanoTime();
+        final GroupRouter router = GroupRouter.create(transport);
+        attach();
+        this.group =
+                GroupHost.start(
+                        GroupSettings.of(
+                                GROUP,
+                                settings.instance(),
+                                FirstVoters.recall(settings.dataFolder(), settings.firstVoters())),
+                        router,
+                        settings.dataFolder(),
+                        state,
+                        clock,
+                        seed);
+    }
+
+    /** Opens the data folder and starts the replica; call before the transport listens. */
+    public static ControlInstance open(
+            ControlSettings settings,
+            PeerTransport transport,
+            EventLoop loop,
+            ControlDialect dialect,
+            NanoClock clock,
+            EpochClock epochClock,
+            long seed) {
+        return new ControlInstance(settings, transport, loop, dialect, clock, epochClock, seed);
+    }
+
+    /** Starts timers. */
+    public void start(List<String> others) {
+        loop.execute(() -> controls.addAll(others));
+        loop.scheduleAtFixedRate(
+                GuardedTask.of(this::tick), TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Takes in other instances that may hold control state. */
+    public void seedsChanged(List<String> others) {
+        loop.execute(() -> controls.addAll(others));
+    }
+
+    /** Stops the replica. */
+    public void close() {
+        stopped = true;
+        group.close();
+    }
+
+    /** Takes in an announcement; completes when it may be acknowledged. */
+    public CompletableFuture<Void> announce(BackendAnnouncement announcement) {
+        take(announcement);
+        final boolean mustArrive = announcement.state() != BackendState.READY;
+        if (current() != null) {
+            forwardToOthers(announcement, "");
+            return CompletableFuture.completedFuture(null);
+        }
+        final String known = group.leader().orElse("");
+        if (!mustArrive) {
+            forwardToOthers(announcement, "");
+            return CompletableFuture.completedFuture(null);
+        }
+        forwardToOthers(announcement, known);
+        return askLeader(announcement).thenApply(answer -> null);
+    }
+
+    /** Puts a configuration in force; completes when it is committed. */
+    public CompletableFuture<Void> replace(long version, byte[] document) {
+        return propose(FleetCommand.configuration(version, Documents.compress(document)));
+    }
+
+    /** Names an adapter's version; completes when it is committed. */
+    public CompletableFuture<Void> nameVersion(AdapterVersion version) {
+        return propose(FleetCommand.adapterVersion(version));
+    }
+
+    /** Returns the configuration in force as the operator sent it. */
+    public CompletableFuture<byte[]> describe() {
+        final CompletableFuture<FleetDocument> document =
+                current() != null
+                        ? CompletableFuture.completedFuture(document())
+                        : askLeader(new FleetRead(settings.instance()))
+                                .thenApply(FleetDocument.class::cast);
+        return document.thenApply(
+                found -> {
+                    if (found.configurationVersion() == 0) {
+                        throw ResultException.of(
+                                ResultCode.NOT_READY, "no configuration is known yet");
+                    }
+                    return Documents.expand(found.document());
+                });
+    }
+
+    /** Returns whether this instance leads. */
+    public boolean leads() {
+        return group.holdsLeaderLease();
+    }
+
+    private void attach() {
+        transport.handle(BackendAnnouncement.class, (sender, message) -> announced(message));
+        transport.handle(GatewayReport.class, (sender, message) -> reported(message));
+        transport.handle(AdapterAsk.class, (sender, message) -> asked(message));
+        transport.handle(ControlJoin.class, (sender, message) -> joined(message));
+        transport.handle(FleetProposal.class, (sender, message) -> proposed(message));
+        transport.handle(FleetRead.class, (sender, message) -> read());
+    }
+
+    private CompletableFuture<Message> announced(BackendAnnouncement announcement) {
+        take(announcement);
+        return current() == null
+                ? CompletableFuture.failedFuture(notLeader())
+                : CompletableFuture.completedFuture(new AnnouncementTaken(announcement.backend()));
+    }
+
+    private CompletableFuture<Message> reported(GatewayReport report) {
+        final FleetLeader leading = current();
+        return CompletableFuture.completedFuture(
+                leading == null ? hint() : leading.report(report, knownControls()));
+    }
+
+    private CompletableFuture<? extends Message> asked(AdapterAsk ask) {
+        final FleetLeader leading = current();
+        return leading == null ? CompletableFuture.failedFuture(notLeader()) : leading.place(ask);
+    }
+
+    private CompletableFuture<Message> joined(ControlJoin join) {
+        controls.add(join.instance());
+        if (current() != null) {
+            upkeep.heard(join.instance(), clock.nanoTime());
+        }
+        return CompletableFuture.completedFuture(hint());
+    }
+
+    private CompletableFuture<Message> proposed(FleetProposal proposal) {
+        return proposeHere(proposal.command())
+                .thenApply(done -> new FleetProposalDone(state.view().configurationVersion()));
+    }
+
+    private CompletableFuture<Message> read() {
+        return current() == null
+                ? CompletableFuture.failedFuture(notLeader())
+                : CompletableFuture.completedFuture(document());
+    }
+
+    private FleetDocument document() {
+        final FleetState.View view = state.view();
+        return new FleetDocument(view.configurationVersion(), view.document());
+    }
+
+    private ControlHint hint() {
+        return new ControlHint(group.leader().orElse(""), knownControls());
+    }
+
+    private List<String> knownControls() {
+        final Set<String> known = new LinkedHashSet<>(group.voters());
+        known.add(settings.instance());
+        known.addAll(controls);
+        return new ArrayList<>(known);
+    }
+
+    private void take(BackendAnnouncement announcement) {
+        final BackendState before =
+                registry.find(announcement.backend())
+                        .map(BackendAnnouncement::state)
+                        .orElse(BackendState.GONE);
+        if (!registry.accept(announcement, clock.nanoTime())) {
+            return;
+        }
+        final FleetLeader leading = current();
+        if (announcement.state() != before) {
+            EventLine.of("backend-state")
+                    .with("backend", announcement.backend())
+                    .with("service", announcement.service())
+                    .with("state", announcement.state())
+                    .with("previous", before)
+                    .with("born_ms", announcement.bornMillis())
+                    .with("sequence", announcement.sequence())
+                    .info();
+        }
+        if (leading != null) {
+            leading.announced(announcement);
+            if (announcement.state() != before) {
+                nudge(leading);
+            }
+        }
+    }
+
+    private void nudge(FleetLeader leading) {
+        final FleetNudge nudge = new FleetNudge(settings.instance());
+        leading.gateways().forEach(gateway -> transport.send(gateway, nudge));
+    }
+
+    private void forwardToOthers(BackendAnnouncement announcement, String except) {
+        for (final String other : knownControls()) {
+            if (!other.equals(settings.instance()) && !other.equals(except)) {
+                transport.send(other, announcement);
+            }
+        }
+    }
+
+    private CompletableFuture<Message> askLeader(Message message) {
+        final Optional<String> known =
+                group.leader().filter(name -> !name.equals(settings.instance()));
+        if (known.isEmpty()) {
+            return CompletableFuture.failedFuture(notLeader());
+        }
+        final CompletableFuture<Message> answered = new CompletableFuture<>();
+        transport
+                .request(known.get(), message, FORWARD_TIMEOUT)
+                .whenComplete(
+                        (answer, failure) ->
+                                loop.execute(
+                                        () -> {
+                                            if (failure == null) {
+                                                answered.complete(answer);
+                                            } else {
+                                                answered.completeExceptionally(failure);
+                                            }
+                                        }));
+        return answered;
+    }
+
+    private CompletableFuture<Void> propose(FleetCommand command) {
+        final byte[] encoded = MessageCodec.encodeValue(command);
+        return current() != null
+                ? proposeHere(encoded)
+                : askLeader(new FleetProposal(encoded)).thenApply(done -> null);
+    }
+
+    private CompletableFuture<Void> proposeHere(byte[] command) {
+        if (current() == null) {
+            return CompletableFuture.failedFuture(notLeader());
+        }
+        final CompletableFuture<Void> committed = new CompletableFuture<>();
+        group.propose(command)
+                .whenComplete(
+                        (result, failure) ->
+                                loop.execute(
+                                        () -> {
+                                            if (failure == null) {
+                                                committed(committed);
+                                            } else {
+                                                committed.completeExceptionally(failure);
+                                            }
+                                        }));
+        return committed;
+    }
+
+    private void committed(CompletableFuture<Void> committed) {
+        final FleetLeader leading = current();
+        if (leading != null) {
+            leading.refresh();
+            nudge(leading);
+        }
+        committed.complete(null);
+    }
+
+    /** Returns the leader's work of the current term, or null when this instance does not lead. */
+    private FleetLeader current() {
+        final long nowNanos = clock.nanoTime();
+        if (suspension.wasSuspended(nowNanos, epochClock.time())) {
+            distrustedUntilNanos = nowNanos + DISTRUST_NANOS;
+            EventLine.of("suspension-suspected").warn();
+        }
+        final boolean leads =
+                !stopped && nowNanos - distrustedUntilNanos >= 0 && group.holdsLeaderLease();
+        if (!leads) {
+            if (leader != null) {
+                EventLine.of("leading-ended").with("epoch", leader.epoch()).info();
+                leader.close();
+                leader = null;
+            }
+            return null;
+        }
+        final long term = group.term();
+        if (leader == null || leader.epoch() != term) {
+            if (leader != null) {
+                leader.close();
+            }
+            EventLine.of("leading-started").with("epoch", term).info();
+            upkeep = new VoterUpkeep(settings.tolerated(), nowNanos);
+            leader =
+                    new FleetLeader(
+                            term,
+                            settings.instance(),
+                            registry,
+                            state,
+                            dialect,
+                            pool,
+                            loop,
+                            clock,
+                            settings.orderLeaseMillis(),
+                            group::holdsLeaderLease);
+            registry.present().forEach(leader::announced);
+        }
+        return leader;
+    }
+
+    private void tick() {
+        if (stopped) {
+            return;
+        }
+        final FleetLeader leading = current();
+        pool.closeExpired();
+        if (leading != null) {
+            leading.tick();
+            keepVoters();
+        }
+        if (ticks++ % JOIN_TICKS == 0 && leading == null) {
+            join();
+        }
+    }
+
+    private void join() {
+        final ControlJoin join = new ControlJoin(settings.instance());
+        final Optional<String> known =
+                group.leader().filter(name -> !name.equals(settings.instance()));
+        if (known.isPresent()) {
+            transport.send(known.get(), join);
+            return;
+        }
+        for (final String other : knownControls()) {
+            if (!other.equals(settings.instance())) {
+                transport
+                        .request(other, join, FORWARD_TIMEOUT)
+                        .whenComplete((answer, failure) -> loop.execute(() -> hinted(answer)));
+            }
+        }
+    }
+
+    private void hinted(Message answer) {
+        if (answer instanceof ControlHint found) {
+            controls.addAll(found.controls());
+            if (!found.leader().isEmpty() && !found.leader().equals(settings.instance())) {
+                transport.send(found.leader(), new ControlJoin(settings.instance()));
+            }
+        }
+    }
+
+    private void keepVoters() {
+        if (changingVoters) {
+            return;
+        }
+        upkeep.next(settings.instance(), group.voters(), group.foreignVoters(), clock.nanoTime())
+                .ifPresent(this::changeVoters);
+    }
+
+    private void changeVoters(VoterUpkeep.Step step) {
+        changingVoters = true;
+        final CompletableFuture<Void> change =
+                step.add() ? group.addVoter(step.instance()) : group.removeVoter(step.instance());
+        change.whenComplete(
+                (ignored, failure) ->
+                        loop.execute(
+                                () -> {
+                                    changingVoters = false;
+                                    EventLine.of("voter-change")
+                                            .with("add", step.add())
+                                            .with("instance", step.instance())
+                                            .with(
+                                                    "outcome",
+                                                    failure == null ? "done" : failure.getMessage())
+                                            .info();
+                                }));
+    }
+
+    private ResultException notLeader() {
+        return ResultException.of(ResultCode.NOT_LEADER, GROUP);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocushaven/fleet/EngineOrders.java
@@ -0,0 +1,209 @@
+package org.crocushaven.fleet;
+
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.crocushaven.observability.EventLine;
+import org.crocushaven.outbound.BackendCall;
+import org.crocushaven.outbound.BackendPool;
+import org.crocushaven.result.ResultException;
+
+/**
+ * Gives orders to one engine, one at a time, in the order in which they were asked for.
+ *
+ * <p>Each order names how many the engine has accepted before, so that an order that was left
+ * unanswered and is carried out late cannot follow a newer one. Used on one event loop only.
+ */
+final class EngineOrders {
+    /** Time after which an order counts as unanswered; a round trip takes a few milliseconds. */
+    private static final long ORDER_TIMEOUT_MILLIS = 250;
+
+    private static final long REPORT_TIMEOUT_MILLIS = 400;
+
+    /** What an engine reports may be older than its last order by some hundred milliseconds. */
+    private static final long REPORT_LAG_MILLIS = 250;
+
+    private final BackendAnnouncement backend;
+    private final ControlDialect dialect;
+    private final BackendPool pool;
+    private final EventLoop loop;
+    private final String holder;
+    private final long token;
+    private final BooleanSupplier mayOrder;
+    private final Deque<Waiting> waiting = new ArrayDeque<>();
+    private OptionalLong sequence = OptionalLong.empty();
+    private boolean underWay;
+    private boolean fenced;
+    private boolean closed;
+
+    /**
+     * Creates the giver of orders to an engine.
+     *
+     * @param holder name of this instance
+     * @param token number of this holder's right to give orders
+     * @param mayOrder whether the right still stands
+     */
+    EngineOrders(
+            BackendAnnouncement backend,
+            ControlDialect dialect,
+            BackendPool pool,
+            EventLoop loop,
+            String holder,
+            long token,
+            BooleanSupplier mayOrder) {
+        this.backend = backend;
+        this.dialect = dialect;
+        this.pool = pool;
+        this.loop = loop;
+        this.holder = holder;
+        this.token = token;
+        this.mayOrder = mayOrder;
+    }
+
+    /** Gives an order once those before it are answered; never fails. */
+    CompletableFuture<OrderOutcome> give(EngineOrder order) {
+        final CompletableFuture<OrderOutcome> outcome = new CompletableFuture<>();
+        if (fenced || closed) {
+            outcome.complete(OrderOutcome.FENCED);
+        } else {
+            waiting.add(new Waiting(order, outcome));
+            next();
+        }
+        return outcome;
+    }
+
+    /** Asks the engine what it holds; fails when it does not answer. */
+    CompletableFuture<EngineReport> report() {
+        return BackendCall.make(
+                        pool,
+                        loop,
+                        address(),
+                        dialect.encodeReportQuestion(backend.backend()),
+                        REPORT_TIMEOUT_MILLIS)
+                .thenApply(answer -> dialect.decodeReport(answer.body()));
+    }
+
+    /** Gives no more orders. */
+    void close() {
+        closed = true;
+        waiting.forEach(order -> order.outcome.complete(OrderOutcome.FENCED));
+        waiting.clear();
+    }
+
+    /** Returns whether an order is under way or waits. */
+    boolean isBusy() {
+        return underWay || !waiting.isEmpty();
+    }
+
+    private void next() {
+        if (underWay || waiting.isEmpty()) {
+            return;
+        }
+        underWay = true;
+        if (sequence.isPresent()) {
+            send(waiting.poll());
+        } else {
+            learnSequence();
+        }
+    }
+
+    private void learnSequence() {
+        report().whenComplete(
+                        (report, failure) -> {
+                            if (failure == null) {
+                                sequence = OptionalLong.of(report.sequence());
+                            }
+                            final Waiting order = waiting.poll();
+                            if (order == null) {
+                                underWay = false;
+                            } else if (failure == null) {
+                                send(order);
+                            } else {
+                                finish(order, OrderOutcome.REFUSED);
+                            }
+                        });
+    }
+
+    private void send(Waiting order) {
+        if (!mayOrder.getAsBoolean()) {
+            finish(order, OrderOutcome.REFUSED);
+            return;
+        }
+        BackendCall.make(
+                        pool,
+                        loop,
+                        address(),
+                        dialect.encodeOrder(
+                                backend.backend(),
+                                order.order,
+                                new OrderFence(holder, token, sequence)),
+                        ORDER_TIMEOUT_MILLIS)
+                .whenComplete(
+                        (answer, failure) ->
+                                finish(
+                                        order,
+                                        failure == null
+                                                ? dialect.decodeOrderAnswer(answer.status())
+                                                : outcomeOf(failure)));
+    }
+
+    private void finish(Waiting order, OrderOutcome outcome) {
+        if (outcome != OrderOutcome.ACCEPTED) {
+            EventLine.of("order-not-accepted")
+                    .with("backend", backend.backend())
+                    .with("operation", order.order.operation())
+                    .with("adapter", order.order.model() + '/' + order.order.adapter())
+                    .with("sequence", sequence.isPresent() ? sequence.getAsLong() : "unknown")
+                    .with("outcome", outcome)
+                    .info();
+        }
+        learn(order.order, outcome);
+        order.outcome.complete(outcome);
+        if (sequence.isPresent() || fenced) {
+            underWay = false;
+            next();
+        } else {
+            loop.schedule(
+                    () -> {
+                        underWay = false;
+                        next();
+                    },
+                    REPORT_LAG_MILLIS,
+                    TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void learn(EngineOrder order, OrderOutcome outcome) {
+        switch (outcome) {
+            case ACCEPTED -> sequence = OptionalLong.of(sequence.orElse(0) + 1);
+            case HOLDS -> {
+                if (order.operation() == EngineOrder.Operation.UNLOAD) {
+                    sequence = OptionalLong.of(sequence.orElse(0) + 1);
+                }
+            }
+            case FENCED -> {
+                fenced = true;
+                close();
+            }
+            default -> sequence = OptionalLong.empty();
+        }
+    }
+
+    private static OrderOutcome outcomeOf(Throwable failure) {
+        final boolean notSent =
+                failure instanceof ResultException result
+                        && result.execution() == org.crocushaven.result.Execution.NOT_RUN;
+        return notSent ? OrderOutcome.REFUSED : OrderOutcome.UNKNOWN;
+    }
+
+    private InetSocketAddress address() {
+        return new InetSocketAddress(backend.host(), backend.port());
+    }
+
+    private record Waiting(EngineOrder order, CompletableFuture<OrderOutcome> outcome) {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocushaven/fleet/FleetState.java
@@ -0,0 +1,90 @@
+package org.crocushaven.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.crocushaven.consensus.StateMachine;
+import org.crocushaven.protocol.MessageCodec;
+
+/**
+ * The replicated state of a fleet: the newest configuration and the newest adapter versions.
+ *
+ * <p>A configuration whose version is not higher than the held one changes nothing, nor does an
+ * adapter version that is not higher than the named one. Thread-safe; guarded by its own monitor.
+ */
+public final class FleetState implements StateMachine {
+    private static final byte[] NO_RESULT = new byte[0];
+    private static final byte[] NO_DOCUMENT = new byte[0];
+
+    private final Map<String, AdapterVersion> adapterVersions = new TreeMap<>();
+    private long configurationVersion;
+    private byte[] document = NO_DOCUMENT;
+    private long revision;
+    private List<AdapterVersion> adapterVersionList = List.of();
+
+    /** Returns the state without configuration. */
+    public static FleetState create() {
+        return new FleetState();
+    }
+
+    @Override
+    public synchronized byte[] apply(long index, byte[] command) {
+        final FleetCommand decoded = MessageCodec.decodeValue(command, FleetCommand.class);
+        if (decoded.configurationVersion() > configurationVersion) {
+            configurationVersion = decoded.configurationVersion();
+            document = decoded.document();
+            revision = index;
+        }
+        for (final AdapterVersion named : decoded.adapterVersions()) {
+            name(named, index);
+        }
+        return NO_RESULT;
+    }
+
+    @Override
+    public synchronized byte[] snapshot() {
+        return MessageCodec.encodeValue(
+                new FleetCommand(
+                        configurationVersion, document, List.copyOf(adapterVersions.values())));
+    }
+
+    @Override
+    public synchronized void restore(long index, byte[] snapshot) {
+        adapterVersions.clear();
+        configurationVersion = 0;
+        document = NO_DOCUMENT;
+        apply(index, snapshot);
+        adapterVersionList = new ArrayList<>(adapterVersions.values());
+        revision = index;
+    }
+
+    /** Returns the state as it is now. */
+    public synchronized View view() {
+        return new View(revision, configurationVersion, document, adapterVersionList);
+    }
+
+    private void name(AdapterVersion named, long index) {
+        final String key = named.model() + '/' + named.adapter();
+        final AdapterVersion known = adapterVersions.get(key);
+        if (known == null || named.version() > known.version()) {
+            adapterVersions.put(key, named);
+            adapterVersionList = List.copyOf(adapterVersions.values());
+            revision = index;
+        }
+    }
+
+    /**
+     * A consistent view of the state.
+     *
+     * @param revision index of the entry that last changed it; 0 when none has
+     * @param configurationVersion version of the configuration; 0 when none is known
+     * @param document the configuration as the operator sent it, compressed
+     * @param adapterVersions versions that were named
+     */
+    public record View(
+            long revision,
+            long configurationVersion,
+            byte[] document,
+            List<AdapterVersion> adapterVersions) {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocushaven/fleet/GatewayReport.java
@@ -0,0 +1,35 @@
+package org.crocushaven.fleet;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+import java.util.List;
+import org.crocushaven.admission.ShareReport;
+import org.crocushaven.protocol.Message;
+
+/**
+ * What a gateway tells the leader, several times a second; answered by {@link GatewayUpdate}.
+ *
+ * @param gateway name of the gateway
+ * @param epoch epoch of the leader from whom it has its view of the fleet; 0 for none
+ * @param revision revision of that view
+ * @param configurationVersion version of the configuration that it has; 0 for none
+ * @param stateRevision revision of the replicated state that it has
+ * @param loads requests that it has under way, by backend server
+ * @param uses adapters that it used since the last report that was answered
+ * @param shares its report on organisations' shares
+ */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+public record GatewayReport(
+        String gateway,
+        long epoch,
+        long revision,
+        long configurationVersion,
+        long stateRevision,
+        List<BackendLoad> loads,
+        List<AdapterUse> uses,
+        ShareReport shares)
+        implements Message {
+    public GatewayReport {
+        loads = List.copyOf(loads);
+        uses = List.copyOf(uses);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocushaven/fleet/GatewayUpdate.java
@@ -0,0 +1,50 @@
+package org.crocushaven.fleet;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+import java.util.List;
+import org.crocushaven.admission.ShareGrant;
+import org.crocushaven.protocol.Message;
+
+/**
+ * The leader's answer to a {@link GatewayReport}; proves that it held the leader's lease.
+ *
+ * @param epoch epoch of the leader
+ * @param revision revision of the view of the fleet after this update
+ * @param complete whether the view is complete, so that backend servers not in it are unknown
+ * @param stateRevision revision of the replicated state
+ * @param configurationVersion version of the configuration in force
+ * @param document the configuration, compressed; empty when the gateway has it
+ * @param adapterVersions all named versions; empty when the gateway has them
+ * @param statePresent whether the two fields before are filled
+ * @param changed backend servers that changed since the gateway's revision
+ * @param gone identifiers of those that ended since then
+ * @param otherLoads requests of other gateways under way, by backend server
+ * @param gateways how many gateways report to this leader
+ * @param controls names of the instances that hold control state
+ * @param shares answer on organisations' shares
+ */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+public record GatewayUpdate(
+        long epoch,
+        long revision,
+        boolean complete,
+        long stateRevision,
+        long configurationVersion,
+        byte[] document,
+        List<AdapterVersion> adapterVersions,
+        boolean statePresent,
+        List<BackendRecord> changed,
+        List<String> gone,
+        List<BackendLoad> otherLoads,
+        int gateways,
+        List<String> controls,
+        ShareGrant shares)
+        implements Message {
+    public GatewayUpdate {
+        adapterVersions = List.copyOf(adapterVersions);
+        changed = List.copyOf(changed);
+        gone = List.copyOf(gone);
+        otherLoads = List.copyOf(otherLoads);
+        controls = List.copyOf(controls);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocushaven/fleet/VoterUpkeep.java
@@ -0,0 +1,88 @@
+package org.crocushaven.fleet;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Decides which instance becomes a voter and which voter is given up, one at a time.
+ *
+ * <p>A voter that lost its disk is made one again. A silent voter is given up only once another
+ * instance has taken its place, so that the number of voters never falls. Not thread-safe.
+ */
+final class VoterUpkeep {
+    /** Longer than any cut or freeze that is likely to heal by itself. */
+    private static final long SILENT_NANOS = TimeUnit.SECONDS.toNanos(6);
+
+    private static final long PRESENT_NANOS = TimeUnit.SECONDS.toNanos(3);
+
+    private final int wantedVoters;
+    private final long sinceNanos;
+    private final Map<String, Long> heardNanos = new HashMap<>();
+
+    /**
+     * Creates the upkeep of a new leader.
+     *
+     * @param tolerated instances that may be lost at once
+     */
+    VoterUpkeep(int tolerated, long nowNanos) {
+        this.wantedVoters = 2 * tolerated + 1;
+        this.sinceNanos = nowNanos;
+    }
+
+    /** Notes that an instance that can hold control state is there. */
+    void heard(String instance, long nowNanos) {
+        heardNanos.put(instance, nowNanos);
+    }
+
+    /**
+     * Returns what to do next.
+     *
+     * @param self name of the leader
+     * @param foreign voters whose disk was lost
+     */
+    Optional<Step> next(
+            String self, List<String> voters, Collection<String> foreign, long nowNanos) {
+        final Optional<String> returned =
+                foreign.stream().filter(name -> isPresent(name, nowNanos)).findFirst();
+        if (returned.isPresent()) {
+            return Optional.of(new Step(true, returned.get()));
+        }
+        final Optional<String> silent =
+                voters.stream()
+                        .filter(name -> !name.equals(self) && isSilent(name, nowNanos))
+                        .findFirst();
+        if (voters.size() > wantedVoters && silent.isPresent()) {
+            return Optional.of(new Step(false, silent.get()));
+        }
+        final boolean wantsOneMore =
+                voters.size() < wantedVoters || voters.size() == wantedVoters && silent.isPresent();
+        return wantsOneMore
+                ? heardNanos.keySet().stream()
+                        .filter(name -> !voters.contains(name) && isPresent(name, nowNanos))
+                        .sorted()
+                        .findFirst()
+                        .map(name -> new Step(true, name))
+                : Optional.empty();
+    }
+
+    private boolean isPresent(String name, long nowNanos) {
+        final Long heard = heardNanos.get(name);
+        return heard != null && nowNanos - heard < PRESENT_NANOS;
+    }
+
+    private boolean isSilent(String name, long nowNanos) {
+        return nowNanos - heardNanos.getOrDefault(name, sinceNanos) >= SILENT_NANOS;
+    }
+
+    /**
+     * A change of voters.
+     *
+     * @param add whether the instance is added, otherwise it is removed
+     * @param instance its name
+     */
+    record Step(boolean add, String instance) {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocushaven/forwarding/EventSplitter.java
@@ -0,0 +1,156 @@
+package org.crocushaven.forwarding;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+
+/**
+ * Cuts the body of a stream into whole events, so that nothing of an event that a backend server
+ * broke off is passed on.
+ *
+ * <p>An event ends with an empty line. Events up to the one passed on last, which a backend server
+ * repeats when it goes on with a stream, are dropped.
+ */
+final class EventSplitter {
+    private static final int MAXIMUM_EVENT_BYTES = 4 << 20;
+    private static final byte LINE_FEED = '\n';
+    private static final byte CARRIAGE_RETURN = '\r';
+    private static final String ID_FIELD = "id:";
+
+    private ByteBuf pending = Unpooled.buffer(512);
+    private String lastEventId = "";
+    private long lastNumber = -1;
+    private long events;
+    private boolean gap;
+
+    /** Adds bytes of the body; returns the whole events in them that are new, or null for none. */
+    ByteBuf add(ByteBuf data) {
+        pending.writeBytes(data);
+        ByteBuf whole = null;
+        int end = endOfEvent();
+        while (end >= 0 && !gap) {
+            final ByteBuf event = pending.readSlice(end - pending.readerIndex());
+            if (accept(event)) {
+                if (whole == null) {
+                    whole = Unpooled.buffer(event.readableBytes() + pending.readableBytes());
+                }
+                whole.writeBytes(event);
+            }
+            end = endOfEvent();
+        }
+        pending.discardReadBytes();
+        return whole;
+    }
+
+    /** Drops the part of an event that has arrived; another backend server goes on. */
+    void restart() {
+        pending.clear();
+        gap = false;
+    }
+
+    /** Returns whether an event has begun that is not complete. */
+    boolean hasPartOfEvent() {
+        return pending.isReadable();
+    }
+
+    /** Returns whether an event is too long, or events are missing, so that none may follow. */
+    boolean isBroken() {
+        return gap || pending.readableBytes() > MAXIMUM_EVENT_BYTES;
+    }
+
+    /** Returns the identifier of the last event passed on; empty when none has one. */
+    Optional<String> lastEventId() {
+        return lastEventId.isEmpty() ? Optional.empty() : Optional.of(lastEventId);
+    }
+
+    /** Takes note of the event after which the client wants the stream to go on. */
+    void startAfter(String eventId) {
+        lastEventId = eventId;
+        lastNumber = numberOf(eventId);
+    }
+
+    /** Returns how many events were passed on. */
+    long events() {
+        return events;
+    }
+
+    private boolean accept(ByteBuf event) {
+        final String id = idOf(event);
+        final long number = numberOf(id);
+        if (number >= 0 && lastNumber >= 0) {
+            if (number <= lastNumber) {
+                return false;
+            }
+            if (number > lastNumber + 1) {
+                gap = true;
+                return false;
+            }
+        }
+        if (!id.isEmpty()) {
+            lastEventId = id;
+            lastNumber = number;
+        }
+        events++;
+        return true;
+    }
+
+    /** Returns the index after the empty line that ends the first event, or -1. */
+    private int endOfEvent() {
+        int lineStart = pending.readerIndex();
+        while (true) {
+            final int feed = pending.indexOf(lineStart, pending.writerIndex(), LINE_FEED);
+            if (feed < 0) {
+                return -1;
+            }
+            final int length = feed - lineStart;
+            final boolean empty =
+                    length == 0 || length == 1 && pending.getByte(lineStart) == CARRIAGE_RETURN;
+            if (empty) {
+                return feed + 1;
+            }
+            lineStart = feed + 1;
+        }
+    }
+
+    private static String idOf(ByteBuf event) {
+        int lineStart = event.readerIndex();
+        while (lineStart < event.writerIndex()) {
+            int feed = event.indexOf(lineStart, event.writerIndex(), LINE_FEED);
+            if (feed < 0) {
+                feed = event.writerIndex();
+            }
+            if (startsWithId(event, lineStart, feed)) {
+                return event.toString(
+                                lineStart + ID_FIELD.length(),
+                                feed - lineStart - ID_FIELD.length(),
+                                StandardCharsets.UTF_8)
+                        .trim();
+            }
+            lineStart = feed + 1;
+        }
+        return "";
+    }
+
+    private static boolean startsWithId(ByteBuf event, int start, int end) {
+        return end - start >= ID_FIELD.length()
+                && event.getByte(start) == 'i'
+                && event.getByte(start + 1) == 'd'
+                && event.getByte(start + 2) == ':';
+    }
+
+    private static long numberOf(String id) {
+        if (id.isEmpty() || id.length() > 15) {
+            return -1;
+        }
+        long number = 0;
+        for (int position = 0; position < id.length(); position++) {
+            final char digit = id.charAt(position);
+            if (digit < '0' || digit > '9') {
+                return -1;
+            }
+            number = number * 10 + digit - '0';
+        }
+        return number;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
@@ -0,0 +1,244 @@
+package org.crocushaven.forwarding;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.agrona.concurrent.EpochClock;
+import org.agrona.concurrent.NanoClock;
+import org.crocushaven.fleet.Documents;
+import org.crocushaven.fleet.FleetNudge;
+import org.crocushaven.fleet.GatewayReport;
+import org.crocushaven.fleet.GatewayUpdate;
+import org.crocushaven.ingress.IngressConfiguration;
+import org.crocushaven.network.SuspensionDetector;
+import org.crocushaven.observability.EventLine;
+import org.crocushaven.outbound.BackendPool;
+import org.crocushaven.protocol.PeerTransport;
+
+/**
+ * The part of an instance that serves clients.
+ *
+ * <p>Everything in it runs on one event loop; other threads only start and stop it.
+ */
+public final class Gateway {
+    private static final long CHECK_MILLIS = 500;
+    private static final long STOP_CHECK_MILLIS = 50;
+
+    /**
+     * Time in which the balancer notices that an instance is not ready, two questions of a second
+     * each.
+     */
+    private static final long ROTATION_MILLIS = 2_600;
+
+    private final GatewaySettings settings;
+    private final EventLoopGroup group;
+    private final EventLoop loop;
+    private final NanoClock clock;
+    private final EpochClock epochClock;
+    private final Function<byte[], IngressConfiguration> decoder;
+    private final FleetView view = new FleetView();
+    private final SuspensionDetector suspension = new SuspensionDetector();
+    private final BackendPool pool;
+    private final BackendHealth health = new BackendHealth();
+    private final RetryAllowance allowance;
+    private final ControlFreshness freshness;
+    private final KeyedAdmission admission;
+    private final LeaderLink link;
+    private final IngressServer server;
+    private Optional<IngressConfiguration> configuration = Optional.empty();
+    private long stateRevision;
+    private volatile boolean ready;
+    private boolean stopping;
+
+    private Gateway(
+            GatewaySettings settings,
+            EventLoopGroup group,
+            PeerTransport transport,
+            IngressDialect dialect,
+            Function<byte[], IngressConfiguration> decoder,
+            ForwardingObserver observer,
+            NanoClock clock,
+            EpochClock epochClock) {
+        this.settings = settings;
+        this.group = group;
+        this.loop = (EventLoop) group.next();
+        this.clock = clock;
+        this.epochClock = epochClock;
+        this.decoder = decoder;
+        this.pool = BackendPool.create(loop, clock);
+        this.allowance = RetryAllowance.of(settings.retryRatio(), settings.retryExtra());
+        this.freshness = ControlFreshness.ofMillis(settings.freshnessMillis(), epochClock);
+        this.admission = KeyedAdmission.of(freshness, epochClock.time());
+        this.link = new LeaderLink(loop, transport, clock, this::report, this::updated);
+        final Random random = new Random(epochClock.time() ^ settings.instance().hashCode());
+        this.server =
+                new IngressServer(
+                        new ForwardingEnvironment(
+                                loop,
+                                clock,
+                                random,
+                                dialect,
+                                () -> configuration,
+                                pool,
+                                view,
+                                health,
+                                BackendChoice.of(settings.failureDomain(), random),
+                                allowance,
+                                admission,
+                                freshness,
+                                new PromptMemory(),
+                                link,
+                                observer));
+        transport.handle(
+                FleetNudge.class,
+                (sender, nudge) -> {
+                    loop.execute(link::reportSoon);
+                    return null;
+                });
+    }
+
+    /**
+     * Returns a gateway that does not listen yet; call before the transport listens.
+     *
+     * @param group its event loop
+     * @param decoder decodes a configuration that was accepted
+     */
+    public static Gateway create(
+            GatewaySettings settings,
+            EventLoopGroup group,
+            PeerTransport transport,
+            IngressDialect dialect,
+            Function<byte[], IngressConfiguration> decoder,
+            ForwardingObserver observer,
+            NanoClock clock,
+            EpochClock epochClock) {
+        return new Gateway(
+                settings, group, transport, dialect, decoder, observer, clock, epochClock);
+    }
+
+    /** Starts to search for the leader and to listen. */
+    public void start(InetSocketAddress address, List<String> controls) {
+        server.listen(group, address);
+        loop.execute(
+                () -> {
+                    link.addControls(controls);
+                    link.start();
+                });
+        loop.scheduleAtFixedRate(this::check, CHECK_MILLIS, CHECK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Takes in other instances that may hold control state. */
+    public void seedsChanged(List<String> controls) {
+        loop.execute(() -> link.addControls(controls));
+    }
+
+    /** Returns whether requests should be sent here. */
+    public boolean isReady() {
+        return ready;
+    }
+
+    /** Ends what is under way and no more; completes when nothing is left, or the time is over. */
+    public CompletableFuture<Void> stop(long graceMillis) {
+        final CompletableFuture<Void> stopped = new CompletableFuture<>();
+        final long startNanos = clock.nanoTime();
+        loop.execute(
+                () -> {
+                    stopping = true;
+                    ready = false;
+                    server.startStopping();
+                    stopWhenIdle(stopped, startNanos, graceMillis);
+                });
+        return stopped;
+    }
+
+    private void stopWhenIdle(CompletableFuture<Void> stopped, long startNanos, long graceMillis) {
+        final long passedMillis = TimeUnit.NANOSECONDS.toMillis(clock.nanoTime() - startNanos);
+        final boolean outOfRotation = passedMillis >= ROTATION_MILLIS;
+        final boolean idle = outOfRotation && server.closeIdle();
+        if (idle || passedMillis >= graceMillis) {
+            server.closeListener();
+            link.stop();
+            stopped.complete(null);
+        } else {
+            loop.schedule(
+                    () -> stopWhenIdle(stopped, startNanos, graceMillis),
+                    STOP_CHECK_MILLIS,
+                    TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private GatewayReport report(long nowNanos) {
+        checkSuspension(nowNanos);
+        return new GatewayReport(
+                settings.instance(),
+                view.epoch(),
+                view.revision(),
+                configuration.map(IngressConfiguration::version).orElse(0L),
+                stateRevision,
+                view.ownLoads(),
+                view.takeUses(),
+                admission.report(nowNanos));
+    }
+
+    private void updated(GatewayUpdate update, long sentNanos) {
+        final long nowNanos = clock.nanoTime();
+        if (update.statePresent() && update.stateRevision() >= stateRevision) {
+            stateRevision = update.stateRevision();
+            configure(update);
+        }
+        view.apply(update);
+        health.retain(view.identifiers());
+        allowance.gateways(update.gateways());
+        admission.apply(update.shares(), nowNanos);
+        if (update.configurationVersion()
+                == configuration.map(IngressConfiguration::version).orElse(0L)) {
+            freshness.confirmed(sentNanos);
+        }
+        checkReady(nowNanos);
+    }
+
+    private void configure(GatewayUpdate update) {
+        final long known = configuration.map(IngressConfiguration::version).orElse(0L);
+        if (update.configurationVersion() <= known || update.document().length == 0) {
+            return;
+        }
+        configuration = Optional.of(decoder.apply(Documents.expand(update.document())));
+        EventLine.of("configuration-applied")
+                .with("version", configuration.get().version())
+                .with("previous", known)
+                .info();
+    }
+
+    private void check() {
+        final long nowNanos = clock.nanoTime();
+        checkSuspension(nowNanos);
+        server.checkTimes();
+        pool.closeExpired();
+        checkReady(nowNanos);
+    }
+
+    private void checkSuspension(long nowNanos) {
+        if (suspension.wasSuspended(nowNanos, epochClock.time())) {
+            EventLine.of("suspension-suspected").warn();
+            admission.lapse(nowNanos);
+            link.reportSoon();
+        }
+    }
+
+    private void checkReady(long nowNanos) {
+        final boolean now = !stopping && configuration.isPresent() && freshness.isFresh(nowNanos);
+        if (now != ready) {
+            EventLine.of(now ? "ready" : "not-ready")
+                    .with("freshness_ms", freshness.ageMillis(nowNanos))
+                    .with("stopping", stopping)
+                    .info();
+        }
+        ready = now;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocushaven/forwarding/IngressConnection.java
@@ -0,0 +1,234 @@
+package org.crocushaven.forwarding;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+import org.crocushaven.ingress.IngressLimits;
+import org.crocushaven.ingress.IngressRequest;
+import org.crocushaven.result.ResultCode;
+import org.crocushaven.result.ResultException;
+
+/** One connection of a client: reads requests and serves them one after the other. */
+final class IngressConnection extends ChannelInboundHandlerAdapter {
+    /** Requests that may wait behind the one that is served, before reading stops. */
+    private static final int MAXIMUM_WAITING = 16;
+
+    private final IngressServer server;
+    private final ArrivalMeter meter;
+    private final IngressLimits limits;
+    private final Deque<Arrival> waiting = new ArrayDeque<>();
+    private Channel channel;
+    private HttpRequest head;
+    private ByteBuf body = Unpooled.EMPTY_BUFFER;
+    private ClientExchange current;
+    private RequestForwarding forwarding;
+    private boolean refusing;
+
+    IngressConnection(IngressServer server, ArrivalMeter meter, IngressLimits limits) {
+        this.server = server;
+        this.meter = meter;
+        this.limits = limits;
+    }
+
+    Channel channel() {
+        return channel;
+    }
+
+    boolean isBusy() {
+        return current != null || head != null || !waiting.isEmpty();
+    }
+
+    /** Called when the answer under way is written; the next request is served, or none. */
+    void answered(boolean keepOpen) {
+        current = null;
+        forwarding = null;
+        meter.touch();
+        if (!keepOpen) {
+            return;
+        }
+        final Arrival next = waiting.poll();
+        if (next != null) {
+            channel.config().setAutoRead(true);
+            serve(next);
+        }
+    }
+
+    /** Closes the connection when its client is too slow, or has been silent for too long. */
+    void checkTime(long nowNanos) {
+        final long unfinishedMillis =
+                TimeUnit.NANOSECONDS.toMillis(meter.unfinishedNanos(nowNanos));
+        final long idleMillis = TimeUnit.NANOSECONDS.toMillis(meter.idleNanos(nowNanos));
+        if (head == null && unfinishedMillis > limits.headerTimeoutMillis() && !refusing) {
+            refuseAndClose(
+                    ResultException.of(ResultCode.REQUEST_TIMEOUT, limits.headerTimeoutMillis()));
+        } else if (current == null && idleMillis > limits.idleTimeoutMillis()) {
+            channel.close();
+        }
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext context) {
+        channel = context.channel();
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        try {
+            if (!refusing) {
+                read(message);
+            }
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        context.flush();
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        if (forwarding != null) {
+            forwarding.clientWritable(channel.isWritable());
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        server.closed(this);
+        if (forwarding != null) {
+            forwarding.clientGone();
+        }
+        waiting.forEach(arrival -> arrival.body.release());
+        waiting.clear();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        context.close();
+    }
+
+    private void read(Object message) {
+        if (message instanceof HttpRequest request) {
+            readHead(request);
+        }
+        if (message instanceof HttpContent content && head != null && !refusing) {
+            readContent(content);
+        }
+    }
+
+    private void readHead(HttpRequest request) {
+        final DecoderResult result = request.decoderResult();
+        if (result.isFailure()) {
+            refuseAndClose(decodingFailure(result.cause()));
+            return;
+        }
+        head = request;
+        body = Unpooled.EMPTY_BUFFER;
+        if (HttpUtil.is100ContinueExpected(request)) {
+            channel.writeAndFlush(
+                    new DefaultFullHttpResponse(
+                            HttpVersion.HTTP_1_1,
+                            HttpResponseStatus.CONTINUE,
+                            Unpooled.EMPTY_BUFFER));
+        }
+    }
+
+    private void readContent(HttpContent content) {
+        if (content.decoderResult().isFailure()) {
+            refuseAndClose(decodingFailure(content.decoderResult().cause()));
+            return;
+        }
+        final ByteBuf data = content.content();
+        if (data.isReadable()) {
+            if (body.readableBytes() + data.readableBytes() > limits.maximumBodyBytes()) {
+                refuseAndClose(
+                        ResultException.of(ResultCode.BODY_TOO_LARGE, limits.maximumBodyBytes()));
+                return;
+            }
+            if (body == Unpooled.EMPTY_BUFFER) {
+                body = Unpooled.buffer(data.readableBytes());
+            }
+            body.writeBytes(data);
+        }
+        if (content instanceof LastHttpContent) {
+            final Arrival arrival = new Arrival(head, body);
+            head = null;
+            body = Unpooled.EMPTY_BUFFER;
+            meter.settled();
+            arrived(arrival);
+        }
+    }
+
+    private void arrived(Arrival arrival) {
+        if (current == null) {
+            serve(arrival);
+            return;
+        }
+        waiting.add(arrival);
+        if (waiting.size() >= MAXIMUM_WAITING) {
+            channel.config().setAutoRead(false);
+        }
+    }
+
+    private void serve(Arrival arrival) {
+        final boolean keepOpen = HttpUtil.isKeepAlive(arrival.head) && !server.isStopping();
+        final ClientExchange exchange = new ClientExchange(this, channel, keepOpen);
+        current = exchange;
+        final IngressRequest request;
+        try {
+            request = server.environment().dialect().decodeRequest(arrival.head);
+        } catch (ResultException refusal) {
+            arrival.body.release();
+            server.environment().observer().unreadable(refusal.code(), refusal.getMessage());
+            exchange.refuse(refusal);
+            return;
+        }
+        final RequestForwarding started =
+                RequestForwarding.start(server.environment(), request, arrival.body, exchange);
+        if (current == exchange) {
+            forwarding = started;
+        }
+    }
+
+    private void refuseAndClose(ResultException refusal) {
+        refusing = true;
+        server.environment().observer().unreadable(refusal.code(), refusal.getMessage());
+        if (current != null) {
+            channel.close();
+            return;
+        }
+        final FullHttpResponse response = ClientExchange.refusal(refusal);
+        HttpUtil.setKeepAlive(response, false);
+        channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+    }
+
+    private ResultException decodingFailure(Throwable cause) {
+        if (cause instanceof TooLongHttpHeaderException
+                || cause instanceof TooLongHttpLineException) {
+            return ResultException.of(ResultCode.HEADERS_TOO_LARGE, limits.maximumHeaderBytes());
+        }
+        return ResultException.of(ResultCode.MALFORMED_REQUEST, cause.getClass().getSimpleName());
+    }
+
+    private record Arrival(HttpRequest head, ByteBuf body) {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocushaven/forwarding/IngressServer.java
@@ -0,0 +1,99 @@
+package org.crocushaven.forwarding;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.crocushaven.ingress.IngressConfiguration;
+import org.crocushaven.ingress.IngressLimits;
+import org.crocushaven.network.Listener;
+
+/** Accepts the connections of clients. Used on one event loop only. */
+final class IngressServer {
+    private final ForwardingEnvironment environment;
+    private final Set<IngressConnection> connections = new HashSet<>();
+    private Listener listener;
+    private boolean stopping;
+
+    IngressServer(ForwardingEnvironment environment) {
+        this.environment = environment;
+    }
+
+    /** Starts to listen. */
+    void listen(EventLoopGroup group, InetSocketAddress address) {
+        listener =
+                Listener.bind(
+                        group,
+                        address,
+                        new ChannelInitializer<Channel>() {
+                            @Override
+                            protected void initChannel(Channel channel) {
+                                accepted(channel);
+                            }
+                        });
+    }
+
+    ForwardingEnvironment environment() {
+        return environment;
+    }
+
+    boolean isStopping() {
+        return stopping;
+    }
+
+    /** Lets each connection end with its next answer. */
+    void startStopping() {
+        stopping = true;
+    }
+
+    /** Closes connections that carry nothing; returns whether none is left that does. */
+    boolean closeIdle() {
+        boolean busy = false;
+        for (final IngressConnection connection : List.copyOf(connections)) {
+            if (connection.isBusy()) {
+                busy = true;
+            } else {
+                connection.channel().close();
+            }
+        }
+        return !busy;
+    }
+
+    /** Stops accepting connections. */
+    void closeListener() {
+        listener.closeThen(() -> {});
+    }
+
+    /** Closes connections whose clients are too slow or silent. */
+    void checkTimes() {
+        final long nowNanos = environment.nowNanos();
+        for (final IngressConnection connection : List.copyOf(connections)) {
+            connection.checkTime(nowNanos);
+        }
+    }
+
+    void closed(IngressConnection connection) {
+        connections.remove(connection);
+    }
+
+    private void accepted(Channel channel) {
+        final IngressLimits limits =
+                environment
+                        .configuration()
+                        .current()
+                        .map(IngressConfiguration::limits)
+                        .orElse(IngressLimits.DEFAULT);
+        final ArrivalMeter meter = new ArrivalMeter(environment.clock());
+        final IngressConnection connection = new IngressConnection(this, meter, limits);
+        connections.add(connection);
+        channel.pipeline()
+                .addLast(meter)
+                .addLast(new StrictRequestDecoder(limits))
+                .addLast(new HttpResponseEncoder())
+                .addLast(connection);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocushaven/forwarding/KeyedAdmission.java
@@ -0,0 +1,118 @@
+package org.crocushaven.forwarding;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.crocushaven.admission.Charge;
+import org.crocushaven.admission.ShareGrant;
+import org.crocushaven.admission.ShareHolder;
+import org.crocushaven.admission.ShareReport;
+import org.crocushaven.ingress.IngressConfiguration;
+import org.crocushaven.ingress.IngressRequest;
+import org.crocushaven.ingress.IngressRoute;
+import org.crocushaven.ingress.KeyedOrganisation;
+import org.crocushaven.result.ResultCode;
+import org.crocushaven.result.ResultException;
+
+/**
+ * Decides whether a request may run: by its key, the age of what is known of keys, and the rate of
+ * its organisation. Not thread-safe.
+ */
+final class KeyedAdmission {
+    /** When to come back to a gateway without contact to the leader. */
+    private static final Duration STALE_RETRY = Duration.ofMillis(500);
+
+    private final ControlFreshness freshness;
+    private final ShareHolder shares;
+
+    private KeyedAdmission(ControlFreshness freshness, ShareHolder shares) {
+        this.freshness = freshness;
+        this.shares = shares;
+    }
+
+    /** Returns the admission of a gateway without shares. */
+    static KeyedAdmission of(ControlFreshness freshness, long incarnation) {
+        return new KeyedAdmission(freshness, ShareHolder.create(incarnation));
+    }
+
+    /**
+     * Returns the organisation of a request, or empty when its route is open.
+     *
+     * @throws ResultException when the key is not good, or cannot be known to be
+     */
+    Optional<KeyedOrganisation> identify(
+            IngressConfiguration configuration,
+            IngressRoute route,
+            IngressRequest request,
+            long nowNanos) {
+        if (route.open() || !configuration.needsKeys()) {
+            return Optional.empty();
+        }
+        requireFresh(nowNanos);
+        if (request.key().isEmpty()) {
+            throw ResultException.of(ResultCode.KEY_MISSING);
+        }
+        final Optional<KeyedOrganisation> organisation =
+                configuration.organisationOf(request.key().get());
+        if (organisation.isEmpty()) {
+            throw ResultException.of(ResultCode.KEY_UNKNOWN);
+        }
+        return organisation;
+    }
+
+    /** Throws when nothing may be concluded from the configuration any more. */
+    void requireFresh(long nowNanos) {
+        if (!freshness.isFresh(nowNanos)) {
+            throw ResultException.of(ResultCode.CONTROL_STATE_STALE, freshness.ageMillis(nowNanos))
+                    .withRetryAfter(STALE_RETRY);
+        }
+    }
+
+    /**
+     * Charges a request to its organisation; empty when its rate is not bounded.
+     *
+     * @throws ResultException when the rate is used up
+     */
+    Optional<Charge> charge(KeyedOrganisation organisation, IngressRequest request, long nowNanos) {
+        if (!organisation.isBounded()) {
+            return Optional.empty();
+        }
+        final long amount = organisation.chargeOf(request);
+        final Charge charge = shares.tryCharge(organisation.name(), amount, nowNanos);
+        if (charge.granted()) {
+            return Optional.of(charge);
+        }
+        throw ResultException.of(
+                        charge.code() == ResultCode.REQUEST_EXCEEDS_BURST
+                                ? ResultCode.RATE_EXCEEDED
+                                : charge.code(),
+                        organisation.name(),
+                        amount)
+                .withRetryAfter(Duration.ofNanos(charge.retryAfterNanos()));
+    }
+
+    /** Gives back the charge of a request that did not run. */
+    void refund(Charge charge, long nowNanos) {
+        shares.settle(charge, 0, nowNanos);
+    }
+
+    /** Returns whether the leader should hear at once of missing tokens. */
+    boolean reportIsUrgent() {
+        return shares.reportIsUrgent();
+    }
+
+    /** Returns the report on shares. */
+    ShareReport report(long nowNanos) {
+        return shares.report(nowNanos);
+    }
+
+    /** Takes in the leader's answer to it. */
+    void apply(ShareGrant grant, long nowNanos) {
+        shares.apply(grant, nowNanos);
+    }
+
+    /** Gives up everything that hangs on leases. */
+    void lapse(long nowNanos) {
+        freshness.lapse(nowNanos);
+        shares.dropAll(nowNanos);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocushaven/forwarding/LeaderLink.java
@@ -0,0 +1,201 @@
+package org.crocushaven.forwarding;
+
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongFunction;
+import org.agrona.concurrent.NanoClock;
+import org.crocushaven.fleet.AdapterAsk;
+import org.crocushaven.fleet.AdapterGrant;
+import org.crocushaven.fleet.ControlHint;
+import org.crocushaven.fleet.GatewayReport;
+import org.crocushaven.fleet.GatewayUpdate;
+import org.crocushaven.observability.EventLine;
+import org.crocushaven.protocol.Message;
+import org.crocushaven.protocol.PeerTransport;
+import org.crocushaven.result.ResultCode;
+import org.crocushaven.result.ResultException;
+
+/**
+ * A gateway's contact to the leader: finds it among the instances that hold control state, reports
+ * to it and hands its updates over. Used on one event loop only.
+ */
+final class LeaderLink implements AdapterSource {
+    /** Time between two reports; a twelfth of the shortest time within which news must arrive. */
+    private static final long REPORT_MILLIS = 250;
+
+    /** Time until another instance is tried while none answers as leader. */
+    private static final long SEARCH_MILLIS = 60;
+
+    /** Least time between two reports that news or missing tokens bring forward. */
+    private static final long URGENT_MILLIS = 15;
+
+    private static final Duration REPORT_TIMEOUT = Duration.ofMillis(400);
+    private static final Duration ASK_TIMEOUT = Duration.ofMillis(700);
+
+    private final EventLoop loop;
+    private final PeerTransport transport;
+    private final NanoClock clock;
+    private final LongFunction<GatewayReport> reports;
+    private final UpdateListener updates;
+    private final Set<String> controls = new LinkedHashSet<>();
+    private String target = "";
+    private String leader = "";
+    private boolean underWay;
+    private boolean again;
+    private long lastSentNanos;
+    private ScheduledFuture<?> timer;
+    private boolean stopped;
+
+    /**
+     * Creates a link that has not begun to search.
+     *
+     * @param reports makes the report to be sent at a time
+     * @param updates takes the leader's answers
+     */
+    LeaderLink(
+            EventLoop loop,
+            PeerTransport transport,
+            NanoClock clock,
+            LongFunction<GatewayReport> reports,
+            UpdateListener updates) {
+        this.loop = loop;
+        this.transport = transport;
+        this.clock = clock;
+        this.reports = reports;
+        this.updates = updates;
+    }
+
+    /** Adds instances that may hold control state. */
+    void addControls(List<String> names) {
+        controls.addAll(names);
+    }
+
+    /** Starts to search for the leader. */
+    void start() {
+        report();
+    }
+
+    /** Stops to report. */
+    void stop() {
+        stopped = true;
+        if (timer != null) {
+            timer.cancel(false);
+        }
+    }
+
+    /** Brings the next report forward. */
+    void reportSoon() {
+        if (underWay) {
+            again = true;
+            return;
+        }
+        final long sinceMillis = TimeUnit.NANOSECONDS.toMillis(clock.nanoTime() - lastSentNanos);
+        schedule(Math.max(0, URGENT_MILLIS - sinceMillis));
+    }
+
+    @Override
+    public CompletableFuture<AdapterGrant> ask(AdapterAsk ask) {
+        if (leader.isEmpty()) {
+            return CompletableFuture.failedFuture(
+                    ResultException.of(ResultCode.NO_DISPATCHER, ask.service()));
+        }
+        final CompletableFuture<AdapterGrant> granted = new CompletableFuture<>();
+        transport
+                .request(leader, ask, ASK_TIMEOUT)
+                .whenComplete(
+                        (answer, failure) -> loop.execute(() -> answered(granted, ask, answer)));
+        return granted;
+    }
+
+    private static void answered(
+            CompletableFuture<AdapterGrant> granted, AdapterAsk ask, Message answer) {
+        if (answer instanceof AdapterGrant grant) {
+            granted.complete(grant);
+        } else {
+            granted.completeExceptionally(
+                    ResultException.of(ResultCode.NO_DISPATCHER, ask.service()));
+        }
+    }
+
+    private void report() {
+        if (stopped || underWay) {
+            return;
+        }
+        if (target.isEmpty()) {
+            target = next("");
+        }
+        underWay = true;
+        again = false;
+        lastSentNanos = clock.nanoTime();
+        final long sentNanos = lastSentNanos;
+        final String asked = target;
+        transport
+                .request(asked, reports.apply(sentNanos), REPORT_TIMEOUT)
+                .whenComplete(
+                        (answer, failure) ->
+                                loop.execute(() -> reported(asked, sentNanos, answer)));
+    }
+
+    private void reported(String asked, long sentNanos, Message answer) {
+        underWay = false;
+        if (answer instanceof GatewayUpdate update) {
+            leads(asked);
+            controls.clear();
+            controls.addAll(update.controls());
+            updates.updated(update, sentNanos);
+            schedule(again ? URGENT_MILLIS : REPORT_MILLIS);
+            return;
+        }
+        leads("");
+        if (answer instanceof ControlHint hint) {
+            controls.addAll(hint.controls());
+            target =
+                    hint.leader().isEmpty() || hint.leader().equals(asked)
+                            ? next(asked)
+                            : hint.leader();
+        } else {
+            target = next(asked);
+        }
+        schedule(SEARCH_MILLIS);
+    }
+
+    private void leads(String name) {
+        if (!leader.equals(name)) {
+            EventLine.of(name.isEmpty() ? "leader-lost" : "leader-found")
+                    .with("leader", name.isEmpty() ? leader : name)
+                    .info();
+            leader = name;
+        }
+    }
+
+    private String next(String after) {
+        final List<String> names = new ArrayList<>(controls);
+        return names.isEmpty() ? after : names.get((names.indexOf(after) + 1) % names.size());
+    }
+
+    private void schedule(long delayMillis) {
+        if (timer != null) {
+            timer.cancel(false);
+        }
+        if (!stopped) {
+            timer = loop.schedule(this::report, delayMillis, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Takes the leader's updates. */
+    interface UpdateListener {
+        /**
+         * Takes an update.
+         *
+         * @param sentNanos when the report that it answers was sent
+         */
+        void updated(GatewayUpdate update, long sentNanos);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocushaven/forwarding/PromptMemory.java
@@ -0,0 +1,46 @@
+package org.crocushaven.forwarding;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.crocushaven.ingress.IngressRequest;
+import org.crocushaven.ingress.PromptPart;
+
+/**
+ * Remembers which backend server has read the shared beginning of a prompt last.
+ *
+ * <p>Only a hint: backend servers drop what they keep without telling. Bounded; the prompts used
+ * least recently are forgotten. Not thread-safe.
+ */
+final class PromptMemory {
+    private static final int CAPACITY = 4_096;
+
+    private final Map<Prompt, String> backends =
+            new LinkedHashMap<>(16, 0.75f, true) {
+                @Override
+                protected boolean removeEldestEntry(Map.Entry<Prompt, String> eldest) {
+                    return size() > CAPACITY;
+                }
+            };
+
+    /** Returns the backend server that read this prompt's last part last; null when not known. */
+    String backendOf(IngressRequest request) {
+        final List<PromptPart> parts = request.promptParts();
+        return parts.isEmpty() ? null : backends.get(promptOf(request, parts));
+    }
+
+    /** Notes that a backend server has read a prompt. */
+    void read(IngressRequest request, String backend) {
+        final List<PromptPart> parts = request.promptParts();
+        if (!parts.isEmpty()) {
+            backends.put(promptOf(request, parts), backend);
+        }
+    }
+
+    private static Prompt promptOf(IngressRequest request, List<PromptPart> parts) {
+        final String model = request.model().map(Object::toString).orElse("");
+        return new Prompt(model, parts.get(parts.size() - 1).identifier());
+    }
+
+    private record Prompt(String model, long lastPart) {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
@@ -0,0 +1,608 @@
+package org.crocushaven.forwarding;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.crocushaven.admission.Charge;
+import org.crocushaven.fleet.AdapterKey;
+import org.crocushaven.fleet.BackendRecord;
+import org.crocushaven.ingress.IngressConfiguration;
+import org.crocushaven.ingress.IngressRequest;
+import org.crocushaven.ingress.IngressRoute;
+import org.crocushaven.ingress.KeyedOrganisation;
+import org.crocushaven.ingress.RouteKind;
+import org.crocushaven.outbound.BackendChannel;
+import org.crocushaven.result.Execution;
+import org.crocushaven.result.ResultCode;
+import org.crocushaven.result.ResultException;
+
+/**
+ * The way of one request: admitted, sent, sent once more where that is allowed, and answered.
+ *
+ * <p>A refusal that promises that the request did not run is given only while no send may have
+ * reached a backend server, or every one of them has said that it did not run. Runs on the event
+ * loop.
+ */
+final class RequestForwarding {
+    private static final int SERVER_ERROR = 500;
+    private static final int HIGHEST_PRIORITY = 9;
+
+    /** How often a request waits once more for an adapter that comes later than expected. */
+    private static final int ADAPTER_WAITS = 4;
+
+    /** How long it waits then. */
+    private static final long ADAPTER_WAIT_MILLIS = 50;
+
+    private static final Duration RETRY_AFTER_REFUSAL = Duration.ofMillis(300);
+
+    /** Times the objective after which a silent backend server is given up for another. */
+    private static final double PATIENCE_OBJECTIVES = 1.5;
+
+    /** Times the longest pause after which a silent stream goes on elsewhere. */
+    private static final double PATIENCE_PAUSES = 3;
+
+    private final ForwardingEnvironment environment;
+    private final IngressRequest request;
+    private final ByteBuf body;
+    private final ClientAnswer client;
+    private final long arrivedNanos;
+    private final EventSplitter splitter = new EventSplitter();
+    private final Set<String> avoided = new HashSet<>();
+    private final Set<String> sentTo = new HashSet<>();
+    private IngressRoute route;
+    private String service = "-";
+    private Optional<KeyedOrganisation> organisation = Optional.empty();
+    private Optional<Charge> charge = Optional.empty();
+    private long configurationVersion;
+    private long freshnessMillis;
+    private ScheduledFuture<?> limitTimer;
+    private ScheduledFuture<?> patienceTimer;
+    private BackendAttempt attempt;
+    private int sends;
+    private int adapterWaits;
+    private boolean mayHaveRun;
+    private boolean started;
+    private boolean done;
+    private boolean paused;
+    private long firstByteNanos;
+    private long progressNanos;
+    private ResultException lastRefusal;
+    private BackendAttempt lastFailure;
+
+    private RequestForwarding(
+            ForwardingEnvironment environment,
+            IngressRequest request,
+            ByteBuf body,
+            ClientAnswer client) {
+        this.environment = environment;
+        this.request = request;
+        this.body = body;
+        this.client = client;
+        this.arrivedNanos = environment.nowNanos();
+    }
+
+    /** Starts to serve a request; takes over the reference to its body. */
+    static RequestForwarding start(
+            ForwardingEnvironment environment,
+            IngressRequest request,
+            ByteBuf body,
+            ClientAnswer client) {
+        final RequestForwarding forwarding =
+                new RequestForwarding(environment, request, body, client);
+        try {
+            forwarding.admit();
+            forwarding.findTarget();
+        } catch (ResultException refusal) {
+            forwarding.refuse(refusal);
+        }
+        return forwarding;
+    }
+
+    IngressRequest request() {
+        return request;
+    }
+
+    IngressDialect dialect() {
+        return environment.dialect();
+    }
+
+    boolean isStream() {
+        return route.kind() == RouteKind.STREAM;
+    }
+
+    /** The client has left: the backend server is told at once. */
+    void clientGone() {
+        if (!done) {
+            finish(ResultCode.CALLER_CANCELLED, 0, "client left");
+        }
+    }
+
+    /** The client reads again, or no more. */
+    void clientWritable(boolean writable) {
+        if (!done && attempt != null && paused == writable) {
+            paused = !writable;
+            attempt.setReading(writable);
+        }
+    }
+
+    /** Takes bytes of a stream. */
+    void eventBytes(BackendAttempt from, ByteBuf data) {
+        if (isStale(from)) {
+            return;
+        }
+        final ByteBuf events = splitter.add(data);
+        if (events == null) {
+            return;
+        }
+        progressNanos = environment.nowNanos();
+        if (!started) {
+            started = true;
+            firstByteNanos = progressNanos;
+            environment.health().succeeded(from.target().backend().backend(), progressNanos);
+            environment.prompts().read(request, from.target().backend().backend());
+            client.startStream(from.status(), from.headers());
+        }
+        client.events(events);
+        if (!client.isWritable()) {
+            clientWritable(false);
+        }
+    }
+
+    /** Writes what was passed on since the last call. */
+    void flush() {
+        if (splitter.isBroken() && !done) {
+            final BackendAttempt failed = attempt;
+            failed.abort();
+            broken(failed, true, "events are missing");
+        }
+    }
+
+    /** Takes the end of a stream. */
+    void streamEnded(BackendAttempt from) {
+        if (isStale(from)) {
+            return;
+        }
+        if (splitter.hasPartOfEvent() || splitter.isBroken()) {
+            broken(from, true, "stream ended within an event");
+            return;
+        }
+        if (!started) {
+            started = true;
+            client.startStream(from.status(), from.headers());
+        }
+        client.endStream();
+        finish(ResultCode.OK, from.status().code(), "served");
+    }
+
+    /** Takes a whole answer. */
+    void wholeAnswer(BackendAttempt from) {
+        if (isStale(from)) {
+            return;
+        }
+        final long nowNanos = environment.nowNanos();
+        final String backend = from.target().backend().backend();
+        if (from.status().code() >= SERVER_ERROR) {
+            mayHaveRun = true;
+            environment.health().failed(backend, 1, nowNanos);
+            noteFailure(from, true, "status " + from.status().code());
+            release(from);
+            lastFailure = started ? null : from;
+            repeatOrGiveUp(from);
+            return;
+        }
+        environment.health().succeeded(backend, nowNanos);
+        if (started) {
+            broken(from, true, "no stream");
+            return;
+        }
+        deliver(from, "served");
+    }
+
+    /** Takes the answer that a backend server did not run the request. */
+    void notRun(BackendAttempt from) {
+        if (isStale(from)) {
+            return;
+        }
+        final String backend = from.target().backend().backend();
+        noteFailure(from, false, "not run, status " + from.status().code());
+        release(from);
+        final boolean awaitsAdapter =
+                from.target().fresh() && adapterWaits < ADAPTER_WAITS && remainingMillis() > 0;
+        if (awaitsAdapter && from.status().code() != 429) {
+            adapterWaits++;
+            if (environment.allowance().tryRepeat(service)) {
+                sendLater(from.target(), ADAPTER_WAIT_MILLIS);
+                return;
+            }
+        }
+        if (from.status().code() == 421 && from.target().key() != null) {
+            environment.view().forget(backend, from.target().key());
+        } else {
+            environment.health().failed(backend, 0.5, environment.nowNanos());
+        }
+        repeatOrGiveUp(from);
+    }
+
+    /** Takes the news that no complete answer will come. */
+    void broken(BackendAttempt from, boolean mayHaveArrived, String reason) {
+        if (isStale(from)) {
+            return;
+        }
+        mayHaveRun |= mayHaveArrived;
+        environment
+                .health()
+                .failed(
+                        from.target().backend().backend(),
+                        mayHaveArrived ? 1 : 2,
+                        environment.nowNanos());
+        noteFailure(from, mayHaveArrived, reason);
+        release(from);
+        if (!mayHaveArrived) {
+            sentTo.remove(from.target().backend().backend());
+        }
+        repeatOrGiveUp(from);
+    }
+
+    private void admit() {
+        final long nowNanos = arrivedNanos;
+        freshnessMillis = environment.freshness().ageMillis(nowNanos);
+        final IngressConfiguration configuration =
+                environment
+                        .configuration()
+                        .current()
+                        .orElseThrow(
+                                () ->
+                                        ResultException.of(
+                                                        ResultCode.NOT_READY,
+                                                        "no configuration is known yet")
+                                                .withRetryAfter(RETRY_AFTER_REFUSAL));
+        configurationVersion = configuration.version();
+        final Optional<IngressRoute> found = configuration.route(request.host(), request.path());
+        if (found.isEmpty()) {
+            environment.admission().requireFresh(nowNanos);
+            throw ResultException.of(ResultCode.UNKNOWN_ROUTE, request.path());
+        }
+        route = found.get();
+        organisation = environment.admission().identify(configuration, route, request, nowNanos);
+        service = route.serviceAt(environment.random().nextDouble());
+        final KeyedOrganisation charged = organisation.orElse(null);
+        if (charged != null) {
+            charge = environment.admission().charge(charged, request, nowNanos);
+        }
+        request.lastEventId().ifPresent(splitter::startAfter);
+        limitTimer =
+                environment
+                        .loop()
+                        .schedule(this::limitReached, remainingMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private void findTarget() {
+        new TargetFinder(environment)
+                .find(service, request, avoided)
+                .whenComplete(
+                        (target, failure) -> {
+                            if (done) {
+                                return;
+                            }
+                            if (failure instanceof ResultException refusal) {
+                                lastRefusal = refusal;
+                                giveUp();
+                            } else if (target.delayMillis() > 0) {
+                                sendLater(target, target.delayMillis());
+                            } else {
+                                send(target);
+                            }
+                        });
+    }
+
+    private void sendLater(Target target, long delayMillis) {
+        environment.view().started(target.backend().backend(), target.key());
+        environment
+                .loop()
+                .schedule(
+                        () -> {
+                            environment.view().ended(target.backend().backend(), target.key());
+                            if (!done) {
+                                send(target);
+                            }
+                        },
+                        delayMillis,
+                        TimeUnit.MILLISECONDS);
+    }
+
+    private void send(Target target) {
+        final BackendRecord backend = target.backend();
+        sends++;
+        sentTo.add(backend.backend());
+        final BackendAttempt next = new BackendAttempt(this, target, sends);
+        attempt = next;
+        environment.view().started(backend.backend(), target.key());
+        environment.allowance().sent(service);
+        environment
+                .pool()
+                .acquire(
+                        new InetSocketAddress(backend.host(), backend.port()),
+                        !route.isRepeatable())
+                .whenComplete(
+                        (channel, failure) -> {
+                            if (failure != null) {
+                                broken(next, false, "no connection");
+                            } else if (isStale(next)) {
+                                channel.close();
+                            } else {
+                                sendOn(channel, next);
+                            }
+                        });
+    }
+
+    private void sendOn(BackendChannel channel, BackendAttempt next) {
+        final long left = remainingMillis();
+        if (left <= 0) {
+            channel.close();
+            return;
+        }
+        next.opened(channel);
+        progressNanos = environment.nowNanos();
+        environment
+                .observer()
+                .sent(
+                        request,
+                        next.target().backend().backend(),
+                        next.number(),
+                        environment.view().requestsAt(next.target().backend().backend()));
+        channel.send(forwarded(next.target(), left), next);
+        if (route.isRepeatable()) {
+            awaitProgress(next);
+        }
+    }
+
+    private FullHttpRequest forwarded(Target target, long leftMillis) {
+        final HttpHeaders headers = request.headers().copy();
+        final AdapterKey key = target.key();
+        environment
+                .dialect()
+                .addForwardingHeaders(
+                        headers,
+                        new ForwardingFields(
+                                target.backend().backend(),
+                                leftMillis,
+                                organisation.map(KeyedOrganisation::name),
+                                key == null
+                                        ? OptionalLong.empty()
+                                        : environment.view().namedVersion(key),
+                                priority(),
+                                splitter.lastEventId()));
+        if (body.isReadable() || !request.method().name().equals("GET")) {
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+        }
+        final FullHttpRequest copy =
+                new DefaultFullHttpRequest(
+                        HttpVersion.HTTP_1_1,
+                        request.method(),
+                        request.target(),
+                        body.retainedDuplicate());
+        copy.headers().set(headers);
+        return copy;
+    }
+
+    private OptionalInt priority() {
+        if (route.kind() != RouteKind.STREAM) {
+            return OptionalInt.empty();
+        }
+        final int rank =
+                organisation
+                        .map(KeyedOrganisation::priority)
+                        .filter(OptionalInt::isPresent)
+                        .map(OptionalInt::getAsInt)
+                        .orElse(route.priority());
+        return OptionalInt.of(Math.min(HIGHEST_PRIORITY, Math.max(0, rank)));
+    }
+
+    /** Gives a silent backend server up once another may serve the request. */
+    private void awaitProgress(BackendAttempt watched) {
+        final long patienceMillis = patienceMillis();
+        final long silentMillis =
+                TimeUnit.NANOSECONDS.toMillis(environment.nowNanos() - progressNanos);
+        patienceTimer =
+                environment
+                        .loop()
+                        .schedule(
+                                () -> checkProgress(watched),
+                                Math.max(1, patienceMillis - silentMillis),
+                                TimeUnit.MILLISECONDS);
+    }
+
+    private void checkProgress(BackendAttempt watched) {
+        if (isStale(watched)) {
+            return;
+        }
+        final long silentMillis =
+                TimeUnit.NANOSECONDS.toMillis(environment.nowNanos() - progressNanos);
+        if (silentMillis < patienceMillis() || paused) {
+            awaitProgress(watched);
+            return;
+        }
+        if (mayTryAnother() && remainingMillis() > 0 && hasAnother(watched)) {
+            watched.abort();
+            broken(watched, true, "silent for " + silentMillis + " ms");
+        } else {
+            progressNanos = environment.nowNanos();
+            awaitProgress(watched);
+        }
+    }
+
+    private long patienceMillis() {
+        return (long)
+                (started
+                        ? route.pauseMillis() * PATIENCE_PAUSES
+                        : route.objectiveMillis() * PATIENCE_OBJECTIVES);
+    }
+
+    private boolean hasAnother(BackendAttempt watched) {
+        return environment.view().ofService(service).stream()
+                .map(BackendRecord::backend)
+                .anyMatch(
+                        other ->
+                                !other.equals(watched.target().backend().backend())
+                                        && !avoided.contains(other));
+    }
+
+    private boolean mayTryAnother() {
+        return sentTo.size() < route.maximumAttempts()
+                && (!mayHaveRun || route.isRepeatable())
+                && (!started || splitter.lastEventId().isPresent());
+    }
+
+    private void repeatOrGiveUp(BackendAttempt failed) {
+        avoided.add(failed.target().backend().backend());
+        if (remainingMillis() > 0
+                && mayTryAnother()
+                && environment.allowance().tryRepeat(service)) {
+            splitter.restart();
+            findTarget();
+        } else {
+            giveUp();
+        }
+    }
+
+    private void giveUp() {
+        if (started) {
+            client.breakOff();
+            finish(ResultCode.ANSWER_INCOMPLETE, 0, "stream broke off");
+        } else if (lastFailure != null) {
+            deliver(lastFailure, "backend server failed");
+        } else if (mayHaveRun) {
+            refuse(failure());
+        } else if (lastRefusal != null) {
+            refuse(lastRefusal.withExecution(Execution.NOT_RUN));
+        } else {
+            refuse(
+                    ResultException.of(ResultCode.BACKEND_SERVER_REFUSED, lastBackend())
+                            .withRetryAfter(RETRY_AFTER_REFUSAL));
+        }
+    }
+
+    private void limitReached() {
+        if (done) {
+            return;
+        }
+        final BackendAttempt current = attempt;
+        if (started) {
+            client.breakOff();
+            finish(ResultCode.ANSWER_INCOMPLETE, 0, "time limit reached within a stream");
+        } else if (current != null || mayHaveRun) {
+            refuse(ResultException.of(ResultCode.BACKEND_SERVER_TIMEOUT, lastBackend()));
+        } else {
+            refuse(
+                    ResultException.of(ResultCode.DEADLINE_UNREACHABLE, 0)
+                            .withRetryAfter(RETRY_AFTER_REFUSAL));
+        }
+    }
+
+    private ResultException failure() {
+        return ResultException.of(
+                ResultCode.BACKEND_SERVER_FAILED, lastBackend(), "no complete answer");
+    }
+
+    private String lastBackend() {
+        return attempt == null ? "-" : attempt.target().backend().backend();
+    }
+
+    private void deliver(BackendAttempt answer, String reason) {
+        firstByteNanos = environment.nowNanos();
+        client.whole(answer.status(), answer.headers(), answer.body());
+        finish(ResultCode.OK, answer.status().code(), reason);
+    }
+
+    private void refuse(ResultException refusal) {
+        if (done) {
+            return;
+        }
+        client.refuse(refusal);
+        finish(refusal.code(), refusal.code().httpStatus(), refusal.getMessage());
+    }
+
+    /** Ends the request; what is still under way at a backend server is given up. */
+    private void finish(ResultCode code, int status, String reason) {
+        done = true;
+        if (limitTimer != null) {
+            limitTimer.cancel(false);
+        }
+        if (patienceTimer != null) {
+            patienceTimer.cancel(false);
+        }
+        final String backend = lastBackend();
+        if (attempt != null) {
+            final BackendAttempt last = attempt;
+            release(last);
+            if (code != ResultCode.OK) {
+                last.abort();
+            }
+        }
+        if (code != ResultCode.OK && !mayHaveRun && attempt == null) {
+            charge.ifPresent(
+                    taken -> environment.admission().refund(taken, environment.nowNanos()));
+        }
+        body.release();
+        report(code, status, reason, backend);
+    }
+
+    private void report(ResultCode code, int status, String reason, String backend) {
+        final long nowNanos = environment.nowNanos();
+        final long waitedUntil = firstByteNanos == 0 ? nowNanos : firstByteNanos;
+        environment
+                .observer()
+                .ended(
+                        new ForwardingSummary(
+                                request,
+                                route == null ? "-" : route.name(),
+                                organisation.map(KeyedOrganisation::name).orElse("-"),
+                                configurationVersion,
+                                freshnessMillis,
+                                backend,
+                                sends,
+                                status,
+                                code,
+                                reason,
+                                TimeUnit.NANOSECONDS.toMillis(waitedUntil - arrivedNanos),
+                                TimeUnit.NANOSECONDS.toMillis(nowNanos - arrivedNanos),
+                                splitter.events()));
+    }
+
+    private void release(BackendAttempt ended) {
+        if (attempt == ended) {
+            attempt = null;
+            paused = false;
+            environment.view().ended(ended.target().backend().backend(), ended.target().key());
+        }
+    }
+
+    private void noteFailure(BackendAttempt failed, boolean ran, String reason) {
+        environment
+                .observer()
+                .attemptFailed(
+                        request, failed.target().backend().backend(), failed.number(), ran, reason);
+    }
+
+    private boolean isStale(BackendAttempt from) {
+        return done || attempt != from;
+    }
+
+    private long remainingMillis() {
+        final long limit =
+                Math.min(request.deadlineMillis().orElse(Long.MAX_VALUE), route.timeoutMillis());
+        return limit - TimeUnit.NANOSECONDS.toMillis(environment.nowNanos() - arrivedNanos);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocushaven/ingress/BaseModel.java
@@ -0,0 +1,17 @@
+package org.crocushaven.ingress;
+
+/**
+ * A base model that the engines of a service can hold.
+ *
+ * @param name its name
+ * @param weightsMegabytes size of its weights
+ * @param loadMillis time to load it from the weight store
+ * @param adapters number of its adapters
+ * @param adapterMegabytes size of one adapter
+ */
+public record BaseModel(
+        String name,
+        double weightsMegabytes,
+        double loadMillis,
+        int adapters,
+        double adapterMegabytes) {}
--- /dev/null
+++ b/daemon/src/main/java/org/crocushaven/ingress/IngressConfiguration.java
@@ -0,0 +1,91 @@
+package org.crocushaven.ingress;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** A complete configuration under the operator's version number. */
+public final class IngressConfiguration {
+    private final long version;
+    private final List<IngressRoute> routes;
+    private final Map<String, IngressService> services = new HashMap<>();
+    private final List<KeyedOrganisation> organisations;
+    private final Map<String, KeyedOrganisation> organisationByKey = new HashMap<>();
+    private final IngressLimits limits;
+    private final RouteTable table;
+
+    private IngressConfiguration(
+            long version,
+            List<IngressRoute> routes,
+            List<IngressService> services,
+            List<KeyedOrganisation> organisations,
+            IngressLimits limits) {
+        this.version = version;
+        this.routes = List.copyOf(routes);
+        this.organisations = List.copyOf(organisations);
+        this.limits = limits;
+        this.table = RouteTable.of(routes);
+        services.forEach(service -> this.services.put(service.name(), service));
+        organisations.forEach(
+                organisation ->
+                        organisation
+                                .keys()
+                                .forEach(key -> organisationByKey.put(key, organisation)));
+    }
+
+    /** Returns a configuration of valid parts; no key belongs to two organisations. */
+    public static IngressConfiguration of(
+            long version,
+            List<IngressRoute> routes,
+            List<IngressService> services,
+            List<KeyedOrganisation> organisations,
+            IngressLimits limits) {
+        return new IngressConfiguration(version, routes, services, organisations, limits);
+    }
+
+    /** Returns the operator's version number. */
+    public long version() {
+        return version;
+    }
+
+    /** Returns all routes. */
+    public List<IngressRoute> routes() {
+        return routes;
+    }
+
+    /** Returns the service of the given name. */
+    public Optional<IngressService> service(String name) {
+        return Optional.ofNullable(services.get(name));
+    }
+
+    /** Returns all services. */
+    public List<IngressService> services() {
+        return List.copyOf(services.values());
+    }
+
+    /** Returns all organisations. */
+    public List<KeyedOrganisation> organisations() {
+        return organisations;
+    }
+
+    /** Returns whether requests of routes that are not open need a key. */
+    public boolean needsKeys() {
+        return !organisations.isEmpty();
+    }
+
+    /** Returns the organisation that holds a key. */
+    public Optional<KeyedOrganisation> organisationOf(String key) {
+        return Optional.ofNullable(organisationByKey.get(key));
+    }
+
+    /** Returns the bounds on what clients may send. */
+    public IngressLimits limits() {
+        return limits;
+    }
+
+    /** Returns the route of a request, or empty when none matches. */
+    public Optional<IngressRoute> route(String host, String path) {
+        return table.find(host, path);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocushaven/instance/ForwardingLog.java
@@ -0,0 +1,127 @@
+package org.crocushaven.instance;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import org.crocushaven.forwarding.ForwardingObserver;
+import org.crocushaven.forwarding.ForwardingSummary;
+import org.crocushaven.ingress.IngressRequest;
+import org.crocushaven.observability.EventLine;
+import org.crocushaven.result.ResultCode;
+
+/** Writes a line for each decision on a request, and counts them. */
+final class ForwardingLog implements ForwardingObserver {
+    private static final double[] WAIT_SECONDS = {0.01, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1, 2, 5, 10};
+
+    private final PrometheusRegistry registry = new PrometheusRegistry();
+    private final PrometheusTextFormatWriter writer =
+            PrometheusTextFormatWriter.builder().setIncludeCreatedTimestamps(false).build();
+    private final Counter requests =
+            Counter.builder()
+                    .name("crocushaven_gateway_requests")
+                    .help("Requests of clients by outcome.")
+                    .labelNames("code")
+                    .register(registry);
+    private final Counter failedAttempts =
+            Counter.builder()
+                    .name("crocushaven_gateway_failed_attempts")
+                    .help("Sends that led to no answer, by whether the request may have run.")
+                    .labelNames("may_have_run")
+                    .register(registry);
+    private final Histogram waits =
+            Histogram.builder()
+                    .name("crocushaven_gateway_wait_seconds")
+                    .help("Time until the first byte for the client, or the refusal.")
+                    .classicOnly()
+                    .classicUpperBounds(WAIT_SECONDS)
+                    .register(registry);
+
+    private ForwardingLog() {}
+
+    /** Returns a log with measures of its own. */
+    static ForwardingLog create() {
+        return new ForwardingLog();
+    }
+
+    /** Returns the measures as text. */
+    String metrics() {
+        final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try {
+            writer.write(bytes, registry.scrape());
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
+        return bytes.toString(StandardCharsets.UTF_8);
+    }
+
+    /** Returns the media type of {@link #metrics()}. */
+    String metricsMediaType() {
+        return PrometheusTextFormatWriter.CONTENT_TYPE;
+    }
+
+    @Override
+    public void sent(IngressRequest request, String backend, int attempt, int requestsThere) {
+        if (attempt > 1) {
+            EventLine.of("sent-again")
+                    .with("request", request.requestId())
+                    .with("backend", backend)
+                    .with("attempt", attempt)
+                    .with("requests_there", requestsThere)
+                    .info();
+        }
+    }
+
+    @Override
+    public void attemptFailed(
+            IngressRequest request,
+            String backend,
+            int attempt,
+            boolean mayHaveRun,
+            String reason) {
+        failedAttempts.labelValues(Boolean.toString(mayHaveRun)).inc();
+        EventLine.of("attempt-failed")
+                .with("request", request.requestId())
+                .with("backend", backend)
+                .with("attempt", attempt)
+                .with("may_have_run", mayHaveRun)
+                .with("reason", reason)
+                .info();
+    }
+
+    @Override
+    public void ended(ForwardingSummary summary) {
+        requests.labelValues(Integer.toString(summary.code().number())).inc();
+        waits.observe(summary.waitedMillis() / (double) TimeUnit.SECONDS.toMillis(1));
+        EventLine.of("request-ended")
+                .with("request", summary.request().requestId())
+                .with("route", summary.route())
+                .with("organisation", summary.organisation())
+                .with("model", summary.request().model().map(Object::toString).orElse("-"))
+                .with("configuration", summary.configurationVersion())
+                .with("freshness_ms", summary.freshnessMillis())
+                .with("backend", summary.backend())
+                .with("attempts", summary.attempts())
+                .with("status", summary.status())
+                .with("code", summary.code().number())
+                .with("reason", summary.reason())
+                .with("waited_ms", summary.waitedMillis())
+                .with("total_ms", summary.totalMillis())
+                .with("events", summary.events())
+                .info();
+    }
+
+    @Override
+    public void unreadable(ResultCode code, String detail) {
+        requests.labelValues(Integer.toString(code.number())).inc();
+        EventLine.of("request-unreadable")
+                .with("code", code.number())
+                .with("detail", detail)
+                .info();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocushaven/instance/InstanceSettingsLoader.java
@@ -0,0 +1,269 @@
+package org.crocushaven.instance;
+
+import static org.crocushaven.configuration.check.ValueType.ARRAY;
+import static org.crocushaven.configuration.check.ValueType.BOOLEAN;
+import static org.crocushaven.configuration.check.ValueType.INTEGER;
+import static org.crocushaven.configuration.check.ValueType.NUMBER;
+import static org.crocushaven.configuration.check.ValueType.STRING;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import org.crocushaven.configuration.check.AddressCheck;
+import org.crocushaven.configuration.check.Check;
+import org.crocushaven.configuration.check.CheckEngine;
+import org.crocushaven.configuration.check.IpNumber;
+import org.crocushaven.configuration.check.IpNumberCheck;
+import org.crocushaven.configuration.check.KeyDescription;
+import org.crocushaven.configuration.check.OneOfCheck;
+import org.crocushaven.configuration.check.PatternCheck;
+import org.crocushaven.configuration.check.RangeCheck;
+import org.crocushaven.configuration.check.RequiredKeyCheck;
+import org.crocushaven.configuration.check.TomlDocument;
+import org.crocushaven.configuration.check.TomlNode;
+import org.crocushaven.configuration.check.UnknownKeyCheck;
+import org.crocushaven.configuration.check.ValueTypeCheck;
+import org.crocushaven.configuration.check.Violation;
+import org.crocushaven.result.ResultCode;
+import org.crocushaven.result.ResultException;
+
+/** Loads an instance's settings from a TOML file and refuses them with every fault at once. */
+public final class InstanceSettingsLoader {
+    /** Name of the instance. */
+    private static final String INSTANCE = "instance";
+
+    /** Where it runs. */
+    private static final String FAILURE_DOMAIN = "failure_domain";
+
+    /** What it does: gateway or control. */
+    private static final String ROLE = "role";
+
+    /** Address for other instances. */
+    private static final String HOST = "host";
+
+    /** Port for other instances. */
+    private static final String INNER_PORT = "inner_port";
+
+    /** Port for measures; none when absent. */
+    private static final String METRICS_PORT = "metrics_port";
+
+    /** Instances that hold control state, as host:port. */
+    private static final String SEEDS = "seeds";
+
+    private static final String SEED = "seeds[]";
+
+    /** Where a gateway listens for clients. */
+    private static final String INGRESS = "ingress";
+
+    /** Where a gateway tells whether it is ready. */
+    private static final String READINESS = "readiness";
+
+    /** Where operators and backend servers call. */
+    private static final String CONTROL = "control";
+
+    /** Where control state is kept. */
+    private static final String DATA_FOLDER = "data_folder";
+
+    /** Whether the whole fleet starts for the first time; false when absent. */
+    private static final String BOOTSTRAP = "bootstrap";
+
+    /** Instances with control state that may be lost at once. */
+    private static final String TOLERATED_INSTANCES = "tolerated_instances";
+
+    private static final long DEFAULT_TOLERATED_INSTANCES = 1;
+
+    /** Time between two heartbeats of a backend server. */
+    private static final String HEARTBEAT_MILLIS = "heartbeat_millis";
+
+    private static final long DEFAULT_HEARTBEAT_MILLIS = 1_000;
+
+    /** Time within which a withdrawn key must stop working. */
+    private static final String KEY_WITHDRAWAL_MILLIS = "key_withdrawal_millis";
+
+    private static final long DEFAULT_KEY_WITHDRAWAL_MILLIS = 5_000;
+
+    /** Time within which two instances must not both give orders to an engine. */
+    private static final String ORDER_LEASE_MILLIS = "order_lease_millis";
+
+    private static final long DEFAULT_ORDER_LEASE_MILLIS = 3_000;
+
+    /** Longest time that a stop may take. */
+    private static final String STOP_GRACE_SECONDS = "stop_grace_seconds";
+
+    private static final double DEFAULT_STOP_GRACE_SECONDS = 8;
+
+    /** Repeats for each first send. */
+    private static final String RETRY_RATIO = "retry_ratio";
+
+    private static final double DEFAULT_RETRY_RATIO = 0.1;
+
+    /** Repeats besides, of all gateways together in one window. */
+    private static final String RETRY_EXTRA = "retry_extra";
+
+    private static final double DEFAULT_RETRY_EXTRA = 10;
+
+    private static final double LONGEST_MILLIS = 3_600_000;
+    private static final double MOST_REPEATS = 1e9;
+    private static final double MOST_TOLERATED = 3;
+
+    private static final List<KeyDescription> KEYS =
+            List.of(
+                    KeyDescription.required(INSTANCE, STRING),
+                    KeyDescription.required(FAILURE_DOMAIN, STRING),
+                    KeyDescription.required(ROLE, STRING),
+                    KeyDescription.required(HOST, STRING),
+                    KeyDescription.required(INNER_PORT, INTEGER),
+                    KeyDescription.optional(METRICS_PORT, INTEGER),
+                    KeyDescription.required(SEEDS, ARRAY),
+                    KeyDescription.optional(SEED, STRING),
+                    KeyDescription.optional(INGRESS, STRING),
+                    KeyDescription.optional(READINESS, STRING),
+                    KeyDescription.optional(CONTROL, STRING),
+                    KeyDescription.optional(DATA_FOLDER, STRING),
+                    KeyDescription.optional(BOOTSTRAP, BOOLEAN),
+                    KeyDescription.optional(TOLERATED_INSTANCES, INTEGER),
+                    KeyDescription.optional(HEARTBEAT_MILLIS, INTEGER),
+                    KeyDescription.optional(KEY_WITHDRAWAL_MILLIS, INTEGER),
+                    KeyDescription.optional(ORDER_LEASE_MILLIS, INTEGER),
+                    KeyDescription.optional(STOP_GRACE_SECONDS, NUMBER),
+                    KeyDescription.optional(RETRY_RATIO, NUMBER),
+                    KeyDescription.optional(RETRY_EXTRA, NUMBER));
+
+    private static final List<Check> CHECKS =
+            List.of(
+                    UnknownKeyCheck.of(KEYS),
+                    ValueTypeCheck.of(KEYS),
+                    RequiredKeyCheck.of(KEYS),
+                    PatternCheck.name(FAILURE_DOMAIN),
+                    OneOfCheck.of(ROLE, List.of("gateway", "control")),
+                    IpNumberCheck.of(HOST),
+                    RangeCheck.of(INNER_PORT, 1, IpNumber.MAXIMUM_PORT),
+                    RangeCheck.of(METRICS_PORT, 1, IpNumber.MAXIMUM_PORT),
+                    AddressCheck.of(SEED),
+                    AddressCheck.of(INGRESS),
+                    AddressCheck.of(READINESS),
+                    AddressCheck.of(CONTROL),
+                    RangeCheck.of(TOLERATED_INSTANCES, 0, MOST_TOLERATED),
+                    RangeCheck.of(HEARTBEAT_MILLIS, 1, LONGEST_MILLIS),
+                    RangeCheck.of(KEY_WITHDRAWAL_MILLIS, 1, LONGEST_MILLIS),
+                    RangeCheck.of(ORDER_LEASE_MILLIS, 0, LONGEST_MILLIS),
+                    RangeCheck.of(STOP_GRACE_SECONDS, 0, LONGEST_MILLIS),
+                    RangeCheck.of(RETRY_RATIO, 0, MOST_REPEATS),
+                    RangeCheck.of(RETRY_EXTRA, 0, MOST_REPEATS));
+
+    private static final CheckEngine ENGINE = CheckEngine.of(CHECKS);
+
+    private final TomlNode root;
+
+    private InstanceSettingsLoader(TomlNode root) {
+        this.root = root;
+    }
+
+    /**
+     * Loads a file.
+     *
+     * @throws ResultException with {@code SETTINGS_UNREADABLE} when the file cannot be read, with
+     *     {@code SETTINGS_INVALID} and all faults when its content is refused
+     */
+    public static InstanceSettings load(Path file) {
+        final String text;
+        try {
+            text = Files.readString(file, StandardCharsets.UTF_8);
+        } catch (IOException failure) {
+            throw ResultException.of(ResultCode.SETTINGS_UNREADABLE, file, failure);
+        }
+        return parse(file.toString(), text);
+    }
+
+    /**
+     * Reads settings from a text.
+     *
+     * @throws ResultException with {@code SETTINGS_INVALID} and all faults, one a line
+     */
+    public static InstanceSettings parse(String file, String text) {
+        final TomlDocument document = TomlDocument.parse(file, text);
+        final List<Violation> violations = ENGINE.run(document);
+        if (!violations.isEmpty()) {
+            throw ResultException.of(ResultCode.SETTINGS_INVALID, lines(violations));
+        }
+        final InstanceSettings settings = new InstanceSettingsLoader(document.root()).settings();
+        requireRoleAddresses(settings);
+        return settings;
+    }
+
+    private InstanceSettings settings() {
+        return new InstanceSettings(
+                text(INSTANCE).orElseThrow(),
+                text(FAILURE_DOMAIN).orElseThrow(),
+                InstanceSettings.Role.valueOf(text(ROLE).orElseThrow().toUpperCase(Locale.ROOT)),
+                text(HOST).orElseThrow(),
+                (int) integer(INNER_PORT, 0),
+                (int) integer(METRICS_PORT, 0),
+                root.texts(SEEDS),
+                address(INGRESS),
+                address(READINESS),
+                address(CONTROL),
+                text(DATA_FOLDER).map(Path::of),
+                root.child(BOOTSTRAP).flatMap(TomlNode::flag).orElse(false),
+                (int) integer(TOLERATED_INSTANCES, DEFAULT_TOLERATED_INSTANCES),
+                integer(HEARTBEAT_MILLIS, DEFAULT_HEARTBEAT_MILLIS),
+                integer(KEY_WITHDRAWAL_MILLIS, DEFAULT_KEY_WITHDRAWAL_MILLIS),
+                integer(ORDER_LEASE_MILLIS, DEFAULT_ORDER_LEASE_MILLIS),
+                (long)
+                        (number(STOP_GRACE_SECONDS, DEFAULT_STOP_GRACE_SECONDS)
+                                * TimeUnit.SECONDS.toMillis(1)),
+                number(RETRY_RATIO, DEFAULT_RETRY_RATIO),
+                number(RETRY_EXTRA, DEFAULT_RETRY_EXTRA));
+    }
+
+    private static void requireRoleAddresses(InstanceSettings settings) {
+        final boolean isGateway = settings.role() == InstanceSettings.Role.GATEWAY;
+        final boolean complete =
+                isGateway
+                        ? settings.ingress().isPresent() && settings.readiness().isPresent()
+                        : settings.control().isPresent() && settings.dataFolder().isPresent();
+        if (!complete) {
+            throw ResultException.of(
+                    ResultCode.SETTINGS_INVALID,
+                    isGateway
+                            ? "a gateway needs ingress and readiness"
+                            : "an instance with control state needs control and data_folder");
+        }
+    }
+
+    private Optional<String> text(String key) {
+        return root.child(key).flatMap(TomlNode::text);
+    }
+
+    private Optional<InetSocketAddress> address(String key) {
+        return text(key)
+                .map(
+                        value -> {
+                            final int colon = value.lastIndexOf(':');
+                            return new InetSocketAddress(
+                                    value.substring(0, colon),
+                                    Integer.parseInt(value.substring(colon + 1)));
+                        });
+    }
+
+    private long integer(String key, long defaultValue) {
+        return root.child(key).flatMap(TomlNode::integer).orElse(defaultValue);
+    }
+
+    private double number(String key, double defaultValue) {
+        return root.child(key).flatMap(TomlNode::number).orElse(defaultValue);
+    }
+
+    private static String lines(List<Violation> violations) {
+        return violations.stream()
+                .map(violation -> "\n  " + violation)
+                .collect(Collectors.joining());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocushaven/network/SmallHttpServer.java
@@ -0,0 +1,78 @@
+package org.crocushaven.network;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+
+/** Serves short calls whose whole body is read before they are answered. */
+public final class SmallHttpServer {
+    private static final int MAXIMUM_BODY_BYTES = 8 << 20;
+
+    private SmallHttpServer() {}
+
+    /**
+     * Starts to listen.
+     *
+     * @param handler answers a request; the request is valid until the future is returned, which
+     *     must not fail
+     */
+    public static Listener listen(
+            EventLoopGroup group,
+            InetSocketAddress address,
+            Function<FullHttpRequest, CompletableFuture<FullHttpResponse>> handler) {
+        return Listener.bind(
+                group,
+                address,
+                new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline()
+                                .addLast(new HttpServerCodec())
+                                .addLast(new HttpObjectAggregator(MAXIMUM_BODY_BYTES))
+                                .addLast(new CallHandler(handler));
+                    }
+                });
+    }
+
+    private static final class CallHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private final Function<FullHttpRequest, CompletableFuture<FullHttpResponse>> handler;
+
+        private CallHandler(
+                Function<FullHttpRequest, CompletableFuture<FullHttpResponse>> handler) {
+            this.handler = handler;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+            final boolean keepOpen = HttpUtil.isKeepAlive(request);
+            handler.apply(request)
+                    .thenAccept(response -> answer(context.channel(), response, keepOpen));
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+
+        private static void answer(Channel channel, FullHttpResponse response, boolean keepOpen) {
+            HttpUtil.setContentLength(response, response.content().readableBytes());
+            HttpUtil.setKeepAlive(response, keepOpen);
+            if (keepOpen) {
+                channel.writeAndFlush(response);
+            } else {
+                channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocushaven/observability/LibraryMessages.java
@@ -0,0 +1,40 @@
+package org.crocushaven.observability;
+
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogManager;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+
+/** Turns what libraries log through the platform's own logging into lines of this process. */
+public final class LibraryMessages extends Handler {
+    private LibraryMessages() {}
+
+    /** Replaces the handlers of all loggers. */
+    public static void install() {
+        LogManager.getLogManager().reset();
+        final Logger root = Logger.getLogger("");
+        root.setLevel(Level.WARNING);
+        root.addHandler(new LibraryMessages());
+    }
+
+    @Override
+    public void publish(LogRecord message) {
+        EventLine.of("library-message")
+                .with("logger", message.getLoggerName())
+                .with("level", message.getLevel())
+                .with("message", message.getMessage())
+                .with(
+                        "thrown",
+                        message.getThrown() == null
+                                ? "-"
+                                : message.getThrown().getClass().getName())
+                .warn();
+    }
+
+    @Override
+    public void flush() {}
+
+    @Override
+    public void close() {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocushaven/outbound/BackendCall.java
@@ -0,0 +1,107 @@
+package org.crocushaven.outbound;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.crocushaven.result.ResultCode;
+import org.crocushaven.result.ResultException;
+
+/** A short call to a backend server whose whole answer is wanted, such as an order. */
+public final class BackendCall implements BackendAnswerListener {
+    private static final int MAXIMUM_ANSWER_BYTES = 4 << 20;
+
+    private final CompletableFuture<Answer> answer = new CompletableFuture<>();
+    private final String target;
+    private final ByteBuf body = Unpooled.buffer();
+    private BackendChannel channel;
+    private int status;
+
+    private BackendCall(String target) {
+        this.target = target;
+    }
+
+    /**
+     * Makes a call; fails with {@code BACKEND_SERVER_FAILED} or {@code BACKEND_SERVER_TIMEOUT},
+     * which say whether the call may have arrived.
+     */
+    public static CompletableFuture<Answer> make(
+            BackendPool pool,
+            EventLoop loop,
+            InetSocketAddress address,
+            FullHttpRequest request,
+            long timeoutMillis) {
+        final BackendCall call = new BackendCall(address.toString());
+        final ScheduledFuture<?> timer =
+                loop.schedule(
+                        () -> call.timeOut(timeoutMillis), timeoutMillis, TimeUnit.MILLISECONDS);
+        pool.acquire(address, true)
+                .whenComplete(
+                        (opened, failure) -> {
+                            if (failure != null) {
+                                request.release();
+                                call.answer.completeExceptionally(failure);
+                            } else if (call.answer.isDone()) {
+                                request.release();
+                                opened.close();
+                            } else {
+                                call.channel = opened;
+                                opened.send(request, call);
+                            }
+                        });
+        call.answer.whenComplete((ignored, failure) -> timer.cancel(false));
+        return call.answer;
+    }
+
+    @Override
+    public boolean head(HttpResponse head) {
+        status = head.status().code();
+        return true;
+    }
+
+    @Override
+    public void content(ByteBuf data) {
+        if (body.readableBytes() + data.readableBytes() > MAXIMUM_ANSWER_BYTES) {
+            channel.abort();
+            failed(true, "answer too large");
+        } else {
+            body.writeBytes(data);
+        }
+    }
+
+    @Override
+    public void arrived() {}
+
+    @Override
+    public void complete() {
+        final byte[] bytes = new byte[body.readableBytes()];
+        body.readBytes(bytes);
+        answer.complete(new Answer(status, bytes));
+    }
+
+    @Override
+    public void failed(boolean mayHaveRun, String reason) {
+        answer.completeExceptionally(
+                ResultException.of(ResultCode.BACKEND_SERVER_FAILED, target, reason));
+    }
+
+    private void timeOut(long timeoutMillis) {
+        if (channel != null) {
+            channel.abort();
+        }
+        answer.completeExceptionally(ResultException.of(ResultCode.BACKEND_SERVER_TIMEOUT, target));
+    }
+
+    /**
+     * A whole answer.
+     *
+     * @param status HTTP status
+     * @param body body as received
+     */
+    public record Answer(int status, byte[] body) {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocushaven/outbound/BackendChannel.java
@@ -0,0 +1,223 @@
+package org.crocushaven.outbound;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * One connection to a backend server; carries one request at a time.
+ *
+ * <p>Closed rather than reused once anything arrived that belongs to no request.
+ */
+public final class BackendChannel extends ChannelInboundHandlerAdapter {
+    /** How long a connection is kept when the backend server states no time, in seconds. */
+    private static final int DEFAULT_KEEP_SECONDS = 2;
+
+    private static final String KEEP_ALIVE = "keep-alive";
+    private static final String TIMEOUT_PARAMETER = "timeout=";
+
+    private final Consumer<BackendChannel> released;
+    private Channel channel;
+    private BackendAnswerListener listener;
+    private boolean skipping;
+    private boolean informational;
+    private boolean reusable;
+    private boolean headSeen;
+    private boolean answered;
+    private long idleSinceNanos;
+    private long keepNanos = TimeUnit.SECONDS.toNanos(DEFAULT_KEEP_SECONDS);
+
+    /**
+     * Creates the handler of a connection.
+     *
+     * @param released hears when the connection can carry another request
+     */
+    BackendChannel(Consumer<BackendChannel> released) {
+        this.released = released;
+    }
+
+    /** Returns whether an answer has been received on it. */
+    boolean hasAnswered() {
+        return answered;
+    }
+
+    boolean isActive() {
+        return channel != null && channel.isActive();
+    }
+
+    long idleSinceNanos() {
+        return idleSinceNanos;
+    }
+
+    /** Returns how long it may lie idle before the backend server closes it. */
+    long keepNanos() {
+        return keepNanos;
+    }
+
+    /** Sends a request; takes over the reference to it. */
+    public void send(FullHttpRequest request, BackendAnswerListener answerListener) {
+        listener = answerListener;
+        reusable = true;
+        headSeen = false;
+        skipping = false;
+        channel.writeAndFlush(request)
+                .addListener(
+                        written -> {
+                            if (!written.isSuccess()) {
+                                fail("write failed");
+                            }
+                        });
+    }
+
+    /** Gives up the request under way; the backend server sees the connection close. */
+    public void abort() {
+        listener = null;
+        close();
+    }
+
+    /** Lets the backend server's answer wait, or go on. */
+    public void setReading(boolean reading) {
+        channel.config().setAutoRead(reading);
+    }
+
+    /** Closes the connection. */
+    public void close() {
+        if (channel != null) {
+            channel.close();
+        }
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext context) {
+        channel = context.channel();
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        try {
+            if (listener == null) {
+                close();
+            } else {
+                read(message);
+            }
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (listener != null) {
+            listener.arrived();
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        fail(headSeen ? "closed during the answer" : "closed before the answer");
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        fail("connection failed: " + cause.getClass().getSimpleName());
+        close();
+    }
+
+    private void read(Object message) {
+        if (message instanceof io.netty.handler.codec.DecoderResultProvider decoded
+                && decoded.decoderResult().isFailure()) {
+            fail("unreadable answer");
+            close();
+            return;
+        }
+        if (message instanceof HttpResponse head) {
+            readHead(head);
+        }
+        if (message instanceof HttpContent content && listener != null) {
+            readContent(content);
+        }
+    }
+
+    private void readHead(HttpResponse head) {
+        informational = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+        if (informational) {
+            return;
+        }
+        reusable &= HttpUtil.isKeepAlive(head) && isDelimited(head);
+        readKeepAlive(head);
+        skipping = !listener.head(head);
+        headSeen |= !skipping;
+        if (skipping) {
+            reusable = false;
+        }
+    }
+
+    private void readContent(HttpContent content) {
+        final boolean last = content instanceof LastHttpContent;
+        if (informational || skipping) {
+            informational &= !last;
+            skipping &= !last;
+            return;
+        }
+        if (content.content().isReadable()) {
+            listener.content(content.content());
+        }
+        if (last && listener != null) {
+            finish();
+        }
+    }
+
+    private void finish() {
+        final BackendAnswerListener finished = listener;
+        listener = null;
+        answered = true;
+        idleSinceNanos = System.nanoTime();
+        if (reusable && channel.isActive()) {
+            channel.config().setAutoRead(true);
+            released.accept(this);
+        } else {
+            close();
+        }
+        finished.complete();
+    }
+
+    private void fail(String reason) {
+        final BackendAnswerListener failed = listener;
+        listener = null;
+        if (failed != null) {
+            failed.failed(true, reason);
+        }
+    }
+
+    private void readKeepAlive(HttpResponse head) {
+        final String value = head.headers().get(KEEP_ALIVE);
+        final int start = value == null ? -1 : value.indexOf(TIMEOUT_PARAMETER);
+        if (start < 0) {
+            return;
+        }
+        int seconds = 0;
+        for (int position = start + TIMEOUT_PARAMETER.length();
+                position < value.length() && Character.isDigit(value.charAt(position));
+                position++) {
+            seconds = Math.min(3_600, seconds * 10 + value.charAt(position) - '0');
+        }
+        keepNanos = TimeUnit.SECONDS.toNanos(seconds);
+    }
+
+    private static boolean isDelimited(HttpResponse head) {
+        return HttpUtil.isTransferEncodingChunked(head)
+                || head.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
+                || head.status().code() == 204
+                || head.status().code() == 304;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocushaven/outbound/BackendPool.java
@@ -0,0 +1,145 @@
+package org.crocushaven.outbound;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.agrona.concurrent.NanoClock;
+import org.crocushaven.result.Execution;
+import org.crocushaven.result.ResultCode;
+import org.crocushaven.result.ResultException;
+
+/** Connections to backend servers, kept while idle. Used on one event loop only. */
+public final class BackendPool {
+    /** Longer than a lost opening packet's absence is worth waiting for, in milliseconds. */
+    private static final int CONNECT_TIMEOUT_MILLIS = 300;
+
+    /** A connection is not reused so shortly before the backend server may close it. */
+    private static final long CLOSING_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+
+    private static final int MAXIMUM_HEADER_BYTES = 64 * 1024;
+
+    private final EventLoop loop;
+    private final NanoClock clock;
+    private final Map<InetSocketAddress, Deque<BackendChannel>> idle = new HashMap<>();
+
+    private BackendPool(EventLoop loop, NanoClock clock) {
+        this.loop = loop;
+        this.clock = clock;
+    }
+
+    /** Returns a pool without connections. */
+    public static BackendPool create(EventLoop loop, NanoClock clock) {
+        return new BackendPool(loop, clock);
+    }
+
+    /**
+     * Returns a connection that carries no request.
+     *
+     * @param sure whether one that might just be closing at the other end is of no use
+     */
+    public CompletableFuture<BackendChannel> acquire(InetSocketAddress address, boolean sure) {
+        final BackendChannel kept = takeIdle(address, sure);
+        return kept == null ? connect(address) : CompletableFuture.completedFuture(kept);
+    }
+
+    /** Closes idle connections that backend servers are about to close. */
+    public void closeExpired() {
+        final long nowNanos = clock.nanoTime();
+        final Iterator<Deque<BackendChannel>> deques = idle.values().iterator();
+        while (deques.hasNext()) {
+            final Deque<BackendChannel> deque = deques.next();
+            deque.removeIf(
+                    channel -> {
+                        final boolean expired = !isUsable(channel, false, nowNanos);
+                        if (expired) {
+                            channel.close();
+                        }
+                        return expired;
+                    });
+            if (deque.isEmpty()) {
+                deques.remove();
+            }
+        }
+    }
+
+    private BackendChannel takeIdle(InetSocketAddress address, boolean sure) {
+        final Deque<BackendChannel> deque = idle.get(address);
+        final long nowNanos = clock.nanoTime();
+        while (deque != null && !deque.isEmpty()) {
+            final BackendChannel channel = deque.pollLast();
+            if (isUsable(channel, sure, nowNanos)) {
+                return channel;
+            }
+            channel.close();
+        }
+        return null;
+    }
+
+    private static boolean isUsable(BackendChannel channel, boolean sure, long nowNanos) {
+        final long idleNanos = nowNanos - channel.idleSinceNanos();
+        final long bound = channel.keepNanos() - CLOSING_MARGIN_NANOS;
+        return channel.isActive() && idleNanos < (sure ? bound / 2 : bound);
+    }
+
+    private CompletableFuture<BackendChannel> connect(InetSocketAddress address) {
+        final CompletableFuture<BackendChannel> opened = new CompletableFuture<>();
+        final BackendChannel handler = new BackendChannel(channel -> release(address, channel));
+        final Bootstrap bootstrap =
+                new Bootstrap()
+                        .group(loop)
+                        .channel(NioSocketChannel.class)
+                        .option(ChannelOption.TCP_NODELAY, true)
+                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                        .handler(initializer(handler));
+        bootstrap
+                .connect(address)
+                .addListener(
+                        (ChannelFuture attempt) -> {
+                            if (attempt.isSuccess()) {
+                                opened.complete(handler);
+                            } else {
+                                opened.completeExceptionally(
+                                        ResultException.of(
+                                                        ResultCode.BACKEND_SERVER_FAILED,
+                                                        address,
+                                                        "no connection")
+                                                .withExecution(Execution.NOT_RUN));
+                            }
+                        });
+        return opened;
+    }
+
+    private void release(InetSocketAddress address, BackendChannel channel) {
+        idle.computeIfAbsent(address, key -> new ArrayDeque<>()).addLast(channel);
+    }
+
+    private static ChannelInitializer<Channel> initializer(BackendChannel handler) {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                channel.pipeline()
+                        .addLast(new HttpRequestEncoder())
+                        .addLast(
+                                new HttpResponseDecoder(
+                                        new HttpDecoderConfig()
+                                                .setMaxHeaderSize(MAXIMUM_HEADER_BYTES)))
+                        .addLast(handler);
+            }
+        };
+    }
+}
--- a/daemon/src/main/java/org/crocushaven/protocol/MessageType.java
+++ b/daemon/src/main/java/org/crocushaven/protocol/MessageType.java
@@ -31,6 +31,19 @@
 import org.crocushaven.dispatch.PermitReturn;
 import org.crocushaven.dispatch.PermitsHeld;
 import org.crocushaven.dispatch.ReportForward;
+import org.crocushaven.fleet.AdapterAsk;
+import org.crocushaven.fleet.AdapterGrant;
+import org.crocushaven.fleet.AnnouncementTaken;
+import org.crocushaven.fleet.BackendAnnouncement;
+import org.crocushaven.fleet.ControlHint;
+import org.crocushaven.fleet.ControlJoin;
+import org.crocushaven.fleet.FleetDocument;
+import org.crocushaven.fleet.FleetNudge;
+import org.crocushaven.fleet.FleetProposal;
+import org.crocushaven.fleet.FleetProposalDone;
+import org.crocushaven.fleet.FleetRead;
+import org.crocushaven.fleet.GatewayReport;
+import org.crocushaven.fleet.GatewayUpdate;
 import org.crocushaven.membership.Gossip;
 import org.crocushaven.observability.ExplainAnswer;
 import org.crocushaven.observability.ExplainQuery;
@@ -40,7 +53,8 @@
  * Numbers of the message types on the wire.
  *
  * <p>Ranges: 1 to 19 transport and membership, 20 to 39 replicated log, 40 to 59 spread of control
- * state, 60 to 79 permits and backend state, 80 to 99 shares and load budget, 100 to 119 claims.
+ * state, 60 to 79 permits and backend state, 80 to 99 shares and load budget, 100 to 119 claims,
+ * 120 to 139 gateways.
  */
 public enum MessageType {
     HELLO(1, Hello.class),
@@ -74,7 +88,20 @@
     BACKEND_SUMMARY(68, BackendSummary.class),
     LOAD_REQUEST(80, LoadRequest.class),
     LOAD_GRANT(81, LoadGrant.class),
-    LOAD_RELEASE(82, LoadRelease.class);
+    LOAD_RELEASE(82, LoadRelease.class),
+    BACKEND_ANNOUNCEMENT(120, BackendAnnouncement.class),
+    ANNOUNCEMENT_TAKEN(121, AnnouncementTaken.class),
+    GATEWAY_REPORT(122, GatewayReport.class),
+    GATEWAY_UPDATE(123, GatewayUpdate.class),
+    CONTROL_HINT(124, ControlHint.class),
+    ADAPTER_ASK(125, AdapterAsk.class),
+    ADAPTER_GRANT(126, AdapterGrant.class),
+    CONTROL_JOIN(127, ControlJoin.class),
+    FLEET_NUDGE(128, FleetNudge.class),
+    FLEET_PROPOSAL(129, FleetProposal.class),
+    FLEET_PROPOSAL_DONE(130, FleetProposalDone.class),
+    FLEET_READ(131, FleetRead.class),
+    FLEET_DOCUMENT(132, FleetDocument.class);
 
     private static final Map<Integer, MessageType> BY_NUMBER =
             Arrays.stream(values())
--- /dev/null
+++ b/daemon/src/main/java/org/crocushaven/storage/FirstVoters.java
@@ -0,0 +1,43 @@
+package org.crocushaven.storage;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+/** Remembers on disk with which voters a new group began, until its log tells. */
+public final class FirstVoters {
+    private static final String FILE = "first-voters";
+    private static final String SEPARATOR = "\n";
+
+    private FirstVoters() {}
+
+    /**
+     * Returns the voters with which the group of this data folder began.
+     *
+     * @param folder the data folder of the instance
+     * @param proposed voters of a group that begins now; empty when none begins
+     */
+    public static List<String> recall(Path folder, List<String> proposed) {
+        final Path file = folder.resolve(FILE);
+        if (Files.exists(file)) {
+            final ByteBuffer content = FolderFiles.read(file);
+            final byte[] text = new byte[content.remaining()];
+            content.get(text);
+            return List.of(new String(text, StandardCharsets.UTF_8).split(SEPARATOR));
+        }
+        if (!proposed.isEmpty()) {
+            try {
+                Files.createDirectories(folder);
+            } catch (java.io.IOException failure) {
+                throw FolderFiles.failure(folder, failure);
+            }
+            FolderFiles.replace(
+                    file,
+                    ByteBuffer.wrap(
+                            String.join(SEPARATOR, proposed).getBytes(StandardCharsets.UTF_8)));
+        }
+        return proposed;
+    }
+}
