Ask the leader for tokens before refusing; prefer engines that remember an adapter

Cause: requests larger than a gateway's part of the burst were refused though the fleet had tokens; adapters went to engines that had to fetch them. Ruled out: larger static parts (they starve the others). Change: a charge that lacks tokens reports at once and tries again after the answer; placement gains where the engine held the adapter before.

--- a/daemon/src/main/java/org/crocushaven/fleet/AdapterPlanner.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/AdapterPlanner.java
@@ -27,6 +27,12 @@
     /** Weight of the wanted-ness of the adapter that would leave. */
     private static final double VICTIM_WEIGHT = 0.05;
 
+    /** Gain where an adapter comes from the engine's own memory. */
+    private static final double REMEMBERED_GAIN = 0.5;
+
+    /** Part of the usual time that an adapter takes from the engine's own memory. */
+    private static final double REMEMBERED_TIME = 0.15;
+
     /** Half-life of the count of an adapter's requests. */
     private static final double POPULARITY_HALF_LIFE_NANOS = 15e9;
 
@@ -213,8 +219,10 @@
             if (!hasRoom && victim.isEmpty()) {
                 continue;
             }
+            final boolean remembered = engine.slots.remembers(key) && version == 0;
             final double cost =
                     engine.load()
+                            - (remembered ? REMEMBERED_GAIN : 0)
                             + TRANSIT_WEIGHT * inTransit
                             + VICTIM_WEIGHT
                                     * victim.map(leaving -> popularity(leaving, nowNanos))
@@ -229,7 +237,11 @@
                                 victim,
                                 true,
                                 TimeUnit.NANOSECONDS.toMillis(
-                                        loadTime.nanos(onTheirWay / (double) engines.size())));
+                                        (long)
+                                                (loadTime.nanos(
+                                                                onTheirWay
+                                                                        / (double) engines.size())
+                                                        * (remembered ? REMEMBERED_TIME : 1))));
             }
         }
         return Optional.ofNullable(best);
--- a/daemon/src/main/java/org/crocushaven/fleet/EngineSlots.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/EngineSlots.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -24,8 +25,12 @@
     /** What an engine tells may be older than an order by this much. */
     private static final long TELLING_LAG_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
 
+    /** Adapters that an engine is believed to keep in memory after they left their places. */
+    private static final int REMEMBERED = 100;
+
     private final Map<AdapterKey, Slot> slots = new LinkedHashMap<>();
     private final Set<String> models = new HashSet<>();
+    private final Set<AdapterKey> remembered = new LinkedHashSet<>();
 
     /** Takes in what the engine says that it holds. */
     void told(Collection<HeldAdapter> held, long nowNanos) {
@@ -93,6 +98,21 @@
         return slot;
     }
 
+    /** Returns whether the engine held an adapter lately, so that it comes from its own memory. */
+    boolean remembers(AdapterKey key) {
+        return remembered.contains(key);
+    }
+
+    /** Gives up the place of an adapter that has left, and remembers that it was there. */
+    void left(AdapterKey key) {
+        slots.remove(key);
+        remembered.remove(key);
+        remembered.add(key);
+        if (remembered.size() > REMEMBERED) {
+            remembered.remove(remembered.iterator().next());
+        }
+    }
+
     /** Gives up the place of an adapter that is certainly not there. */
     void release(AdapterKey key) {
         slots.remove(key);
--- a/daemon/src/main/java/org/crocushaven/fleet/FleetLeader.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/FleetLeader.java
@@ -367,7 +367,7 @@
 
     private void unloaded(EngineSlots slots, AdapterKey victim, OrderOutcome outcome) {
         if (outcome == OrderOutcome.HOLDS) {
-            slots.release(victim);
+            slots.left(victim);
         } else if (outcome == OrderOutcome.CONFLICT || outcome == OrderOutcome.REFUSED) {
             slots.find(victim).ifPresent(slot -> slot.stay(clock.nanoTime()));
         }
--- a/daemon/src/main/java/org/crocushaven/forwarding/ForwardingEnvironment.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/ForwardingEnvironment.java
@@ -23,7 +23,7 @@
  * @param admission keys and rates
  * @param freshness age of the control state
  * @param prompts which backend server has read which prompt
- * @param adapters asks the leader for places of adapters
+ * @param leader asks the leader for places of adapters and for tokens
  * @param observer takes note of what becomes of requests
  */
 record ForwardingEnvironment(
@@ -40,7 +40,7 @@
         KeyedAdmission admission,
         ControlFreshness freshness,
         PromptMemory prompts,
-        AdapterSource adapters,
+        LeaderSource leader,
         ForwardingObserver observer) {
     long nowNanos() {
         return clock.nanoTime();
--- a/daemon/src/main/java/org/crocushaven/forwarding/KeyedAdmission.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/KeyedAdmission.java
@@ -21,6 +21,9 @@
     /** When to come back to a gateway without contact to the leader. */
     private static final Duration STALE_RETRY = Duration.ofMillis(500);
 
+    /** Tokens that are further away than this are not in the leader's pool either. */
+    private static final long ASKING_BOUND_NANOS = 60_000_000;
+
     private final ControlFreshness freshness;
     private final ShareHolder shares;
 
@@ -68,25 +71,28 @@
     }
 
     /**
-     * Charges a request to its organisation; empty when its rate is not bounded.
+     * Charges a request to its organisation.
      *
-     * @throws ResultException when the rate is used up
+     * <p>A charge that is not granted is worth a second try after the leader's next answer when
+     * {@link #mayHelpToAsk} says so.
      */
-    Optional<Charge> charge(KeyedOrganisation organisation, IngressRequest request, long nowNanos) {
-        if (!organisation.isBounded()) {
-            return Optional.empty();
-        }
-        final long amount = organisation.chargeOf(request);
-        final Charge charge = shares.tryCharge(organisation.name(), amount, nowNanos);
-        if (charge.granted()) {
-            return Optional.of(charge);
-        }
-        throw ResultException.of(
+    Charge charge(KeyedOrganisation organisation, IngressRequest request, long nowNanos) {
+        return shares.tryCharge(organisation.name(), organisation.chargeOf(request), nowNanos);
+    }
+
+    /** Returns whether the leader is likely to have the tokens that a charge lacked. */
+    static boolean mayHelpToAsk(Charge charge) {
+        return charge.worthAsking() && charge.retryAfterNanos() < ASKING_BOUND_NANOS;
+    }
+
+    /** Returns the refusal for a charge that was not granted. */
+    static ResultException refusal(Charge charge) {
+        return ResultException.of(
                         charge.code() == ResultCode.REQUEST_EXCEEDS_BURST
                                 ? ResultCode.RATE_EXCEEDED
                                 : charge.code(),
-                        organisation.name(),
-                        amount)
+                        charge.organisation(),
+                        charge.tokens())
                 .withRetryAfter(Duration.ofNanos(charge.retryAfterNanos()));
     }
 
--- a/daemon/src/main/java/org/crocushaven/forwarding/LeaderLink.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/LeaderLink.java
@@ -26,7 +26,7 @@
  * A gateway's contact to the leader: finds it among the instances that hold control state, reports
  * to it and hands its updates over. Used on one event loop only.
  */
-final class LeaderLink implements AdapterSource {
+final class LeaderLink implements LeaderSource {
     /** Time between two reports; a twelfth of the shortest time within which news must arrive. */
     private static final long REPORT_MILLIS = 250;
 
@@ -45,6 +45,8 @@
     private final LongFunction<GatewayReport> reports;
     private final UpdateListener updates;
     private final Set<String> controls = new LinkedHashSet<>();
+    private final List<Runnable> waiting = new ArrayList<>();
+    private int waitingForThis;
     private String target = "";
     private String leader = "";
     private boolean underWay;
@@ -114,6 +116,12 @@
         return granted;
     }
 
+    @Override
+    public void afterNextUpdate(Runnable action) {
+        waiting.add(action);
+        reportSoon();
+    }
+
     private static void answered(
             CompletableFuture<AdapterGrant> granted, AdapterAsk ask, Message answer) {
         if (answer instanceof AdapterGrant grant) {
@@ -132,6 +140,7 @@
             target = next("");
         }
         underWay = true;
+        waitingForThis = waiting.size();
         again = false;
         lastSentNanos = clock.nanoTime();
         final long sentNanos = lastSentNanos;
@@ -150,9 +159,11 @@
             controls.clear();
             controls.addAll(update.controls());
             updates.updated(update, sentNanos);
+            runWaiting();
             schedule(again ? URGENT_MILLIS : REPORT_MILLIS);
             return;
         }
+        runWaiting();
         leads("");
         if (answer instanceof ControlHint hint) {
             controls.addAll(hint.controls());
@@ -166,6 +177,14 @@
         schedule(SEARCH_MILLIS);
     }
 
+    /** Runs what waited for the answer to this report; what came later waits for the next one. */
+    private void runWaiting() {
+        final List<Runnable> due = new ArrayList<>(waiting.subList(0, waitingForThis));
+        waiting.subList(0, waitingForThis).clear();
+        waitingForThis = 0;
+        due.forEach(Runnable::run);
+    }
+
     private void leads(String name) {
         if (!leader.equals(name)) {
             EventLine.of(name.isEmpty() ? "leader-lost" : "leader-found")
--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
@@ -45,6 +45,9 @@
     /** How long it waits then. */
     private static final long ADAPTER_WAIT_MILLIS = 50;
 
+    /** How often the leader is asked for tokens before a request is refused. */
+    private static final int SHARE_ASKS = 2;
+
     private static final Duration RETRY_AFTER_REFUSAL = Duration.ofMillis(300);
 
     /** Times the objective after which a silent backend server is given up for another. */
@@ -103,7 +106,7 @@
                 new RequestForwarding(environment, request, body, client);
         try {
             forwarding.admit();
-            forwarding.findTarget();
+            forwarding.charge(SHARE_ASKS);
         } catch (ResultException refusal) {
             forwarding.refuse(refusal);
         }
@@ -277,10 +280,6 @@
         route = found.get();
         organisation = environment.admission().identify(configuration, route, request, nowNanos);
         service = route.serviceAt(environment.random().nextDouble());
-        final KeyedOrganisation charged = organisation.orElse(null);
-        if (charged != null) {
-            charge = environment.admission().charge(charged, request, nowNanos);
-        }
         request.lastEventId().ifPresent(splitter::startAfter);
         limitTimer =
                 environment
@@ -288,6 +287,27 @@
                         .schedule(this::limitReached, remainingMillis(), TimeUnit.MILLISECONDS);
     }
 
+    /** Charges the organisation, asks the leader for tokens that are lacking, and goes on. */
+    private void charge(int asksLeft) {
+        if (done) {
+            return;
+        }
+        if (organisation.filter(KeyedOrganisation::isBounded).isEmpty()) {
+            findTarget();
+            return;
+        }
+        final Charge tried =
+                environment.admission().charge(organisation.get(), request, environment.nowNanos());
+        if (tried.granted()) {
+            charge = Optional.of(tried);
+            findTarget();
+        } else if (asksLeft > 0 && KeyedAdmission.mayHelpToAsk(tried)) {
+            environment.leader().afterNextUpdate(() -> charge(asksLeft - 1));
+        } else {
+            refuse(KeyedAdmission.refusal(tried));
+        }
+    }
+
     private void findTarget() {
         new TargetFinder(environment)
                 .find(service, request, avoided)
--- a/daemon/src/main/java/org/crocushaven/forwarding/TargetFinder.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/TargetFinder.java
@@ -75,7 +75,7 @@
                 new AdapterAsk(service, key.model(), key.adapter(), new ArrayList<>(avoided));
         final CompletableFuture<Target> found = new CompletableFuture<>();
         environment
-                .adapters()
+                .leader()
                 .ask(ask)
                 .whenComplete((grant, failure) -> granted(found, service, key, holder, grant));
         return found;
