Test the decisions of gateway and control, and the translation to the platform

Cause: the thin path was written without tests of its own. Conclusion: decisions are covered; the path over sockets is next.

--- a/daemon/src/main/java/org/crocushaven/fleet/BackendAnnouncement.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/BackendAnnouncement.java
@@ -14,7 +14,7 @@
  * @param failureDomain where it runs
  * @param state what it says of itself
  * @param slots requests that it runs at once
- * @param bornMillis Unix time of its start; 0 when it did not tell
+ * @param startedMillis Unix time of its start; 0 when it did not tell
  * @param sequence grows with each heartbeat of one start
  * @param holdsModels whether it told what it holds
  * @param held base models and adapters that it holds
@@ -28,7 +28,7 @@
         String failureDomain,
         BackendState state,
         int slots,
-        long bornMillis,
+        long startedMillis,
         long sequence,
         boolean holdsModels,
         List<HeldAdapter> held)
@@ -53,7 +53,7 @@
                 failureDomain,
                 other,
                 slots,
-                bornMillis,
+                startedMillis,
                 sequence,
                 holdsModels,
                 held);
--- a/daemon/src/main/java/org/crocushaven/fleet/BackendRegistry.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/BackendRegistry.java
@@ -103,8 +103,8 @@
         if (candidate.service().isEmpty()) {
             return known.state() != BackendState.GONE;
         }
-        if (candidate.bornMillis() != known.bornMillis()) {
-            return candidate.bornMillis() > known.bornMillis();
+        if (candidate.startedMillis() != known.startedMillis()) {
+            return candidate.startedMillis() > known.startedMillis();
         }
         return known.state() != BackendState.GONE && candidate.sequence() > known.sequence();
     }
@@ -116,7 +116,7 @@
                 (backend, entry) -> {
                     final BackendAnnouncement other = entry.announcement;
                     if (other.address().equals(announcement.address())
-                            && other.bornMillis() < announcement.bornMillis()) {
+                            && other.startedMillis() < announcement.startedMillis()) {
                         older.put(backend, entry);
                     }
                 });
--- a/daemon/src/main/java/org/crocushaven/fleet/ControlInstance.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/ControlInstance.java
@@ -248,7 +248,7 @@
                     .with("service", announcement.service())
                     .with("state", announcement.state())
                     .with("previous", before)
-                    .with("born_ms", announcement.bornMillis())
+                    .with("started_ms", announcement.startedMillis())
                     .with("sequence", announcement.sequence())
                     .info();
         }
--- a/daemon/src/main/java/org/crocushaven/fleet/FleetLeader.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/FleetLeader.java
@@ -223,7 +223,7 @@
                         organisation ->
                                 new Organisation(
                                         organisation.name(),
-                                        organisation.ratePerSecond(),
+                                        organisation.allowedPerSecond(),
                                         organisation.burst(),
                                         1))
                 .toList();
--- a/daemon/src/main/java/org/crocushaven/ingress/KeyedOrganisation.java
+++ b/daemon/src/main/java/org/crocushaven/ingress/KeyedOrganisation.java
@@ -11,7 +11,7 @@
  * @param priority rank that goes before the route's; empty when the route's holds
  * @param countsTokens whether its rate counts tokens; otherwise it counts requests
  * @param plainTokens tokens that a request without declared usage counts for
- * @param ratePerSecond rate over all instances together; 0 for no bound
+ * @param allowedPerSecond rate over all instances together; 0 for no bound
  * @param burst most that may be used at once beyond the rate
  */
 public record KeyedOrganisation(
@@ -20,7 +20,7 @@
         OptionalInt priority,
         boolean countsTokens,
         long plainTokens,
-        long ratePerSecond,
+        long allowedPerSecond,
         long burst) {
     public KeyedOrganisation {
         keys = List.copyOf(keys);
@@ -28,7 +28,7 @@
 
     /** Returns whether its rate is bounded. */
     public boolean isBounded() {
-        return ratePerSecond > 0;
+        return allowedPerSecond > 0;
     }
 
     /** Returns what a request counts for against the rate. */
--- /dev/null
+++ b/daemon/src/test/java/org/crocushaven/fleet/AdapterPlannerTest.java
@@ -0,0 +1,181 @@
+package org.crocushaven.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.crocushaven.ingress.BaseModel;
+import org.crocushaven.ingress.EngineProfile;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class AdapterPlannerTest {
+    private static final int PLACES = 2;
+    private static final String MODEL = "base";
+    private static final EngineProfile PROFILE =
+            new EngineProfile(
+                    8, 10_000, 100, PLACES, 1, List.of(new BaseModel(MODEL, 90, 1_000, 100, 1)));
+
+    private final AdapterPlanner planner = new AdapterPlanner();
+    private long nowNanos = TimeUnit.SECONDS.toNanos(100);
+
+    private void engine(String backend, String... adapters) {
+        final List<HeldAdapter> held = new ArrayList<>();
+        held.add(new HeldAdapter(MODEL, "", 1));
+        for (final String adapter : adapters) {
+            held.add(new HeldAdapter(MODEL, adapter, 1));
+        }
+        planner.announced(announcement(backend, held), PROFILE, nowNanos);
+    }
+
+    private static BackendAnnouncement announcement(String backend, List<HeldAdapter> held) {
+        return new BackendAnnouncement(
+                backend, "service", backend, 1, "a", BackendState.READY, 8, 1, 1, true, held);
+    }
+
+    private Optional<AdapterPlacement> place(String adapter, String... avoided) {
+        return planner.place(new AdapterAsk("service", MODEL, adapter, List.of(avoided)), nowNanos);
+    }
+
+    private AdapterPlacement load(String adapter) {
+        final AdapterPlacement placement = place(adapter).orElseThrow();
+        planner.commit(placement, nowNanos);
+        return placement;
+    }
+
+    private void pass(long millis) {
+        nowNanos += TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+
+    @Nested
+    class Choice {
+        @Test
+        void anAdapterThatIsThereNeedsNoLoad() {
+            engine("one", "a1");
+
+            final AdapterPlacement placement = place("a1").orElseThrow();
+
+            assertFalse(placement.needsLoad());
+            assertEquals("one", placement.backend());
+        }
+
+        @Test
+        void aNewAdapterGoesToTheEngineWithTheLeastWork() {
+            engine("busy");
+            engine("idle");
+            planner.loaded("busy", 6);
+
+            assertEquals("idle", place("a1").orElseThrow().backend());
+        }
+
+        @Test
+        void aSecondAskWaitsForTheSameLoad() {
+            engine("one");
+            engine("two");
+            final AdapterPlacement first = load("a1");
+            pass(100);
+
+            final AdapterPlacement second = place("a1").orElseThrow();
+
+            assertEquals(first.backend(), second.backend());
+            assertFalse(second.needsLoad());
+            assertTrue(second.readyInMillis() < first.readyInMillis());
+        }
+
+        @Test
+        void anEngineWithoutTheBaseModelIsNoPlace() {
+            planner.announced(announcement("empty", List.of()), PROFILE, nowNanos);
+
+            assertTrue(place("a1").isEmpty());
+            assertEquals(Optional.of(MODEL), planner.missingModel("empty"));
+        }
+    }
+
+    @Nested
+    class Room {
+        @Test
+        void aFullEngineGivesUpWhatIsWantedLeast() {
+            engine("one", "rare", "common");
+            planner.used(
+                    List.of(), List.of(new AdapterUse("one", MODEL, "common", 0, 9)), nowNanos);
+            pass(2_000);
+
+            assertEquals(
+                    Optional.of(new AdapterKey(MODEL, "rare")), place("a9").orElseThrow().victim());
+        }
+
+        @Test
+        void anAdapterInUseStays() {
+            engine("one", "a1", "a2");
+            planner.used(
+                    List.of(
+                            new AdapterUse("one", MODEL, "a1", 1, 0),
+                            new AdapterUse("one", MODEL, "a2", 1, 0)),
+                    List.of(),
+                    nowNanos);
+            pass(2_000);
+
+            assertTrue(place("a9").isEmpty());
+        }
+
+        @Test
+        void placesThatMayBeTakenCountAsTaken() {
+            engine("one");
+            load("a1");
+            load("a2");
+
+            assertTrue(place("a3").isEmpty());
+        }
+
+        @Test
+        void aLoadWithoutAnswerKeepsItsPlaceUntilTheEngineTells() {
+            engine("one", "a1");
+            load("a2");
+            pass(1_500);
+            engine("one", "a1");
+
+            assertTrue(place("a3").orElseThrow().victim().isEmpty());
+        }
+
+        @Test
+        void aHeartbeatFromBeforeTheOrderDoesNotFreeItsPlace() {
+            engine("one", "a1");
+            load("a2");
+            engine("one", "a1");
+            pass(1);
+
+            assertTrue(place("a3").isEmpty());
+        }
+    }
+
+    @Nested
+    class Versions {
+        @Test
+        void oldVersionsAreNotUsedOnceNewOnesAreNamed() {
+            engine("one", "a1");
+            engine("two");
+            planner.versionsNamed(List.of(new AdapterVersion(MODEL, "a1", 2)));
+            pass(2_000);
+
+            final AdapterPlacement placement = place("a1").orElseThrow();
+
+            assertTrue(placement.needsLoad());
+            assertEquals("two", placement.backend());
+            assertEquals(2, placement.version());
+        }
+
+        @Test
+        void anOldVersionLeavesBeforeAllOthers() {
+            engine("one", "old", "other");
+            planner.versionsNamed(List.of(new AdapterVersion(MODEL, "old", 2)));
+            pass(2_000);
+
+            assertEquals(
+                    Optional.of(new AdapterKey(MODEL, "old")), place("a9").orElseThrow().victim());
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/crocushaven/fleet/FleetStateTest.java
@@ -0,0 +1,76 @@
+package org.crocushaven.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.crocushaven.protocol.MessageCodec;
+import org.junit.jupiter.api.Test;
+
+class FleetStateTest {
+    private static final String MODEL = "base";
+
+    private static byte[] configuration(long version, int content) {
+        return MessageCodec.encodeValue(
+                FleetCommand.configuration(version, new byte[] {(byte) content}));
+    }
+
+    private static byte[] version(String adapter, long version) {
+        return MessageCodec.encodeValue(
+                FleetCommand.adapterVersion(new AdapterVersion(MODEL, adapter, version)));
+    }
+
+    @Test
+    void theSameVersionWithOtherContentChangesNothing() {
+        final FleetState state = FleetState.create();
+        state.apply(1, configuration(7, 1));
+        state.apply(2, configuration(7, 2));
+
+        assertArrayEquals(new byte[] {1}, state.view().document());
+        assertEquals(1, state.view().revision());
+    }
+
+    /** The highest version wins, whatever the order; a snapshot in between changes nothing. */
+    @Property(tries = 200)
+    void theHighestVersionsWin(
+            @ForAll @Size(min = 1, max = 30) List<@IntRange(min = 1, max = 20) Integer> changes,
+            @ForAll @IntRange(min = 0, max = 30) int snapshotAt) {
+        FleetState state = FleetState.create();
+        long highest = 0;
+        int content = 0;
+        final Map<String, Long> versions = new TreeMap<>();
+        for (int index = 0; index < changes.size(); index++) {
+            final int change = changes.get(index);
+            if (index % 2 == 0) {
+                state.apply(index + 1, configuration(change, index));
+                if (change > highest) {
+                    highest = change;
+                    content = index;
+                }
+            } else {
+                final String adapter = "a" + change % 3;
+                state.apply(index + 1, version(adapter, change));
+                versions.merge(adapter, (long) change, Math::max);
+            }
+            if (index == snapshotAt) {
+                final FleetState restored = FleetState.create();
+                restored.restore(index + 1, state.snapshot());
+                state = restored;
+            }
+        }
+
+        assertEquals(highest, state.view().configurationVersion());
+        assertArrayEquals(new byte[] {(byte) content}, state.view().document());
+        final Map<String, Long> found = new TreeMap<>();
+        state.view()
+                .adapterVersions()
+                .forEach(named -> found.put(named.adapter(), named.version()));
+        assertEquals(versions, found);
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/crocushaven/fleet/VoterUpkeepTest.java
@@ -0,0 +1,66 @@
+package org.crocushaven.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+class VoterUpkeepTest {
+    private static final List<String> VOTERS = List.of("a", "b", "c");
+
+    private final VoterUpkeep upkeep = new VoterUpkeep(1, 0);
+
+    private static long seconds(long seconds) {
+        return TimeUnit.SECONDS.toNanos(seconds);
+    }
+
+    private Optional<VoterUpkeep.Step> next(List<String> voters, List<String> foreign, long at) {
+        return upkeep.next("a", voters, foreign, seconds(at));
+    }
+
+    @Test
+    void aFullGroupIsLeftAsItIs() {
+        upkeep.heard("b", seconds(10));
+        upkeep.heard("c", seconds(10));
+        upkeep.heard("d", seconds(10));
+
+        assertEquals(Optional.empty(), next(VOTERS, List.of(), 10));
+    }
+
+    @Test
+    void aVoterThatLostItsDiskIsMadeOneAgain() {
+        upkeep.heard("b", seconds(10));
+
+        assertEquals(Optional.of(new VoterUpkeep.Step(true, "b")), next(VOTERS, List.of("b"), 10));
+    }
+
+    @Test
+    void aSilentVoterIsReplacedBeforeItIsGivenUp() {
+        upkeep.heard("b", seconds(10));
+        upkeep.heard("d", seconds(10));
+
+        assertEquals(Optional.of(new VoterUpkeep.Step(true, "d")), next(VOTERS, List.of(), 10));
+        assertEquals(
+                Optional.of(new VoterUpkeep.Step(false, "c")),
+                next(List.of("a", "b", "c", "d"), List.of(), 10));
+    }
+
+    @Test
+    void aSilentVoterStaysWhileNoOtherInstanceIsThere() {
+        upkeep.heard("b", seconds(10));
+
+        assertEquals(Optional.empty(), next(VOTERS, List.of(), 10));
+    }
+
+    @Test
+    void aGroupThatIsTooSmallGrows() {
+        upkeep.heard("b", seconds(1));
+        upkeep.heard("d", seconds(1));
+
+        assertEquals(
+                Optional.of(new VoterUpkeep.Step(true, "d")),
+                next(List.of("a", "b"), List.of(), 1));
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/crocushaven/forwarding/EventSplitterTest.java
@@ -0,0 +1,87 @@
+package org.crocushaven.forwarding;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class EventSplitterTest {
+    private final EventSplitter splitter = new EventSplitter();
+
+    private static String event(int id) {
+        return "id: " + id + "\ndata: token" + id + "\n\n";
+    }
+
+    private static String add(EventSplitter splitter, String text) {
+        final ByteBuf whole = splitter.add(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+        return whole == null ? "" : whole.toString(StandardCharsets.UTF_8);
+    }
+
+    /** Wherever the bytes are cut, whole events come out, in order and once. */
+    @Property(tries = 300)
+    void bytesMayBeCutAnywhere(
+            @ForAll @IntRange(min = 1, max = 12) int events,
+            @ForAll @IntRange(min = 1, max = 40) int step) {
+        final EventSplitter cut = new EventSplitter();
+        final StringBuilder all = new StringBuilder();
+        for (int id = 1; id <= events; id++) {
+            all.append(event(id));
+        }
+        final StringBuilder passed = new StringBuilder();
+        for (int start = 0; start < all.length(); start += step) {
+            passed.append(add(cut, all.substring(start, Math.min(all.length(), start + step))));
+        }
+
+        assertEquals(all.toString(), passed.toString());
+        assertFalse(cut.hasPartOfEvent());
+        assertEquals(events, cut.events());
+    }
+
+    @Nested
+    class GoingOn {
+        @Test
+        void aPartOfAnEventIsDroppedWhenAnotherGoesOn() {
+            assertEquals(event(1), add(splitter, event(1) + "id: 2\nda"));
+            splitter.restart();
+
+            assertEquals("1", splitter.lastEventId().orElseThrow());
+            assertEquals(event(2), add(splitter, event(2)));
+        }
+
+        @Test
+        void anEventThatWasPassedOnIsNotRepeated() {
+            add(splitter, event(1) + event(2));
+            splitter.restart();
+
+            assertEquals(event(3), add(splitter, event(2) + event(3)));
+        }
+
+        @Test
+        void aMissingEventBreaksTheStream() {
+            add(splitter, event(1));
+
+            assertEquals("", add(splitter, event(3)));
+            assertTrue(splitter.isBroken());
+        }
+
+        @Test
+        void aStreamMayBeginAfterTheClientsLastEvent() {
+            splitter.startAfter("5");
+
+            assertEquals(event(6), add(splitter, event(6)));
+        }
+    }
+
+    @Test
+    void linesMayEndWithCarriageReturns() {
+        assertEquals("id: 1\r\ndata: x\r\n\r\n", add(splitter, "id: 1\r\ndata: x\r\n\r\n"));
+    }
+}
