Know an engine's places from its own report; refuse new requests late in a stop

Ruled out: longer lag margins (a heartbeat may be seconds late). Change: heartbeats only add to what is believed; an engine gets loads only after a report from after its last order. From 2.6 s after SIGTERM on, new requests are refused as not run, with a short time to come back. Tests failed first: AdapterPlannerTest.Room (3 cases).

--- a/daemon/src/main/java/org/crocushaven/fleet/AdapterPlanner.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/AdapterPlanner.java
@@ -46,12 +46,15 @@
 
     /** Takes in an engine's announcement. */
     void announced(BackendAnnouncement announcement, EngineProfile profile, long nowNanos) {
-        final Engine engine =
-                engines.computeIfAbsent(announcement.backend(), id -> new Engine(announcement));
+        final Engine known = engines.get(announcement.backend());
+        final boolean restarted =
+                known != null && known.announcement.startedMillis() != announcement.startedMillis();
+        final Engine engine = known == null || restarted ? new Engine(announcement) : known;
+        engines.put(announcement.backend(), engine);
         engine.announcement = announcement;
         engine.profile = profile;
         if (announcement.holdsModels()) {
-            engine.slots.told(announcement.held(), nowNanos);
+            engine.slots.announced(announcement.held(), nowNanos);
         }
     }
 
@@ -60,15 +63,13 @@
         engines.remove(backend);
     }
 
-    /** Takes in an engine's report. */
+    /** Takes in the report of an engine that has carried out all orders given to it. */
     void reported(String backend, EngineReport report, long nowNanos) {
         final Engine engine = engines.get(backend);
         if (engine == null) {
             return;
         }
-        final List<HeldAdapter> all = new ArrayList<>(report.held());
-        all.addAll(report.pending());
-        engine.slots.told(all, nowNanos);
+        engine.slots.reported(report, nowNanos);
         for (final HeldAdapter pending : report.pending()) {
             engine.slots
                     .find(AdapterKey.of(pending))
@@ -76,11 +77,23 @@
                     .ifPresent(
                             slot -> {
                                 loadTime.isStillOnItsWay();
-                                slot.ready(nowNanos + loadTime.extraNanos(), nowNanos);
+                                slot.ready(nowNanos + loadTime.extraNanos());
                             });
         }
     }
 
+    /** Returns the engines whose places are not known. */
+    List<String> unverified() {
+        final List<String> unverified = new ArrayList<>();
+        engines.forEach(
+                (backend, engine) -> {
+                    if (!engine.slots.isVerified()) {
+                        unverified.add(backend);
+                    }
+                });
+        return unverified;
+    }
+
     /** Takes in the versions that the operator named. */
     void versionsNamed(Collection<AdapterVersion> versions) {
         versions.forEach(
@@ -141,7 +154,7 @@
     /** Takes the place that a placement needs and lets its victim leave. */
     void commit(AdapterPlacement placement, long nowNanos) {
         final EngineSlots slots = engines.get(placement.backend()).slots;
-        placement.victim().flatMap(slots::find).ifPresent(victim -> victim.startLeaving(nowNanos));
+        placement.victim().flatMap(slots::find).ifPresent(EngineSlots.Slot::startLeaving);
         final long readyNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(placement.readyInMillis());
         slots.reserve(placement.key(), placement.version(), readyNanos, nowNanos);
         loadTime.hasBegun();
@@ -209,6 +222,7 @@
         for (final Engine engine : engines.values()) {
             final int inTransit = engine.slots.inTransit(nowNanos);
             if (!isCandidate(engine, ask)
+                    || !engine.slots.isVerified()
                     || engine.slots.find(key).isPresent()
                     || inTransit >= EngineSlots.MAXIMUM_IN_TRANSIT) {
                 continue;
--- a/daemon/src/main/java/org/crocushaven/fleet/EngineOrders.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/EngineOrders.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -77,8 +78,36 @@
         return outcome;
     }
 
-    /** Asks the engine what it holds; fails when it does not answer. */
-    CompletableFuture<EngineReport> report() {
+    /** Returns whether orders go to this start of a backend server. */
+    boolean isFor(BackendAnnouncement announcement) {
+        return backend.startedMillis() == announcement.startedMillis()
+                && backend.address().equals(announcement.address());
+    }
+
+    /**
+     * Asks the engine what it holds; empty when it does not answer, when orders are under way, or
+     * when the answer is from before the last order. Never fails.
+     */
+    CompletableFuture<Optional<EngineReport>> verify() {
+        if (isBusy() || closed) {
+            return CompletableFuture.completedFuture(Optional.empty());
+        }
+        underWay = true;
+        return report().handle((report, failure) -> verified(report, failure == null));
+    }
+
+    private Optional<EngineReport> verified(EngineReport report, boolean answered) {
+        final boolean current =
+                answered && (sequence.isEmpty() || report.sequence() >= sequence.getAsLong());
+        if (current) {
+            sequence = OptionalLong.of(report.sequence());
+        }
+        underWay = false;
+        next();
+        return current ? Optional.of(report) : Optional.empty();
+    }
+
+    private CompletableFuture<EngineReport> report() {
         return BackendCall.make(
                         pool,
                         loop,
--- a/daemon/src/main/java/org/crocushaven/fleet/EngineSlots.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/EngineSlots.java
@@ -10,45 +10,67 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 
 /**
  * The places for adapters on one engine, as the giver of its orders believes them to be.
  *
  * <p>Errs towards full: an adapter that may be there, or on its way, occupies a place until the
- * engine itself has told otherwise. Not thread-safe.
+ * engine has reported otherwise after the last order to it. Not thread-safe.
  */
 final class EngineSlots {
     /** Adapters that may be on their way to one engine; the engines' own bound. */
     static final int MAXIMUM_IN_TRANSIT = 4;
 
-    /** What an engine tells may be older than an order by this much. */
-    private static final long TELLING_LAG_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
-
     /** Adapters that an engine is believed to keep in memory after they left their places. */
     private static final int REMEMBERED = 100;
 
     private final Map<AdapterKey, Slot> slots = new LinkedHashMap<>();
     private final Set<String> models = new HashSet<>();
     private final Set<AdapterKey> remembered = new LinkedHashSet<>();
+    private boolean verified;
 
-    /** Takes in what the engine says that it holds. */
-    void told(Collection<HeldAdapter> held, long nowNanos) {
-        final Map<AdapterKey, Long> versions = new HashMap<>();
+    /** Takes in a heartbeat, which may be old: it can add to what is believed, not take away. */
+    void announced(Collection<HeldAdapter> held, long nowNanos) {
         models.clear();
         for (final HeldAdapter adapter : held) {
             if (adapter.adapter().isEmpty()) {
                 models.add(adapter.model());
             } else {
-                versions.put(AdapterKey.of(adapter), adapter.version());
+                slots.computeIfAbsent(
+                        AdapterKey.of(adapter), key -> new Slot(adapter.version(), nowNanos));
             }
         }
-        slots.entrySet()
-                .removeIf(
-                        entry ->
-                                !versions.containsKey(entry.getKey())
-                                        && isSettled(entry.getValue(), nowNanos));
-        versions.forEach((key, version) -> toldOf(key, version, nowNanos));
+    }
+
+    /** Takes in the engine's own report of the time after the last order; it decides. */
+    void reported(EngineReport report, long nowNanos) {
+        verified = true;
+        final Map<AdapterKey, Long> versions = new HashMap<>();
+        final Set<AdapterKey> pending = new HashSet<>();
+        report.held().stream()
+                .filter(held -> !held.adapter().isEmpty())
+                .forEach(held -> versions.put(AdapterKey.of(held), held.version()));
+        for (final HeldAdapter onItsWay : report.pending()) {
+            pending.add(AdapterKey.of(onItsWay));
+            versions.put(AdapterKey.of(onItsWay), onItsWay.version());
+        }
+        slots.keySet().retainAll(versions.keySet());
+        versions.forEach(
+                (key, version) -> {
+                    final Slot slot =
+                            slots.computeIfAbsent(key, name -> new Slot(version, nowNanos));
+                    slot.told(version, pending.contains(key));
+                });
+    }
+
+    /** Returns whether the engine has reported itself, so that its places are known. */
+    boolean isVerified() {
+        return verified;
+    }
+
+    /** Notes that the places are not known until the engine reports itself. */
+    void doubt() {
+        verified = false;
     }
 
     /** Returns whether the engine holds a base model. */
@@ -89,11 +111,9 @@
 
     /** Takes a place for an adapter that is about to be ordered. */
     Slot reserve(AdapterKey key, long version, long readyNanos, long nowNanos) {
-        final Slot slot = new Slot(version);
+        final Slot slot = new Slot(version, nowNanos);
         slot.loading = true;
         slot.readyNanos = readyNanos;
-        slot.touchedNanos = nowNanos;
-        slot.usedNanos = nowNanos;
         slots.put(key, slot);
         return slot;
     }
@@ -131,43 +151,24 @@
         return usable;
     }
 
-    private void toldOf(AdapterKey key, long version, long nowNanos) {
-        final Slot slot = slots.get(key);
-        if (slot == null) {
-            final Slot found = new Slot(version);
-            found.touchedNanos = nowNanos - TELLING_LAG_NANOS;
-            found.usedNanos = nowNanos;
-            slots.put(key, found);
-            return;
-        }
-        if (slot.leaving && nowNanos - slot.touchedNanos < TELLING_LAG_NANOS) {
-            return;
-        }
-        if (version == slot.version || isSettled(slot, nowNanos)) {
-            slot.version = version;
-            slot.readyNanos = Math.min(slot.readyNanos, nowNanos);
-            slot.loading = false;
-        }
-    }
-
-    private boolean isSettled(Slot slot, long nowNanos) {
-        final long since =
-                slot.loading ? Math.max(slot.touchedNanos, slot.readyNanos) : slot.touchedNanos;
-        return nowNanos - since >= TELLING_LAG_NANOS;
-    }
-
     /** The place of one adapter. */
     static final class Slot {
         private long version;
         private boolean loading;
         private boolean leaving;
         private long readyNanos;
-        private long touchedNanos;
         private long usedNanos;
         private int running;
 
-        private Slot(long version) {
+        private Slot(long version, long usedNanos) {
             this.version = version;
+            this.usedNanos = usedNanos;
+        }
+
+        private void told(long toldVersion, boolean onItsWay) {
+            version = toldVersion;
+            loading = onItsWay;
+            leaving = false;
         }
 
         long version() {
@@ -207,19 +208,16 @@
             running = 0;
         }
 
-        void startLeaving(long nowNanos) {
+        void startLeaving() {
             leaving = true;
-            touchedNanos = nowNanos;
         }
 
-        void stay(long nowNanos) {
+        void stay() {
             leaving = false;
-            touchedNanos = nowNanos;
         }
 
-        void ready(long atNanos, long nowNanos) {
+        void ready(long atNanos) {
             readyNanos = atNanos;
-            touchedNanos = nowNanos;
         }
     }
 }
--- a/daemon/src/main/java/org/crocushaven/fleet/FleetLeader.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/FleetLeader.java
@@ -188,6 +188,7 @@
         if (nowNanos - ordersFromNanos < 0) {
             return;
         }
+        planner.unverified().forEach(this::verify);
         for (final String backend : planner.engines()) {
             planner.missingModel(backend).ifPresent(model -> loadModel(backend, model, nowNanos));
         }
@@ -354,6 +355,25 @@
                 });
     }
 
+    /** Asks an engine what it holds; the answer counts if no order was given meanwhile. */
+    private void verify(String backend) {
+        if (registry.isSilent(backend, clock.nanoTime())) {
+            return;
+        }
+        ordersOf(backend)
+                .verify()
+                .thenAccept(
+                        report ->
+                                report.ifPresent(
+                                        found ->
+                                                planner.reported(
+                                                        backend, found, clock.nanoTime())));
+    }
+
+    private void doubt(String backend) {
+        planner.slotsOf(backend).ifPresent(EngineSlots::doubt);
+    }
+
     private CompletableFuture<OrderOutcome> unload(
             EngineOrders engine, AdapterPlacement chosen, AdapterKey victim) {
         return engine.give(EngineOrder.unload(victim.model(), victim.adapter()))
@@ -361,6 +381,10 @@
                         outcome -> {
                             planner.slotsOf(chosen.backend())
                                     .ifPresent(slots -> unloaded(slots, victim, outcome));
+                            if (outcome == OrderOutcome.UNKNOWN
+                                    || outcome == OrderOutcome.CONFLICT) {
+                                doubt(chosen.backend());
+                            }
                             return outcome;
                         });
     }
@@ -369,7 +393,7 @@
         if (outcome == OrderOutcome.HOLDS) {
             slots.left(victim);
         } else if (outcome == OrderOutcome.CONFLICT || outcome == OrderOutcome.REFUSED) {
-            slots.find(victim).ifPresent(slot -> slot.stay(clock.nanoTime()));
+            slots.find(victim).ifPresent(slot -> slot.stay());
         }
     }
 
@@ -386,8 +410,7 @@
                                         slot.ready(
                                                 nowNanos
                                                         + TimeUnit.MILLISECONDS.toNanos(
-                                                                chosen.readyInMillis()),
-                                                nowNanos));
+                                                                chosen.readyInMillis())));
                 EventLine.of("adapter-loading")
                         .with("backend", chosen.backend())
                         .with("adapter", chosen.key().adapter())
@@ -400,10 +423,11 @@
             }
             case HOLDS -> {
                 slots.flatMap(known -> known.find(chosen.key()))
-                        .ifPresent(slot -> slot.ready(nowNanos, nowNanos));
+                        .ifPresent(slot -> slot.ready(nowNanos));
                 return new AdapterGrant(chosen.backend(), 0, chosen.version());
             }
-            case UNKNOWN -> {
+            case UNKNOWN, CONFLICT -> {
+                doubt(chosen.backend());
                 return AdapterGrant.none(planner.retryMillis());
             }
             default -> {
@@ -428,17 +452,17 @@
     }
 
     private EngineOrders ordersOf(String backend) {
+        final BackendAnnouncement announcement = registry.find(backend).orElseThrow();
+        final EngineOrders known = orders.get(backend);
+        if (known != null && !known.isFor(announcement)) {
+            known.close();
+            orders.remove(backend);
+        }
         return orders.computeIfAbsent(
                 backend,
                 id ->
                         new EngineOrders(
-                                registry.find(id).orElseThrow(),
-                                dialect,
-                                pool,
-                                loop,
-                                instance,
-                                epoch,
-                                mayOrder));
+                                announcement, dialect, pool, loop, instance, epoch, mayOrder));
     }
 
     private static final class Reporter {
--- a/daemon/src/main/java/org/crocushaven/forwarding/ForwardingObserver.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/ForwardingObserver.java
@@ -15,6 +15,6 @@
     /** A request ended. */
     void ended(ForwardingSummary summary);
 
-    /** A request was refused before it could be decoded. */
+    /** A request was refused before it was decoded. */
     void unreadable(ResultCode code, String detail);
 }
--- a/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
@@ -160,6 +160,9 @@
     private void stopWhenIdle(CompletableFuture<Void> stopped, long startNanos, long graceMillis) {
         final long passedMillis = TimeUnit.NANOSECONDS.toMillis(clock.nanoTime() - startNanos);
         final boolean outOfRotation = passedMillis >= ROTATION_MILLIS;
+        if (outOfRotation) {
+            server.startRefusing();
+        }
         final boolean idle = outOfRotation && server.closeIdle();
         if (idle || passedMillis >= graceMillis) {
             server.closeListener();
--- a/daemon/src/main/java/org/crocushaven/forwarding/IngressConnection.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/IngressConnection.java
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
@@ -31,6 +32,9 @@
     /** Requests that may wait behind the one that is served, before reading stops. */
     private static final int MAXIMUM_WAITING = 16;
 
+    /** When to come back to another gateway than one that stops. */
+    private static final Duration STOPPING_RETRY = Duration.ofMillis(20);
+
     private final IngressServer server;
     private final ArrivalMeter meter;
     private final IngressLimits limits;
@@ -194,6 +198,14 @@
         final boolean keepOpen = HttpUtil.isKeepAlive(arrival.head) && !server.isStopping();
         final ClientExchange exchange = new ClientExchange(this, channel, keepOpen);
         current = exchange;
+        if (server.isRefusing()) {
+            arrival.body.release();
+            final ResultException refusal =
+                    ResultException.of(ResultCode.STOPPING).withRetryAfter(STOPPING_RETRY);
+            server.environment().observer().unreadable(refusal.code(), refusal.getMessage());
+            exchange.refuse(refusal);
+            return;
+        }
         final IngressRequest request;
         try {
             request = server.environment().dialect().decodeRequest(arrival.head);
--- a/daemon/src/main/java/org/crocushaven/forwarding/IngressServer.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/IngressServer.java
@@ -18,6 +18,7 @@
     private final Set<IngressConnection> connections = new HashSet<>();
     private Listener listener;
     private boolean stopping;
+    private boolean refusing;
 
     IngressServer(ForwardingEnvironment environment) {
         this.environment = environment;
@@ -50,6 +51,15 @@
         stopping = true;
     }
 
+    /** Refuses new requests, which other gateways can serve. */
+    void startRefusing() {
+        refusing = true;
+    }
+
+    boolean isRefusing() {
+        return refusing;
+    }
+
     /** Closes connections that carry nothing; returns whether none is left that does. */
     boolean closeIdle() {
         boolean busy = false;
--- a/daemon/src/main/java/org/crocushaven/instance/Instance.java
+++ b/daemon/src/main/java/org/crocushaven/instance/Instance.java
@@ -33,6 +33,7 @@
 import org.crocushaven.observability.EventLine;
 import org.crocushaven.protocol.TcpPeerTransport;
 import org.crocushaven.result.ResultCode;
+import org.tinylog.provider.ProviderRegistry;
 
 /**
  * One running instance.
@@ -113,6 +114,15 @@
         EventLine.of("stopped").with("instance", settings.instance()).info();
     }
 
+    /** Writes all log lines that wait; none may follow. */
+    public static void flushLog() {
+        try {
+            ProviderRegistry.getLoggingProvider().shutdown();
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private void startGateway(IngressDialect ingressDialect, ControlDialect controlDialect) {
         final Gateway created =
                 Gateway.create(
--- a/daemon/src/test/java/org/crocushaven/fleet/AdapterPlannerTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/AdapterPlannerTest.java
@@ -30,6 +30,24 @@
             held.add(new HeldAdapter(MODEL, adapter, 1));
         }
         planner.announced(announcement(backend, held), PROFILE, nowNanos);
+        report(backend, adapters);
+    }
+
+    private void report(String backend, String... adapters) {
+        final List<HeldAdapter> held = new ArrayList<>();
+        for (final String adapter : adapters) {
+            held.add(new HeldAdapter(MODEL, adapter, 1));
+        }
+        planner.reported(backend, new EngineReport(false, 0, 0, 0, held, List.of()), nowNanos);
+    }
+
+    private void heartbeat(String backend, String... adapters) {
+        final List<HeldAdapter> held = new ArrayList<>();
+        held.add(new HeldAdapter(MODEL, "", 1));
+        for (final String adapter : adapters) {
+            held.add(new HeldAdapter(MODEL, adapter, 1));
+        }
+        planner.announced(announcement(backend, held), PROFILE, nowNanos);
     }
 
     private static BackendAnnouncement announcement(String backend, List<HeldAdapter> held) {
@@ -132,23 +150,48 @@
         }
 
         @Test
-        void aLoadWithoutAnswerKeepsItsPlaceUntilTheEngineTells() {
+        void placesStayTakenUntilTheEngineReportsItself() {
             engine("one", "a1");
             load("a2");
             pass(1_500);
-            engine("one", "a1");
+            heartbeat("one", "a1");
+            assertTrue(place("a3").orElseThrow().victim().isPresent());
 
+            report("one", "a1");
             assertTrue(place("a3").orElseThrow().victim().isEmpty());
         }
 
         @Test
-        void aHeartbeatFromBeforeTheOrderDoesNotFreeItsPlace() {
-            engine("one", "a1");
-            load("a2");
-            engine("one", "a1");
-            pass(1);
-
+        void nothingIsLoadedBeforeTheEngineHasReportedItself() {
+            heartbeat("one", "a1");
             assertTrue(place("a3").isEmpty());
+            assertEquals(List.of("one"), planner.unverified());
+
+            report("one", "a1", "a2");
+            pass(2_000);
+            assertTrue(place("a3").orElseThrow().victim().isPresent());
+        }
+
+        @Test
+        void anEngineThatStartedAgainIsUnknown() {
+            engine("one", "a1");
+            final BackendAnnouncement again =
+                    new BackendAnnouncement(
+                            "one",
+                            "service",
+                            "one",
+                            1,
+                            "a",
+                            BackendState.READY,
+                            8,
+                            2,
+                            1,
+                            true,
+                            List.of(new HeldAdapter(MODEL, "", 1)));
+            planner.announced(again, PROFILE, nowNanos);
+
+            assertEquals(List.of("one"), planner.unverified());
+            assertTrue(place("a1").isEmpty());
         }
     }
 
