Let gateways go on with their shares while the leader changes; order at once where fences are checked

A connection that never opened used up a repeat. Ruled out: shorter leases alone (a cut-off gateway then stops before its keys do).

--- a/daemon/src/main/java/org/crocushaven/admission/OrganisationPool.java
+++ b/daemon/src/main/java/org/crocushaven/admission/OrganisationPool.java
@@ -11,7 +11,10 @@
  * unacknowledged. Tokens are made only by the buckets' own rates.
  */
 final class OrganisationPool {
-    /** A bucket that is full gets no rate, one that is half empty its whole part. */
+    /**
+     * A bucket that is half empty gets its whole part of the rate, a full one only what its holder
+     * uses, so that it can go on while no allocator answers.
+     */
     private static final double FREE_TO_RATE = 2;
 
     private static final double SCARCE_SECONDS = 0.3;
@@ -59,6 +62,8 @@
     void endWithholding(long nowNanos) {
         withheld = false;
         resizePool(nowNanos);
+        bucket.add(settings.firstBurstFraction() * burst, nowNanos);
+        recordHeadroom(nowNanos);
     }
 
     /** Takes in what a holder of an earlier epoch still has. */
@@ -164,7 +169,9 @@
         }
         final double free =
                 held.capacity() <= 0 ? 1 : 1 - Math.max(0, held.level()) / held.capacity();
-        return idle + shared * held.demand() / totalDemand * Math.min(1, FREE_TO_RATE * free);
+        final double part = shared * held.demand() / totalDemand;
+        return idle
+                + Math.max(part * Math.min(1, FREE_TO_RATE * free), Math.min(part, held.demand()));
     }
 
     private double targetCapacity(String instance, HeldShare held, long nowNanos) {
--- a/daemon/src/main/java/org/crocushaven/admission/ShareAllocator.java
+++ b/daemon/src/main/java/org/crocushaven/admission/ShareAllocator.java
@@ -95,6 +95,17 @@
         return session.repeat(report.reportSequence(), nowNanos);
     }
 
+    /**
+     * Ends the time in which holders of earlier epochs may have shares that are not known here;
+     * call it only when every holder of earlier epochs has reported, or has lost what it had.
+     */
+    public void allHoldersKnown(long nowNanos) {
+        if (withholding) {
+            withholding = false;
+            pools.values().forEach(pool -> pool.endWithholding(nowNanos));
+        }
+    }
+
     /** Takes back what a holder had; call it only when its lease has expired. */
     public void holderLost(String instance, long nowNanos) {
         sessions.remove(instance);
@@ -103,9 +114,8 @@
 
     /** Lets leases expire. */
     public void tick(long nowNanos) {
-        if (withholding && nowNanos - withholdUntilNanos >= 0) {
-            withholding = false;
-            pools.values().forEach(pool -> pool.endWithholding(nowNanos));
+        if (nowNanos - withholdUntilNanos >= 0) {
+            allHoldersKnown(nowNanos);
         }
         final List<String> expired = new ArrayList<>();
         sessions.forEach(
--- a/daemon/src/main/java/org/crocushaven/fleet/ControlInstance.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/ControlInstance.java
@@ -321,6 +321,19 @@
         return committed;
     }
 
+    private void register(FleetCommand change) {
+        group.propose(MessageCodec.encodeValue(change))
+                .whenComplete(
+                        (result, failure) -> {
+                            if (failure != null) {
+                                EventLine.of("registration-failed")
+                                        .with("added", change.gatewaysAdded())
+                                        .with("reason", failure.getMessage())
+                                        .info();
+                            }
+                        });
+    }
+
     private void committed(CompletableFuture<Void> committed) {
         final FleetLeader leading = current();
         if (leading != null) {
@@ -364,8 +377,9 @@
                             pool,
                             loop,
                             clock,
-                            settings.orderLeaseMillis(),
-                            group::holdsLeaderLease);
+                            settings.orderPauseMillis(),
+                            group::holdsLeaderLease,
+                            this::register);
             registry.present().forEach(leader::announced);
         }
         return leader;
--- a/daemon/src/main/java/org/crocushaven/fleet/ControlSettings.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/ControlSettings.java
@@ -11,7 +11,8 @@
  * @param firstVoters voters of a group that begins now; empty when none begins
  * @param tolerated instances with control state that may be lost at once
  * @param heartbeatMillis time between two heartbeats of a backend server
- * @param orderLeaseMillis time within which two instances must not both give orders to an engine
+ * @param orderPauseMillis time after an election in which no orders are given, since engines that
+ *     do not check fences could still get those of the leader before
  */
 public record ControlSettings(
         String instance,
@@ -19,7 +20,7 @@
         List<String> firstVoters,
         int tolerated,
         long heartbeatMillis,
-        long orderLeaseMillis) {
+        long orderPauseMillis) {
     public ControlSettings {
         firstVoters = List.copyOf(firstVoters);
     }
--- a/daemon/src/main/java/org/crocushaven/fleet/FleetCommand.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/FleetCommand.java
@@ -9,21 +9,36 @@
  * @param configurationVersion version of the configuration in it; 0 when it holds none
  * @param document the configuration as the operator sent it, compressed
  * @param adapterVersions adapter versions named by it
+ * @param gatewaysAdded gateways that may hold shares from now on
+ * @param gatewaysRemoved gateways that hold none any more
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record FleetCommand(
-        long configurationVersion, byte[] document, List<AdapterVersion> adapterVersions) {
+        long configurationVersion,
+        byte[] document,
+        List<AdapterVersion> adapterVersions,
+        List<String> gatewaysAdded,
+        List<String> gatewaysRemoved) {
+    private static final byte[] NO_DOCUMENT = new byte[0];
+
     public FleetCommand {
         adapterVersions = List.copyOf(adapterVersions);
+        gatewaysAdded = List.copyOf(gatewaysAdded);
+        gatewaysRemoved = List.copyOf(gatewaysRemoved);
     }
 
     /** Returns the command that puts a configuration in force. */
     public static FleetCommand configuration(long version, byte[] document) {
-        return new FleetCommand(version, document, List.of());
+        return new FleetCommand(version, document, List.of(), List.of(), List.of());
     }
 
     /** Returns the command that names an adapter's version. */
     public static FleetCommand adapterVersion(AdapterVersion version) {
-        return new FleetCommand(0, new byte[0], List.of(version));
+        return new FleetCommand(0, NO_DOCUMENT, List.of(version), List.of(), List.of());
+    }
+
+    /** Returns the command that changes which gateways may hold shares. */
+    public static FleetCommand gateways(List<String> added, List<String> removed) {
+        return new FleetCommand(0, NO_DOCUMENT, List.of(), added, removed);
     }
 }
--- a/daemon/src/main/java/org/crocushaven/fleet/FleetLeader.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/FleetLeader.java
@@ -4,16 +4,20 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import org.agrona.concurrent.NanoClock;
 import org.crocushaven.admission.ShareAllocator;
 import org.crocushaven.admission.ShareAllocatorSettings;
+import org.crocushaven.admission.ShareGrant;
 import org.crocushaven.configuration.Organisation;
 import org.crocushaven.ingress.EngineProfile;
 import org.crocushaven.ingress.IngressConfiguration;
@@ -30,6 +34,12 @@
     /** Time after which a gateway that does not report is forgotten. */
     private static final long GATEWAY_NANOS = TimeUnit.SECONDS.toNanos(3);
 
+    /** Time after which a registration that did not succeed is tried again. */
+    private static final long REGISTRATION_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    /** Time after which a gateway that never reported to this leader holds nothing. */
+    private static final long FORGOTTEN_GATEWAY_NANOS = TimeUnit.SECONDS.toNanos(30);
+
     private final long epoch;
     private final String instance;
     private final BackendRegistry registry;
@@ -39,6 +49,11 @@
     private final EventLoop loop;
     private final NanoClock clock;
     private final BooleanSupplier mayOrder;
+    private final Consumer<FleetCommand> registration;
+    private final long sinceNanos;
+    private final Map<String, Long> registering = new HashMap<>();
+    private final Set<String> declared = new HashSet<>();
+    private boolean allDeclared;
     private final long ordersFromNanos;
     private final ShareAllocator shares;
     private final AdapterPlanner planner = new AdapterPlanner();
@@ -56,6 +71,7 @@
      * @param orderPauseMillis time since the election in which an earlier leader's orders may still
      *     arrive, so that none are given
      * @param mayOrder whether the leader's lease is held
+     * @param registration proposes changes of the gateways that may hold shares
      */
     FleetLeader(
             long epoch,
@@ -67,7 +83,8 @@
             EventLoop loop,
             NanoClock clock,
             long orderPauseMillis,
-            BooleanSupplier mayOrder) {
+            BooleanSupplier mayOrder,
+            Consumer<FleetCommand> registration) {
         this.epoch = epoch;
         this.instance = instance;
         this.registry = registry;
@@ -77,11 +94,13 @@
         this.loop = loop;
         this.clock = clock;
         this.mayOrder = mayOrder;
+        this.registration = registration;
         final long nowNanos = clock.nanoTime();
+        this.sinceNanos = nowNanos;
         this.ordersFromNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(orderPauseMillis);
         this.shares =
                 ShareAllocator.create(
-                        epoch, ShareAllocatorSettings.defaults(), List.of(), nowNanos);
+                        epoch, ShareAllocatorSettings.selfReliant(), List.of(), nowNanos);
         refresh();
     }
 
@@ -153,7 +172,40 @@
                 otherLoads(report.gateway()),
                 gateways.size(),
                 controls,
-                shares.handle(report.gateway(), report.shares(), nowNanos));
+                lend(report, nowNanos));
+    }
+
+    /** Lends shares to a gateway once it is known to every later leader that it may hold some. */
+    private Optional<ShareGrant> lend(GatewayReport report, long nowNanos) {
+        final Set<String> registered = state.gateways();
+        if (!registered.contains(report.gateway())) {
+            final Long asked = registering.get(report.gateway());
+            if (asked == null || nowNanos - asked >= REGISTRATION_NANOS) {
+                registering.put(report.gateway(), nowNanos);
+                registration.accept(FleetCommand.gateways(List.of(report.gateway()), List.of()));
+            }
+            return Optional.empty();
+        }
+        declared.add(report.gateway());
+        final ShareGrant grant = shares.handle(report.gateway(), report.shares(), nowNanos);
+        if (!allDeclared && declared.containsAll(registered)) {
+            allDeclared = true;
+            shares.allHoldersKnown(nowNanos);
+        }
+        return Optional.of(grant);
+    }
+
+    /** Forgets gateways that have not reported for long; what they held has expired long ago. */
+    private void forgetGateways(long nowNanos) {
+        if (nowNanos - sinceNanos < FORGOTTEN_GATEWAY_NANOS || allDeclared) {
+            return;
+        }
+        allDeclared = true;
+        final List<String> absent =
+                state.gateways().stream().filter(name -> !declared.contains(name)).toList();
+        if (!absent.isEmpty()) {
+            registration.accept(FleetCommand.gateways(List.of(), absent));
+        }
     }
 
     /** Returns the gateways that report here. */
@@ -185,6 +237,7 @@
         final long nowNanos = clock.nanoTime();
         refresh();
         shares.tick(nowNanos);
+        forgetGateways(nowNanos);
         if (nowNanos - ordersFromNanos < 0) {
             return;
         }
--- a/daemon/src/main/java/org/crocushaven/fleet/FleetState.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/FleetState.java
@@ -3,12 +3,15 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import org.crocushaven.consensus.StateMachine;
 import org.crocushaven.protocol.MessageCodec;
 
 /**
- * The replicated state of a fleet: the newest configuration and the newest adapter versions.
+ * The replicated state of a fleet: the newest configuration, the newest adapter versions, and the
+ * gateways that may hold shares.
  *
  * <p>A configuration whose version is not higher than the held one changes nothing, nor does an
  * adapter version that is not higher than the named one. Thread-safe; guarded by its own monitor.
@@ -22,6 +25,7 @@
     private byte[] document = NO_DOCUMENT;
     private long revision;
     private List<AdapterVersion> adapterVersionList = List.of();
+    private final Set<String> gateways = new TreeSet<>();
 
     /** Returns the state without configuration. */
     public static FleetState create() {
@@ -39,6 +43,8 @@
         for (final AdapterVersion named : decoded.adapterVersions()) {
             name(named, index);
         }
+        gateways.addAll(decoded.gatewaysAdded());
+        decoded.gatewaysRemoved().forEach(gateways::remove);
         return NO_RESULT;
     }
 
@@ -46,12 +52,17 @@
     public synchronized byte[] snapshot() {
         return MessageCodec.encodeValue(
                 new FleetCommand(
-                        configurationVersion, document, List.copyOf(adapterVersions.values())));
+                        configurationVersion,
+                        document,
+                        List.copyOf(adapterVersions.values()),
+                        List.copyOf(gateways),
+                        List.of()));
     }
 
     @Override
     public synchronized void restore(long index, byte[] snapshot) {
         adapterVersions.clear();
+        gateways.clear();
         configurationVersion = 0;
         document = NO_DOCUMENT;
         apply(index, snapshot);
@@ -64,6 +75,11 @@
         return new View(revision, configurationVersion, document, adapterVersionList);
     }
 
+    /** Returns the gateways that may hold shares. */
+    public synchronized Set<String> gateways() {
+        return Set.copyOf(gateways);
+    }
+
     private void name(AdapterVersion named, long index) {
         final String key = named.model() + '/' + named.adapter();
         final AdapterVersion known = adapterVersions.get(key);
--- a/daemon/src/main/java/org/crocushaven/fleet/GatewayUpdate.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/GatewayUpdate.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.annotation.JsonFormat;
 import java.util.List;
+import java.util.Optional;
 import org.crocushaven.admission.ShareGrant;
 import org.crocushaven.protocol.Message;
 
@@ -21,7 +22,7 @@
  * @param otherLoads requests of other gateways under way, by backend server
  * @param gateways how many gateways report to this leader
  * @param controls names of the instances that hold control state
- * @param shares answer on organisations' shares
+ * @param shares answer on organisations' shares; empty while the gateway may not hold any
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record GatewayUpdate(
@@ -38,7 +39,7 @@
         List<BackendLoad> otherLoads,
         int gateways,
         List<String> controls,
-        ShareGrant shares)
+        Optional<ShareGrant> shares)
         implements Message {
     public GatewayUpdate {
         adapterVersions = List.copyOf(adapterVersions);
--- a/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
@@ -198,7 +198,7 @@
         view.apply(update);
         health.retain(view.identifiers());
         allowance.gateways(update.gateways());
-        admission.apply(update.shares(), nowNanos);
+        update.shares().ifPresent(grant -> admission.apply(grant, nowNanos));
         if (update.configurationVersion()
                 == configuration.map(IngressConfiguration::version).orElse(0L)) {
             freshness.confirmed(sentNanos);
--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
@@ -252,10 +252,13 @@
                         environment.nowNanos());
         noteFailure(from, mayHaveArrived, reason);
         release(from);
-        if (!mayHaveArrived) {
+        if (mayHaveArrived) {
+            repeatOrGiveUp(from);
+        } else {
             sentTo.remove(from.target().backend().backend());
+            avoided.add(from.target().backend().backend());
+            tryAnother();
         }
-        repeatOrGiveUp(from);
     }
 
     private void admit() {
@@ -485,11 +488,9 @@
                 && (!started || splitter.lastEventId().isPresent());
     }
 
-    private void repeatOrGiveUp(BackendAttempt failed) {
-        avoided.add(failed.target().backend().backend());
-        if (remainingMillis() > 0
-                && mayTryAnother()
-                && environment.allowance().tryRepeat(service)) {
+    /** Goes on with another backend server after one that the request never reached. */
+    private void tryAnother() {
+        if (remainingMillis() > 0 && mayTryAnother()) {
             splitter.restart();
             findTarget();
         } else {
@@ -497,6 +498,15 @@
         }
     }
 
+    private void repeatOrGiveUp(BackendAttempt failed) {
+        avoided.add(failed.target().backend().backend());
+        if (mayTryAnother() && environment.allowance().tryRepeat(service)) {
+            tryAnother();
+        } else {
+            giveUp();
+        }
+    }
+
     private void giveUp() {
         if (started) {
             client.breakOff();
--- a/daemon/src/main/java/org/crocushaven/instance/Instance.java
+++ b/daemon/src/main/java/org/crocushaven/instance/Instance.java
@@ -157,7 +157,7 @@
                                 isFirst ? settings.seedHosts() : List.of(),
                                 settings.toleratedInstances(),
                                 settings.heartbeatMillis(),
-                                settings.orderLeaseMillis()),
+                                settings.enginesCheckFences() ? 0 : settings.orderLeaseMillis()),
                         transport,
                         (EventLoop) group.next(),
                         dialect,
--- a/daemon/src/main/java/org/crocushaven/instance/InstanceSettings.java
+++ b/daemon/src/main/java/org/crocushaven/instance/InstanceSettings.java
@@ -24,6 +24,7 @@
  * @param heartbeatMillis time between two heartbeats of a backend server
  * @param keyWithdrawalMillis time within which a withdrawn key must stop working everywhere
  * @param orderLeaseMillis time within which two instances must not both give orders to an engine
+ * @param enginesCheckFences whether engines refuse orders of an earlier holder themselves
  * @param stopGraceMillis longest time that a stop may take
  * @param retryRatio repeats for each first send, over all gateways
  * @param retryExtra repeats that all gateways together may make besides, in one window
@@ -45,6 +46,7 @@
         long heartbeatMillis,
         long keyWithdrawalMillis,
         long orderLeaseMillis,
+        boolean enginesCheckFences,
         long stopGraceMillis,
         double retryRatio,
         double retryExtra) {
--- a/daemon/src/main/java/org/crocushaven/instance/InstanceSettingsLoader.java
+++ b/daemon/src/main/java/org/crocushaven/instance/InstanceSettingsLoader.java
@@ -94,6 +94,9 @@
 
     private static final long DEFAULT_ORDER_LEASE_MILLIS = 3_000;
 
+    /** Whether engines refuse orders of an earlier holder themselves; false when absent. */
+    private static final String ENGINES_CHECK_FENCES = "engines_check_fences";
+
     /** Longest time that a stop may take. */
     private static final String STOP_GRACE_SECONDS = "stop_grace_seconds";
 
@@ -132,6 +135,7 @@
                     KeyDescription.optional(HEARTBEAT_MILLIS, INTEGER),
                     KeyDescription.optional(KEY_WITHDRAWAL_MILLIS, INTEGER),
                     KeyDescription.optional(ORDER_LEASE_MILLIS, INTEGER),
+                    KeyDescription.optional(ENGINES_CHECK_FENCES, BOOLEAN),
                     KeyDescription.optional(STOP_GRACE_SECONDS, NUMBER),
                     KeyDescription.optional(RETRY_RATIO, NUMBER),
                     KeyDescription.optional(RETRY_EXTRA, NUMBER));
@@ -211,11 +215,12 @@
                 address(READINESS),
                 address(CONTROL),
                 text(DATA_FOLDER).map(Path::of),
-                root.child(BOOTSTRAP).flatMap(TomlNode::flag).orElse(false),
+                flag(BOOTSTRAP),
                 (int) integer(TOLERATED_INSTANCES, DEFAULT_TOLERATED_INSTANCES),
                 integer(HEARTBEAT_MILLIS, DEFAULT_HEARTBEAT_MILLIS),
                 integer(KEY_WITHDRAWAL_MILLIS, DEFAULT_KEY_WITHDRAWAL_MILLIS),
                 integer(ORDER_LEASE_MILLIS, DEFAULT_ORDER_LEASE_MILLIS),
+                flag(ENGINES_CHECK_FENCES),
                 (long)
                         (number(STOP_GRACE_SECONDS, DEFAULT_STOP_GRACE_SECONDS)
                                 * TimeUnit.SECONDS.toMillis(1)),
@@ -253,6 +258,10 @@
                         });
     }
 
+    private boolean flag(String key) {
+        return root.child(key).flatMap(TomlNode::flag).orElse(false);
+    }
+
     private long integer(String key, long defaultValue) {
         return root.child(key).flatMap(TomlNode::integer).orElse(defaultValue);
     }
