Unload only adapters that an engine has reported; lend a first part of the burst at once

After an election with a zone cut off, 246 requests were refused for want of tokens while absent gateways might hold some. Ruled out: a longer protection after the load (no bound on a busy store). Change: a place is given up only if a report showed the adapter as held; a report that crossed an order does not count; places are bounded by megabytes too. Tests failed first: AdapterPlannerTest.Room, ShareAllocatorTest.

--- a/daemon/src/main/java/org/crocushaven/admission/OrganisationPool.java
+++ b/daemon/src/main/java/org/crocushaven/admission/OrganisationPool.java
@@ -32,6 +32,7 @@
     private double totalDemand;
     private double heldRate;
     private double heldCapacity;
+    private double declaredCapacity;
     private boolean withheld;
     private long shortageUntilNanos;
     private String shortHolder = "";
@@ -50,6 +51,8 @@
         this.withheld = withheld;
         this.bucket = TokenBucket.create(0, 0, 0, nowNanos);
         resizePool(nowNanos);
+        bucket.add(settings.firstBurstFraction() * burst, nowNanos);
+        recordHeadroom(nowNanos);
     }
 
     void limits(double newRate, double newBurst, long nowNanos) {
@@ -62,8 +65,6 @@
     void endWithholding(long nowNanos) {
         withheld = false;
         resizePool(nowNanos);
-        bucket.add(settings.firstBurstFraction() * burst, nowNanos);
-        recordHeadroom(nowNanos);
     }
 
     /** Takes in what a holder of an earlier epoch still has. */
@@ -72,6 +73,7 @@
         final HeldShare held = HeldShare.declared(entry);
         holders.put(instance, held);
         count(held, 1);
+        declaredCapacity += held.countedCapacity();
         resizePool(nowNanos);
     }
 
@@ -121,7 +123,7 @@
     Proposal propose(String instance, long nowNanos) {
         final HeldShare held = holders.computeIfAbsent(instance, name -> new HeldShare());
         final double freeRate = withheld ? 0 : Math.max(0, rate - heldRate);
-        final double freeCapacity = withheld ? 0 : Math.max(0, burst - heldCapacity);
+        final double freeCapacity = freeCapacity();
         final double newRate = Math.min(targetRate(held), held.rate() + freeRate);
         final double newCapacity =
                 Math.min(targetCapacity(instance, held, nowNanos), held.capacity() + freeCapacity);
@@ -202,6 +204,14 @@
         return Math.abs(current - proposed) > NOTICEABLE * Math.max(current, proposed);
     }
 
+    /** While earlier holders may have shares, only what a new allocator may add is free. */
+    private double freeCapacity() {
+        final double first = settings.firstBurstFraction() * burst;
+        return withheld
+                ? Math.max(0, first - Math.max(0, heldCapacity - declaredCapacity))
+                : Math.max(0, burst - heldCapacity);
+    }
+
     private void count(HeldShare held, int sign) {
         heldRate += sign * held.countedRate();
         heldCapacity += sign * held.countedCapacity();
@@ -209,7 +219,7 @@
 
     private void resizePool(long nowNanos) {
         final double freeRate = withheld ? 0 : Math.max(0, rate - heldRate);
-        final double freeCapacity = withheld ? 0 : Math.max(0, burst - heldCapacity);
+        final double freeCapacity = freeCapacity();
         recordHeadroom(nowNanos);
         bucket.resize(freeRate, freeCapacity, nowNanos);
         recordHeadroom(nowNanos);
--- a/daemon/src/main/java/org/crocushaven/fleet/AdapterPlanner.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/AdapterPlanner.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.crocushaven.ingress.BaseModel;
 import org.crocushaven.ingress.EngineProfile;
 
 /**
@@ -82,16 +83,16 @@
         }
     }
 
-    /** Returns the engines whose places are not known. */
-    List<String> unverified() {
-        final List<String> unverified = new ArrayList<>();
+    /** Returns the engines whose report is wanted. */
+    List<String> wantingReport(long nowNanos) {
+        final List<String> wanting = new ArrayList<>();
         engines.forEach(
                 (backend, engine) -> {
-                    if (!engine.slots.isVerified()) {
-                        unverified.add(backend);
+                    if (engine.slots.wantsReport(nowNanos)) {
+                        wanting.add(backend);
                     }
                 });
-        return unverified;
+        return wanting;
     }
 
     /** Takes in the versions that the operator named. */
@@ -227,7 +228,7 @@
                     || inTransit >= EngineSlots.MAXIMUM_IN_TRANSIT) {
                 continue;
             }
-            final boolean hasRoom = engine.slots.taken() < engine.profile.adapterSlots();
+            final boolean hasRoom = engine.slots.taken() < engine.places();
             final Optional<AdapterKey> victim =
                     hasRoom ? Optional.empty() : victim(engine, nowNanos);
             if (!hasRoom && victim.isEmpty()) {
@@ -275,6 +276,7 @@
         for (final Map.Entry<AdapterKey, EngineSlots.Slot> entry : engine.slots.all().entrySet()) {
             final EngineSlots.Slot slot = entry.getValue();
             if (slot.running() > 0
+                    || !slot.isConfirmed()
                     || !slot.isUsable(nowNanos)
                     || nowNanos - slot.usedNanos() < PROTECTED_NANOS) {
                 continue;
@@ -312,6 +314,21 @@
             this.announcement = announcement;
         }
 
+        /** Returns how many adapters find room beside the base models that it holds. */
+        private int places() {
+            double room = profile.weightsMegabytes();
+            double largest = 0;
+            for (final BaseModel model : profile.models()) {
+                if (slots.holdsModel(model.name())) {
+                    room -= model.weightsMegabytes();
+                    largest = Math.max(largest, model.adapterMegabytes());
+                }
+            }
+            return largest <= 0
+                    ? profile.adapterSlots()
+                    : (int) Math.min(profile.adapterSlots(), Math.max(0, room / largest));
+        }
+
         /** Returns the part of its slots that is taken; more than 1 when requests wait. */
         private double load() {
             return requests / (double) Math.max(1, announcement.slots());
--- a/daemon/src/main/java/org/crocushaven/fleet/EngineOrders.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/EngineOrders.java
@@ -86,7 +86,7 @@
 
     /**
      * Asks the engine what it holds; empty when it does not answer, when orders are under way, or
-     * when the answer is from before the last order. Never fails.
+     * when the answer is from before the last order, or before one that waits by now. Never fails.
      */
     CompletableFuture<Optional<EngineReport>> verify() {
         if (isBusy() || closed) {
@@ -98,7 +98,9 @@
 
     private Optional<EngineReport> verified(EngineReport report, boolean answered) {
         final boolean current =
-                answered && (sequence.isEmpty() || report.sequence() >= sequence.getAsLong());
+                answered
+                        && waiting.isEmpty()
+                        && (sequence.isEmpty() || report.sequence() >= sequence.getAsLong());
         if (current) {
             sequence = OptionalLong.of(report.sequence());
         }
--- a/daemon/src/main/java/org/crocushaven/fleet/EngineSlots.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/EngineSlots.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 /**
  * The places for adapters on one engine, as the giver of its orders believes them to be.
@@ -21,6 +22,9 @@
     /** Adapters that may be on their way to one engine; the engines' own bound. */
     static final int MAXIMUM_IN_TRANSIT = 4;
 
+    /** Time between two reports that confirm loads; a report is priced as a probe. */
+    private static final long CONFIRMATION_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
     /** Adapters that an engine is believed to keep in memory after they left their places. */
     private static final int REMEMBERED = 100;
 
@@ -28,6 +32,7 @@
     private final Set<String> models = new HashSet<>();
     private final Set<AdapterKey> remembered = new LinkedHashSet<>();
     private boolean verified;
+    private long reportedNanos;
 
     /** Takes in a heartbeat, which may be old: it can add to what is believed, not take away. */
     void announced(Collection<HeldAdapter> held, long nowNanos) {
@@ -45,6 +50,7 @@
     /** Takes in the engine's own report of the time after the last order; it decides. */
     void reported(EngineReport report, long nowNanos) {
         verified = true;
+        reportedNanos = nowNanos;
         final Map<AdapterKey, Long> versions = new HashMap<>();
         final Set<AdapterKey> pending = new HashSet<>();
         report.held().stream()
@@ -63,6 +69,13 @@
                 });
     }
 
+    /** Returns whether a report is wanted, since places are not known or loads not confirmed. */
+    boolean wantsReport(long nowNanos) {
+        return !verified
+                || nowNanos - reportedNanos >= CONFIRMATION_NANOS
+                        && slots.values().stream().anyMatch(slot -> !slot.confirmed);
+    }
+
     /** Returns whether the engine has reported itself, so that its places are known. */
     boolean isVerified() {
         return verified;
@@ -156,6 +169,7 @@
         private long version;
         private boolean loading;
         private boolean leaving;
+        private boolean confirmed;
         private long readyNanos;
         private long usedNanos;
         private int running;
@@ -168,6 +182,7 @@
         private void told(long toldVersion, boolean onItsWay) {
             version = toldVersion;
             loading = onItsWay;
+            confirmed = !onItsWay;
             leaving = false;
         }
 
@@ -195,6 +210,13 @@
             return loading && readyNanos - nowNanos > 0;
         }
 
+        /**
+         * Returns whether the engine has reported it; one that is on its way cannot be unloaded.
+         */
+        boolean isConfirmed() {
+            return confirmed;
+        }
+
         boolean isUsable(long nowNanos) {
             return !leaving && !isLoading(nowNanos);
         }
--- a/daemon/src/main/java/org/crocushaven/fleet/FleetLeader.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/FleetLeader.java
@@ -241,7 +241,7 @@
         if (nowNanos - ordersFromNanos < 0) {
             return;
         }
-        planner.unverified().forEach(this::verify);
+        planner.wantingReport(nowNanos).forEach(this::verify);
         for (final String backend : planner.engines()) {
             planner.missingModel(backend).ifPresent(model -> loadModel(backend, model, nowNanos));
         }
@@ -434,8 +434,7 @@
                         outcome -> {
                             planner.slotsOf(chosen.backend())
                                     .ifPresent(slots -> unloaded(slots, victim, outcome));
-                            if (outcome == OrderOutcome.UNKNOWN
-                                    || outcome == OrderOutcome.CONFLICT) {
+                            if (outcome != OrderOutcome.HOLDS) {
                                 doubt(chosen.backend());
                             }
                             return outcome;
