Open a replica again after its disk refused a write

Change: ReplicaKeeper closes a failed replica and opens it again from its disk until that succeeds. Test failed first: ReplicaKeeperTest.

--- a/daemon/src/main/java/org/crocushaven/consensus/GroupHost.java
+++ b/daemon/src/main/java/org/crocushaven/consensus/GroupHost.java
@@ -26,7 +26,7 @@
  * <p>Futures complete on that thread; what hangs on them must not block. Several commands that
  * arrive while the disk syncs are stored with the next sync.
  */
-public final class GroupHost implements ReplicatedGroup {
+public final class GroupHost implements ReplicatedGroup, ReopenableReplica {
     /** Longest command that can be proposed, in bytes. */
     public static final int MAXIMUM_COMMAND_BYTES = 512 * 1024;
 
@@ -44,6 +44,7 @@
     private final Thread thread;
     private volatile boolean stopping;
     private volatile boolean drained;
+    private volatile boolean failed;
     private volatile GroupView view;
 
     private GroupHost(
@@ -194,6 +195,11 @@
         return loop.syncedEntries();
     }
 
+    @Override
+    public boolean hasFailed() {
+        return failed;
+    }
+
     @Override
     public void close() {
         stopping = true;
@@ -231,8 +237,8 @@
         } catch (InterruptedException exception) {
             Logger.info("event=group-interrupted group={}", settings.groupId());
         } catch (RuntimeException exception) {
+            failed = true;
             Logger.error(
-                    exception,
                     "event=group-failed group={} reason=\"{}\"",
                     settings.groupId(),
                     exception.getMessage());
--- a/daemon/src/main/java/org/crocushaven/fleet/ControlInstance.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/ControlInstance.java
@@ -14,6 +14,8 @@
 import org.crocushaven.consensus.GroupHost;
 import org.crocushaven.consensus.GroupRouter;
 import org.crocushaven.consensus.GroupSettings;
+import org.crocushaven.consensus.ReplicaKeeper;
+import org.crocushaven.consensus.ReplicaTiming;
 import org.crocushaven.network.SuspensionDetector;
 import org.crocushaven.observability.EventLine;
 import org.crocushaven.observability.GuardedTask;
@@ -50,7 +52,7 @@
     private final FleetState state = FleetState.create();
     private final BackendRegistry registry;
     private final BackendPool pool;
-    private final GroupHost group;
+    private final ReplicaKeeper<GroupHost> keeper;
     private final SuspensionDetector suspension = new SuspensionDetector();
     private final Set<String> controls = new LinkedHashSet<>();
     private FleetLeader leader;
@@ -79,17 +81,21 @@
         this.distrustedUntilNanos = clock.nanoTime();
         final GroupRouter router = GroupRouter.create(transport);
         attach();
-        this.group =
-                GroupHost.start(
-                        GroupSettings.of(
-                                GROUP,
-                                settings.instance(),
-                                FirstVoters.recall(settings.dataFolder(), settings.firstVoters())),
-                        router,
-                        settings.dataFolder(),
-                        state,
-                        clock,
-                        seed);
+        this.keeper = ReplicaKeeper.open(() -> openGroup(router, seed));
+    }
+
+    private GroupHost openGroup(GroupRouter router, long seed) {
+        return GroupHost.start(
+                GroupSettings.of(
+                        GROUP,
+                        settings.instance(),
+                        FirstVoters.recall(settings.dataFolder(), settings.firstVoters()),
+                        ReplicaTiming.QUICK),
+                router,
+                settings.dataFolder(),
+                state,
+                clock,
+                seed);
     }
 
     /** Opens the data folder and starts the replica; call before the transport listens. */
@@ -119,7 +125,7 @@
     /** Stops the replica. */
     public void close() {
         stopped = true;
-        group.close();
+        keeper.close();
     }
 
     /** Takes in an announcement; completes when it may be acknowledged. */
@@ -130,7 +136,7 @@
             forwardToOthers(announcement, "");
             return CompletableFuture.completedFuture(null);
         }
-        final String known = group.leader().orElse("");
+        final String known = group().leader().orElse("");
         if (!mustArrive) {
             forwardToOthers(announcement, "");
             return CompletableFuture.completedFuture(null);
@@ -168,7 +174,11 @@
 
     /** Returns whether this instance leads. */
     public boolean leads() {
-        return group.holdsLeaderLease();
+        return group().holdsLeaderLease();
+    }
+
+    private GroupHost group() {
+        return keeper.replica();
     }
 
     private void attach() {
@@ -223,11 +233,11 @@
     }
 
     private ControlHint hint() {
-        return new ControlHint(group.leader().orElse(""), knownControls());
+        return new ControlHint(group().leader().orElse(""), knownControls());
     }
 
     private List<String> knownControls() {
-        final Set<String> known = new LinkedHashSet<>(group.voters());
+        final Set<String> known = new LinkedHashSet<>(group().voters());
         known.add(settings.instance());
         known.addAll(controls);
         return new ArrayList<>(known);
@@ -275,7 +285,7 @@
 
     private CompletableFuture<Message> askLeader(Message message) {
         final Optional<String> known =
-                group.leader().filter(name -> !name.equals(settings.instance()));
+                group().leader().filter(name -> !name.equals(settings.instance()));
         if (known.isEmpty()) {
             return CompletableFuture.failedFuture(notLeader());
         }
@@ -307,7 +317,7 @@
             return CompletableFuture.failedFuture(notLeader());
         }
         final CompletableFuture<Void> committed = new CompletableFuture<>();
-        group.propose(command)
+        group().propose(command)
                 .whenComplete(
                         (result, failure) ->
                                 loop.execute(
@@ -322,7 +332,7 @@
     }
 
     private void register(FleetCommand change) {
-        group.propose(MessageCodec.encodeValue(change))
+        group().propose(MessageCodec.encodeValue(change))
                 .whenComplete(
                         (result, failure) -> {
                             if (failure != null) {
@@ -351,7 +361,7 @@
             EventLine.of("suspension-suspected").warn();
         }
         final boolean leads =
-                !stopped && nowNanos - distrustedUntilNanos >= 0 && group.holdsLeaderLease();
+                !stopped && nowNanos - distrustedUntilNanos >= 0 && group().holdsLeaderLease();
         if (!leads) {
             if (leader != null) {
                 EventLine.of("leading-ended").with("epoch", leader.epoch()).info();
@@ -360,7 +370,7 @@
             }
             return null;
         }
-        final long term = group.term();
+        final long term = group().term();
         if (leader == null || leader.epoch() != term) {
             if (leader != null) {
                 leader.close();
@@ -378,7 +388,7 @@
                             loop,
                             clock,
                             settings.orderPauseMillis(),
-                            group::holdsLeaderLease,
+                            () -> group().holdsLeaderLease(),
                             this::register);
             registry.present().forEach(leader::announced);
         }
@@ -389,6 +399,7 @@
         if (stopped) {
             return;
         }
+        keeper.check(clock.nanoTime());
         final FleetLeader leading = current();
         pool.closeExpired();
         if (leading != null) {
@@ -403,7 +414,7 @@
     private void join() {
         final ControlJoin join = new ControlJoin(settings.instance());
         final Optional<String> known =
-                group.leader().filter(name -> !name.equals(settings.instance()));
+                group().leader().filter(name -> !name.equals(settings.instance()));
         if (known.isPresent()) {
             transport.send(known.get(), join);
             return;
@@ -430,14 +441,20 @@
         if (changingVoters) {
             return;
         }
-        upkeep.next(settings.instance(), group.voters(), group.foreignVoters(), clock.nanoTime())
+        upkeep.next(
+                        settings.instance(),
+                        group().voters(),
+                        group().foreignVoters(),
+                        clock.nanoTime())
                 .ifPresent(this::changeVoters);
     }
 
     private void changeVoters(VoterUpkeep.Step step) {
         changingVoters = true;
         final CompletableFuture<Void> change =
-                step.add() ? group.addVoter(step.instance()) : group.removeVoter(step.instance());
+                step.add()
+                        ? group().addVoter(step.instance())
+                        : group().removeVoter(step.instance());
         change.whenComplete(
                 (ignored, failure) ->
                         loop.execute(
