Tell a request's story from saved logs; look routes up by the slashes of a path

Cause: on-call engineers have only what the processes wrote; the line of a request lacked what decided it; a table of many routes was searched from end to end; repeats earned repeats. Ruled out: a store of decisions in each process (gone with it). Conclusion: the audit test of injected failures is open.

--- a/cli/src/main/java/org/crocushaven/cli/ExplainCommand.java
+++ b/cli/src/main/java/org/crocushaven/cli/ExplainCommand.java
@@ -1,8 +1,10 @@
 package org.crocushaven.cli;
 
 import com.fasterxml.jackson.core.type.TypeReference;
+import java.nio.file.Path;
 import java.time.Instant;
 import java.util.List;
+import joptsimple.OptionParser;
 import org.crocushaven.result.ResultCode;
 import org.crocushaven.result.ResultException;
 import org.crocushaven.status.ExplainedDecision;
@@ -10,6 +12,8 @@
 
 /** Shows which decisions were taken for a request. */
 final class ExplainCommand implements Command {
+    private static final String LOG = "log";
+
     @Override
     public String name() {
         return "explain";
@@ -27,7 +31,17 @@
 
     @Override
     public List<String> examples() {
-        return List.of("crocushaven explain a1-18f2-77");
+        return List.of(
+                "crocushaven explain a1-18f2-77",
+                "crocushaven explain 9c41d07be2a35f68 --log day.log --output json");
+    }
+
+    @Override
+    public void addOptions(OptionParser parser) {
+        parser.accepts(LOG, "saved output of processes, read in place of asking an instance")
+                .withRequiredArg()
+                .withValuesSeparatedBy(',')
+                .describedAs("files");
     }
 
     @Override
@@ -38,6 +52,30 @@
                     ResultCode.COMMAND_LINE_INVALID,
                     "a request identifier has 1 to 64 of A-Z a-z 0-9 . _ -");
         }
+        final List<String> files = invocation.options(LOG);
+        if (files.isEmpty()) {
+            explainByInstances(invocation, request);
+        } else {
+            explainByLogs(invocation, files, request);
+        }
+    }
+
+    private static void explainByLogs(Invocation invocation, List<String> files, String request) {
+        final LogStory story = LogStory.read(files.stream().map(Path::of).toList(), request);
+        final Table table = Table.of("TIME", "PROCESS", "LINE");
+        for (final LogStory.Entry entry : story.entries()) {
+            table.row(entry.time(), entry.source(), entry.line());
+        }
+        if (story.unreadable() > 0) {
+            invocation
+                    .console()
+                    .errors()
+                    .println(story.unreadable() + " lines were not readable and are left out");
+        }
+        invocation.output().print(story, table);
+    }
+
+    private static void explainByInstances(Invocation invocation, String request) {
         final Explanation explanation =
                 invocation.client().get("explain/" + request, new TypeReference<Explanation>() {});
         final Table table = Table.of("TIME", "INSTANCE", "DECISION");
--- a/cli/src/main/java/org/crocushaven/cli/Invocation.java
+++ b/cli/src/main/java/org/crocushaven/cli/Invocation.java
@@ -43,6 +43,11 @@
         return Optional.ofNullable(options.valueOf(name)).map(String::valueOf);
     }
 
+    /** Returns all values of an option that may be given several times. */
+    List<String> options(String name) {
+        return options.valuesOf(name).stream().map(String::valueOf).toList();
+    }
+
     /** Returns whether an option without value is given. */
     boolean has(String name) {
         return options.has(name);
--- a/daemon/src/main/java/org/crocushaven/forwarding/ForwardingSummary.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/ForwardingSummary.java
@@ -11,6 +11,9 @@
  * @param organisation organisation that holds its key; "-" when none does
  * @param configurationVersion version of the configuration by which it was served
  * @param freshnessMillis age of the control state when it arrived; -1 when never confirmed
+ * @param charged tokens, or requests, charged to the organisation; 0 when none were
+ * @param adapterWaitMillis time waited for an adapter on its way
+ * @param requestsThere requests believed to be under way at the backend server when it was sent
  * @param backend backend server that was tried last; "-" when none was
  * @param attempts sends to backend servers
  * @param status status given to the client; 0 when the client had left
@@ -26,6 +29,9 @@
         String organisation,
         long configurationVersion,
         long freshnessMillis,
+        long charged,
+        long adapterWaitMillis,
+        int requestsThere,
         String backend,
         int attempts,
         int status,
--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
@@ -75,6 +75,8 @@
     private BackendAttempt attempt;
     private int sends;
     private int adapterWaits;
+    private long adapterWaitMillis;
+    private int requestsThere;
     private boolean mayHaveRun;
     private boolean started;
     private boolean done;
@@ -331,6 +333,7 @@
     }
 
     private void sendLater(Target target, long delayMillis) {
+        adapterWaitMillis += delayMillis;
         environment.view().started(target.backend().backend(), target.key());
         environment
                 .loop()
@@ -352,7 +355,9 @@
         final BackendAttempt next = new BackendAttempt(this, target, sends);
         attempt = next;
         environment.view().started(backend.backend(), target.key());
-        environment.allowance().sent(service);
+        if (sends == 1) {
+            environment.allowance().sent(service);
+        }
         environment
                 .pool()
                 .acquire(
@@ -378,13 +383,9 @@
         }
         next.opened(channel);
         progressNanos = environment.nowNanos();
-        environment
-                .observer()
-                .sent(
-                        request,
-                        next.target().backend().backend(),
-                        next.number(),
-                        environment.view().requestsAt(next.target().backend().backend()));
+        final String backend = next.target().backend().backend();
+        requestsThere = environment.view().requestsAt(backend);
+        environment.observer().sent(request, backend, next.number(), requestsThere);
         channel.send(forwarded(next.target(), left), next);
         if (route.isRepeatable()) {
             awaitProgress(next);
@@ -601,6 +602,9 @@
                                 organisation.map(KeyedOrganisation::name).orElse("-"),
                                 configurationVersion,
                                 freshnessMillis,
+                                charge.map(Charge::tokens).orElse(0L),
+                                adapterWaitMillis,
+                                requestsThere,
                                 backend,
                                 sends,
                                 status,
--- a/daemon/src/main/java/org/crocushaven/ingress/RouteTable.java
+++ b/daemon/src/main/java/org/crocushaven/ingress/RouteTable.java
@@ -1,39 +1,45 @@
 package org.crocushaven.ingress;
 
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
-/** Finds the route of a request: the longest prefix of its path among the routes of its host. */
+/**
+ * Finds the route of a request: the longest prefix of its path among the routes of its host.
+ *
+ * <p>Prefixes end with a slash, so that only the beginnings of the path up to each of its slashes
+ * are looked up, however many routes there are.
+ */
 public final class RouteTable {
-    private final Map<String, List<IngressRoute>> routesByHost;
+    private static final char SLASH = '/';
 
-    private RouteTable(Map<String, List<IngressRoute>> routesByHost) {
+    private final Map<String, Map<String, IngressRoute>> routesByHost;
+
+    private RouteTable(Map<String, Map<String, IngressRoute>> routesByHost) {
         this.routesByHost = routesByHost;
     }
 
-    /** Returns the table of the given routes. */
+    /** Returns the table of the given routes, no two of which share host and prefix. */
     public static RouteTable of(Collection<IngressRoute> routes) {
-        final Map<String, List<IngressRoute>> byHost = new HashMap<>();
+        final Map<String, Map<String, IngressRoute>> byHost = new HashMap<>();
         for (final IngressRoute route : routes) {
-            byHost.computeIfAbsent(route.host(), host -> new ArrayList<>()).add(route);
+            byHost.computeIfAbsent(route.host(), host -> new HashMap<>())
+                    .put(route.pathPrefix(), route);
         }
-        final Comparator<IngressRoute> longestFirst =
-                Comparator.comparingInt(route -> -route.pathPrefix().length());
-        byHost.values().forEach(list -> list.sort(longestFirst));
         return new RouteTable(byHost);
     }
 
     /** Returns the route of a request, or empty when none matches. */
     public Optional<IngressRoute> find(String host, String path) {
-        for (final IngressRoute route : routesByHost.getOrDefault(host, List.of())) {
-            if (path.startsWith(route.pathPrefix())) {
+        final Map<String, IngressRoute> routes = routesByHost.get(host);
+        int slash = routes == null ? -1 : path.lastIndexOf(SLASH);
+        while (slash >= 0) {
+            final IngressRoute route = routes.get(path.substring(0, slash + 1));
+            if (route != null) {
                 return Optional.of(route);
             }
+            slash = path.lastIndexOf(SLASH, slash - 1);
         }
         return Optional.empty();
     }
