Split leader, request forwarding and control instance by their jobs

No behaviour is meant to change. Ruled out: splitting the state of one request over several classes that would share it. Test added: SilenceWatchTest.

--- a/daemon/src/main/java/org/crocushaven/fleet/ControlInstance.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/ControlInstance.java
@@ -2,11 +2,8 @@
 
 import io.netty.channel.EventLoop;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.agrona.concurrent.EpochClock;
@@ -54,11 +51,9 @@
     private final BackendPool pool;
     private final ReplicaKeeper<GroupHost> keeper;
     private final SuspensionDetector suspension = new SuspensionDetector();
-    private final Set<String> controls = new LinkedHashSet<>();
+    private final GroupMembership membership;
     private FleetLeader leader;
-    private VoterUpkeep upkeep;
     private long distrustedUntilNanos;
-    private boolean changingVoters;
     private long ticks;
     private boolean stopped;
 
@@ -79,6 +74,9 @@
         this.registry = BackendRegistry.of(settings.heartbeatMillis());
         this.pool = BackendPool.create(loop, clock);
         this.distrustedUntilNanos = clock.nanoTime();
+        this.membership =
+                new GroupMembership(
+                        settings.instance(), settings.tolerated(), transport, loop, this::group);
         final GroupRouter router = GroupRouter.create(transport);
         attach();
         this.keeper = ReplicaKeeper.open(() -> openGroup(router, seed));
@@ -112,14 +110,14 @@
 
     /** Starts timers. */
     public void start(List<String> others) {
-        loop.execute(() -> controls.addAll(others));
+        loop.execute(() -> membership.add(others));
         loop.scheduleAtFixedRate(
                 GuardedTask.of(this::tick), TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /** Takes in other instances that may hold control state. */
     public void seedsChanged(List<String> others) {
-        loop.execute(() -> controls.addAll(others));
+        loop.execute(() -> membership.add(others));
     }
 
     /** Stops the replica. */
@@ -200,7 +198,9 @@
     private CompletableFuture<Message> reported(GatewayReport report) {
         final FleetLeader leading = current();
         return CompletableFuture.completedFuture(
-                leading == null ? hint() : leading.report(report, knownControls()));
+                leading == null
+                        ? membership.hint()
+                        : leading.report(report, membership.controls()));
     }
 
     private CompletableFuture<? extends Message> asked(AdapterAsk ask) {
@@ -209,11 +209,8 @@
     }
 
     private CompletableFuture<Message> joined(ControlJoin join) {
-        controls.add(join.instance());
-        if (current() != null) {
-            upkeep.heard(join.instance(), clock.nanoTime());
-        }
-        return CompletableFuture.completedFuture(hint());
+        membership.joined(join.instance(), current() != null, clock.nanoTime());
+        return CompletableFuture.completedFuture(membership.hint());
     }
 
     private CompletableFuture<Message> proposed(FleetProposal proposal) {
@@ -232,17 +229,6 @@
         return new FleetDocument(view.configurationVersion(), view.document());
     }
 
-    private ControlHint hint() {
-        return new ControlHint(group().leader().orElse(""), knownControls());
-    }
-
-    private List<String> knownControls() {
-        final Set<String> known = new LinkedHashSet<>(group().voters());
-        known.add(settings.instance());
-        known.addAll(controls);
-        return new ArrayList<>(known);
-    }
-
     private void take(BackendAnnouncement announcement) {
         final BackendState before =
                 registry.find(announcement.backend())
@@ -276,7 +262,7 @@
     }
 
     private void forwardToOthers(BackendAnnouncement announcement, String except) {
-        for (final String other : knownControls()) {
+        for (final String other : membership.controls()) {
             if (!other.equals(settings.instance()) && !other.equals(except)) {
                 transport.send(other, announcement);
             }
@@ -376,19 +362,20 @@
                 leader.close();
             }
             EventLine.of("leading-started").with("epoch", term).info();
-            upkeep = new VoterUpkeep(settings.tolerated(), nowNanos);
+            membership.leadingStarted(nowNanos);
             leader =
                     new FleetLeader(
-                            term,
-                            settings.instance(),
+                            new EngineOrderContext(
+                                    dialect,
+                                    pool,
+                                    loop,
+                                    settings.instance(),
+                                    term,
+                                    () -> group().holdsLeaderLease()),
                             registry,
                             state,
-                            dialect,
-                            pool,
-                            loop,
                             clock,
                             settings.orderPauseMillis(),
-                            () -> group().holdsLeaderLease(),
                             this::register);
             registry.present().forEach(leader::announced);
         }
@@ -404,72 +391,13 @@
         pool.closeExpired();
         if (leading != null) {
             leading.tick();
-            keepVoters();
+            membership.keepVoters(clock.nanoTime());
         }
         if (ticks++ % JOIN_TICKS == 0 && leading == null) {
-            join();
+            membership.join();
         }
     }
 
-    private void join() {
-        final ControlJoin join = new ControlJoin(settings.instance());
-        final Optional<String> known =
-                group().leader().filter(name -> !name.equals(settings.instance()));
-        if (known.isPresent()) {
-            transport.send(known.get(), join);
-            return;
-        }
-        for (final String other : knownControls()) {
-            if (!other.equals(settings.instance())) {
-                transport
-                        .request(other, join, FORWARD_TIMEOUT)
-                        .whenComplete((answer, failure) -> loop.execute(() -> hinted(answer)));
-            }
-        }
-    }
-
-    private void hinted(Message answer) {
-        if (answer instanceof ControlHint found) {
-            controls.addAll(found.controls());
-            if (!found.leader().isEmpty() && !found.leader().equals(settings.instance())) {
-                transport.send(found.leader(), new ControlJoin(settings.instance()));
-            }
-        }
-    }
-
-    private void keepVoters() {
-        if (changingVoters) {
-            return;
-        }
-        upkeep.next(
-                        settings.instance(),
-                        group().voters(),
-                        group().foreignVoters(),
-                        clock.nanoTime())
-                .ifPresent(this::changeVoters);
-    }
-
-    private void changeVoters(VoterUpkeep.Step step) {
-        changingVoters = true;
-        final CompletableFuture<Void> change =
-                step.add()
-                        ? group().addVoter(step.instance())
-                        : group().removeVoter(step.instance());
-        change.whenComplete(
-                (ignored, failure) ->
-                        loop.execute(
-                                () -> {
-                                    changingVoters = false;
-                                    EventLine.of("voter-change")
-                                            .with("add", step.add())
-                                            .with("instance", step.instance())
-                                            .with(
-                                                    "outcome",
-                                                    failure == null ? "done" : failure.getMessage())
-                                            .info();
-                                }));
-    }
-
     private ResultException notLeader() {
         return ResultException.of(ResultCode.NOT_LEADER, GROUP);
     }
--- a/daemon/src/main/java/org/crocushaven/fleet/EngineOrders.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/EngineOrders.java
@@ -1,6 +1,5 @@
 package org.crocushaven.fleet;
 
-import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -8,10 +7,8 @@
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import org.crocushaven.observability.EventLine;
 import org.crocushaven.outbound.BackendCall;
-import org.crocushaven.outbound.BackendPool;
 import org.crocushaven.result.ResultException;
 
 /**
@@ -30,40 +27,17 @@
     private static final long REPORT_LAG_MILLIS = 250;
 
     private final BackendAnnouncement backend;
-    private final ControlDialect dialect;
-    private final BackendPool pool;
-    private final EventLoop loop;
-    private final String holder;
-    private final long token;
-    private final BooleanSupplier mayOrder;
+    private final EngineOrderContext context;
     private final Deque<Waiting> waiting = new ArrayDeque<>();
     private OptionalLong sequence = OptionalLong.empty();
     private boolean underWay;
     private boolean fenced;
     private boolean closed;
 
-    /**
-     * Creates the giver of orders to an engine.
-     *
-     * @param holder name of this instance
-     * @param token number of this holder's right to give orders
-     * @param mayOrder whether the right still stands
-     */
-    EngineOrders(
-            BackendAnnouncement backend,
-            ControlDialect dialect,
-            BackendPool pool,
-            EventLoop loop,
-            String holder,
-            long token,
-            BooleanSupplier mayOrder) {
+    /** Creates the giver of orders to one start of an engine. */
+    EngineOrders(BackendAnnouncement backend, EngineOrderContext context) {
         this.backend = backend;
-        this.dialect = dialect;
-        this.pool = pool;
-        this.loop = loop;
-        this.holder = holder;
-        this.token = token;
-        this.mayOrder = mayOrder;
+        this.context = context;
     }
 
     /** Gives an order once those before it are answered; never fails. */
@@ -111,12 +85,12 @@
 
     private CompletableFuture<EngineReport> report() {
         return BackendCall.make(
-                        pool,
-                        loop,
+                        context.pool(),
+                        context.loop(),
                         address(),
-                        dialect.encodeReportQuestion(backend.backend()),
+                        context.dialect().encodeReportQuestion(backend.backend()),
                         REPORT_TIMEOUT_MILLIS)
-                .thenApply(answer -> dialect.decodeReport(answer.body()));
+                .thenApply(answer -> context.dialect().decodeReport(answer.body()));
     }
 
     /** Gives no more orders. */
@@ -161,25 +135,28 @@
     }
 
     private void send(Waiting order) {
-        if (!mayOrder.getAsBoolean()) {
+        if (!context.mayOrder().getAsBoolean()) {
             finish(order, OrderOutcome.REFUSED);
             return;
         }
         BackendCall.make(
-                        pool,
-                        loop,
+                        context.pool(),
+                        context.loop(),
                         address(),
-                        dialect.encodeOrder(
-                                backend.backend(),
-                                order.order,
-                                new OrderFence(holder, token, sequence)),
+                        context.dialect()
+                                .encodeOrder(
+                                        backend.backend(),
+                                        order.order,
+                                        new OrderFence(
+                                                context.holder(), context.token(), sequence)),
                         ORDER_TIMEOUT_MILLIS)
                 .whenComplete(
                         (answer, failure) ->
                                 finish(
                                         order,
                                         failure == null
-                                                ? dialect.decodeOrderAnswer(answer.status())
+                                                ? context.dialect()
+                                                        .decodeOrderAnswer(answer.status())
                                                 : outcomeOf(failure)));
     }
 
@@ -199,13 +176,14 @@
             underWay = false;
             next();
         } else {
-            loop.schedule(
-                    () -> {
-                        underWay = false;
-                        next();
-                    },
-                    REPORT_LAG_MILLIS,
-                    TimeUnit.MILLISECONDS);
+            context.loop()
+                    .schedule(
+                            () -> {
+                                underWay = false;
+                                next();
+                            },
+                            REPORT_LAG_MILLIS,
+                            TimeUnit.MILLISECONDS);
         }
     }
 
--- /dev/null
+++ b/daemon/src/main/java/org/crocushaven/fleet/GroupMembership.java
@@ -0,0 +1,137 @@
+package org.crocushaven.fleet;
+
+import io.netty.channel.EventLoop;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.crocushaven.consensus.GroupHost;
+import org.crocushaven.observability.EventLine;
+import org.crocushaven.protocol.Message;
+import org.crocushaven.protocol.PeerTransport;
+
+/**
+ * Which instances hold control state: tells the leader that this one can, and, while it leads,
+ * keeps the voters. Used on one event loop only.
+ */
+final class GroupMembership {
+    private static final Duration ASK_TIMEOUT = Duration.ofMillis(900);
+
+    private final String instance;
+    private final int tolerated;
+    private final PeerTransport transport;
+    private final EventLoop loop;
+    private final Supplier<GroupHost> group;
+    private final Set<String> controls = new LinkedHashSet<>();
+    private VoterUpkeep upkeep;
+    private boolean changingVoters;
+
+    /**
+     * Creates the membership of an instance that knows no other.
+     *
+     * @param tolerated instances with control state that may be lost at once
+     */
+    GroupMembership(
+            String instance,
+            int tolerated,
+            PeerTransport transport,
+            EventLoop loop,
+            Supplier<GroupHost> group) {
+        this.instance = instance;
+        this.tolerated = tolerated;
+        this.transport = transport;
+        this.loop = loop;
+        this.group = group;
+    }
+
+    /** Adds instances that may hold control state. */
+    void add(List<String> others) {
+        controls.addAll(others);
+    }
+
+    /** Returns all instances that may hold control state, voters first. */
+    List<String> controls() {
+        final Set<String> known = new LinkedHashSet<>(group.get().voters());
+        known.add(instance);
+        known.addAll(controls);
+        return new ArrayList<>(known);
+    }
+
+    /** Returns the answer of an instance that does not lead. */
+    ControlHint hint() {
+        return new ControlHint(group.get().leader().orElse(""), controls());
+    }
+
+    /** Called when this instance begins to lead. */
+    void leadingStarted(long nowNanos) {
+        upkeep = new VoterUpkeep(tolerated, nowNanos);
+    }
+
+    /** Notes that an instance can hold control state. */
+    void joined(String other, boolean leads, long nowNanos) {
+        controls.add(other);
+        if (leads) {
+            upkeep.heard(other, nowNanos);
+        }
+    }
+
+    /** Tells the leader, or all others while none is known, that this instance is there. */
+    void join() {
+        final ControlJoin join = new ControlJoin(instance);
+        final Optional<String> known = group.get().leader().filter(name -> !name.equals(instance));
+        if (known.isPresent()) {
+            transport.send(known.get(), join);
+            return;
+        }
+        for (final String other : controls()) {
+            if (!other.equals(instance)) {
+                transport
+                        .request(other, join, ASK_TIMEOUT)
+                        .whenComplete((answer, failure) -> loop.execute(() -> hinted(answer)));
+            }
+        }
+    }
+
+    private void hinted(Message answer) {
+        if (answer instanceof ControlHint found) {
+            controls.addAll(found.controls());
+            if (!found.leader().isEmpty() && !found.leader().equals(instance)) {
+                transport.send(found.leader(), new ControlJoin(instance));
+            }
+        }
+    }
+
+    /** Does the next change of voters, if one is wanted. */
+    void keepVoters(long nowNanos) {
+        if (changingVoters) {
+            return;
+        }
+        upkeep.next(instance, group.get().voters(), group.get().foreignVoters(), nowNanos)
+                .ifPresent(this::changeVoters);
+    }
+
+    private void changeVoters(VoterUpkeep.Step step) {
+        changingVoters = true;
+        final CompletableFuture<Void> change =
+                step.add()
+                        ? group.get().addVoter(step.instance())
+                        : group.get().removeVoter(step.instance());
+        change.whenComplete(
+                (ignored, failure) ->
+                        loop.execute(
+                                () -> {
+                                    changingVoters = false;
+                                    EventLine.of("voter-change")
+                                            .with("add", step.add())
+                                            .with("instance", step.instance())
+                                            .with(
+                                                    "outcome",
+                                                    failure == null ? "done" : failure.getMessage())
+                                            .info();
+                                }));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocushaven/fleet/ShareLending.java
@@ -0,0 +1,106 @@
+package org.crocushaven.fleet;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.crocushaven.admission.ShareAllocator;
+import org.crocushaven.admission.ShareAllocatorSettings;
+import org.crocushaven.admission.ShareGrant;
+import org.crocushaven.configuration.Organisation;
+import org.crocushaven.ingress.IngressConfiguration;
+import org.crocushaven.ingress.KeyedOrganisation;
+
+/**
+ * Lends shares to gateways that stand in the replicated state, so that a later leader knows when
+ * all that may hold some have reported. Not thread-safe.
+ */
+final class ShareLending {
+    /** Time after which a registration that did not succeed is tried again. */
+    private static final long REGISTRATION_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    /** Time after which a gateway that never reported to this leader holds nothing. */
+    private static final long FORGOTTEN_GATEWAY_NANOS = TimeUnit.SECONDS.toNanos(30);
+
+    private final FleetState state;
+    private final Consumer<FleetCommand> registration;
+    private final ShareAllocator shares;
+    private final long sinceNanos;
+    private final Map<String, Long> registering = new HashMap<>();
+    private final Set<String> declared = new HashSet<>();
+    private boolean allDeclared;
+
+    /**
+     * Creates the lending of a leader.
+     *
+     * @param epoch the leader's term
+     * @param registration proposes changes of the gateways that may hold shares
+     */
+    ShareLending(long epoch, FleetState state, Consumer<FleetCommand> registration, long nowNanos) {
+        this.state = state;
+        this.registration = registration;
+        this.shares =
+                ShareAllocator.create(
+                        epoch, ShareAllocatorSettings.selfReliant(), List.of(), nowNanos);
+        this.sinceNanos = nowNanos;
+    }
+
+    /** Takes in the organisations of a configuration. */
+    void configured(IngressConfiguration configuration, long nowNanos) {
+        shares.organisationsChanged(
+                configuration.organisations().stream()
+                        .filter(KeyedOrganisation::isBounded)
+                        .map(
+                                organisation ->
+                                        new Organisation(
+                                                organisation.name(),
+                                                organisation.allowedPerSecond(),
+                                                organisation.burst(),
+                                                1))
+                        .toList(),
+                nowNanos);
+    }
+
+    /** Lets leases expire, and forgets gateways that are gone. */
+    void tick(long nowNanos) {
+        shares.tick(nowNanos);
+        forgetGateways(nowNanos);
+    }
+
+    /** Lends shares to a gateway once it is known to every later leader that it may hold some. */
+    Optional<ShareGrant> lend(GatewayReport report, long nowNanos) {
+        final Set<String> registered = state.gateways();
+        if (!registered.contains(report.gateway())) {
+            final Long asked = registering.get(report.gateway());
+            if (asked == null || nowNanos - asked >= REGISTRATION_NANOS) {
+                registering.put(report.gateway(), nowNanos);
+                registration.accept(FleetCommand.gateways(List.of(report.gateway()), List.of()));
+            }
+            return Optional.empty();
+        }
+        declared.add(report.gateway());
+        final ShareGrant grant = shares.handle(report.gateway(), report.shares(), nowNanos);
+        if (!allDeclared && declared.containsAll(registered)) {
+            allDeclared = true;
+            shares.allHoldersKnown(nowNanos);
+        }
+        return Optional.of(grant);
+    }
+
+    /** Forgets gateways that have not reported for long; what they held has expired long ago. */
+    private void forgetGateways(long nowNanos) {
+        if (nowNanos - sinceNanos < FORGOTTEN_GATEWAY_NANOS || allDeclared) {
+            return;
+        }
+        allDeclared = true;
+        final List<String> absent =
+                state.gateways().stream().filter(name -> !declared.contains(name)).toList();
+        if (!absent.isEmpty()) {
+            registration.accept(FleetCommand.gateways(List.of(), absent));
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocushaven/forwarding/BackendRequestFactory.java
@@ -0,0 +1,84 @@
+package org.crocushaven.forwarding;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import org.crocushaven.ingress.IngressRequest;
+import org.crocushaven.ingress.IngressRoute;
+import org.crocushaven.ingress.KeyedOrganisation;
+import org.crocushaven.ingress.RouteKind;
+
+/** Makes what is sent to a backend server from a client's request. */
+final class BackendRequestFactory {
+    private static final int LOWEST_RANK = 9;
+
+    private final ForwardingEnvironment environment;
+
+    BackendRequestFactory(ForwardingEnvironment environment) {
+        this.environment = environment;
+    }
+
+    /**
+     * Returns the request for a backend server; the body is shared and counted once more.
+     *
+     * @param leftMillis time that is left
+     * @param lastEventId event after which a stream goes on
+     */
+    FullHttpRequest create(
+            IngressRequest request,
+            ByteBuf body,
+            IngressRoute route,
+            Optional<KeyedOrganisation> organisation,
+            Target target,
+            long leftMillis,
+            Optional<String> lastEventId) {
+        final HttpHeaders headers = request.headers().copy();
+        final OptionalLong version =
+                target.key() == null
+                        ? OptionalLong.empty()
+                        : environment.view().namedVersion(target.key());
+        environment
+                .dialect()
+                .addForwardingHeaders(
+                        headers,
+                        new ForwardingFields(
+                                target.backend().backend(),
+                                leftMillis,
+                                organisation.map(KeyedOrganisation::name),
+                                version,
+                                rank(route, organisation),
+                                lastEventId));
+        if (body.isReadable() || !request.method().equals(HttpMethod.GET)) {
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+        }
+        final FullHttpRequest copy =
+                new DefaultFullHttpRequest(
+                        HttpVersion.HTTP_1_1,
+                        request.method(),
+                        request.target(),
+                        body.retainedDuplicate());
+        copy.headers().set(headers);
+        return copy;
+    }
+
+    /** An organisation's rank goes before the route's; plain services know no rank. */
+    private static OptionalInt rank(IngressRoute route, Optional<KeyedOrganisation> organisation) {
+        if (route.kind() != RouteKind.STREAM) {
+            return OptionalInt.empty();
+        }
+        final int rank =
+                organisation
+                        .map(KeyedOrganisation::priority)
+                        .filter(OptionalInt::isPresent)
+                        .map(OptionalInt::getAsInt)
+                        .orElse(route.priority());
+        return OptionalInt.of(Math.min(LOWEST_RANK, Math.max(0, rank)));
+    }
+}
--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
@@ -1,22 +1,14 @@
 package org.crocushaven.forwarding;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
-import java.util.OptionalInt;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.crocushaven.admission.Charge;
-import org.crocushaven.fleet.AdapterKey;
 import org.crocushaven.fleet.BackendRecord;
 import org.crocushaven.ingress.IngressConfiguration;
 import org.crocushaven.ingress.IngressRequest;
@@ -39,7 +31,6 @@
     private static final int SERVER_ERROR = 500;
     private static final int MISDIRECTED = 421;
     private static final int TOO_MANY_REQUESTS = 429;
-    private static final int HIGHEST_PRIORITY = 9;
 
     /** How often a request waits once more for an adapter that comes later than expected. */
     private static final int ADAPTER_WAITS = 4;
@@ -64,6 +55,7 @@
     private final ClientAnswer client;
     private final long arrivedNanos;
     private final EventSplitter splitter = new EventSplitter();
+    private final SilenceWatch silence;
     private final Set<String> avoided = new HashSet<>();
     private final Set<String> sentTo = new HashSet<>();
     private IngressRoute route;
@@ -73,7 +65,6 @@
     private long configurationVersion;
     private long freshnessMillis;
     private ScheduledFuture<?> limitTimer;
-    private ScheduledFuture<?> patienceTimer;
     private BackendAttempt attempt;
     private int sends;
     private int adapterWaits;
@@ -84,7 +75,6 @@
     private boolean done;
     private boolean paused;
     private long firstByteNanos;
-    private long progressNanos;
     private ResultException lastRefusal;
     private BackendAttempt lastFailure;
 
@@ -98,6 +88,8 @@
         this.body = body;
         this.client = client;
         this.arrivedNanos = environment.nowNanos();
+        this.silence =
+                new SilenceWatch(environment.loop(), environment.clock(), this::backendSilent);
     }
 
     /** Starts to serve a request; takes over the reference to its body. */
@@ -153,11 +145,11 @@
         if (events == null) {
             return;
         }
-        progressNanos = environment.nowNanos();
+        silence.progress((long) (route.pauseMillis() * PATIENCE_PAUSES));
         if (!started) {
             started = true;
-            firstByteNanos = progressNanos;
-            environment.health().succeeded(from.target().backend().backend(), progressNanos);
+            firstByteNanos = environment.nowNanos();
+            environment.health().succeeded(from.target().backend().backend(), firstByteNanos);
             environment.prompts().read(request, from.target().backend().backend());
             client.startStream(from.status(), from.headers());
         }
@@ -391,88 +383,34 @@
             return;
         }
         next.opened(channel);
-        progressNanos = environment.nowNanos();
         final String backend = next.target().backend().backend();
         requestsThere = environment.view().requestsAt(backend);
         environment.observer().sent(request, backend, next.number(), requestsThere);
-        channel.send(forwarded(next.target(), left), next);
+        channel.send(
+                new BackendRequestFactory(environment)
+                        .create(
+                                request,
+                                body,
+                                route,
+                                organisation,
+                                next.target(),
+                                left,
+                                splitter.lastEventId()),
+                next);
         if (route.isRepeatable()) {
-            awaitProgress(next);
+            silence.start(patienceMillis());
         }
     }
 
-    private FullHttpRequest forwarded(Target target, long leftMillis) {
-        final HttpHeaders headers = request.headers().copy();
-        final AdapterKey key = target.key();
-        environment
-                .dialect()
-                .addForwardingHeaders(
-                        headers,
-                        new ForwardingFields(
-                                target.backend().backend(),
-                                leftMillis,
-                                organisation.map(KeyedOrganisation::name),
-                                key == null
-                                        ? OptionalLong.empty()
-                                        : environment.view().namedVersion(key),
-                                priority(),
-                                splitter.lastEventId()));
-        if (body.isReadable() || !request.method().name().equals("GET")) {
-            headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
-        }
-        final FullHttpRequest copy =
-                new DefaultFullHttpRequest(
-                        HttpVersion.HTTP_1_1,
-                        request.method(),
-                        request.target(),
-                        body.retainedDuplicate());
-        copy.headers().set(headers);
-        return copy;
-    }
-
-    private OptionalInt priority() {
-        if (route.kind() != RouteKind.STREAM) {
-            return OptionalInt.empty();
-        }
-        final int rank =
-                organisation
-                        .map(KeyedOrganisation::priority)
-                        .filter(OptionalInt::isPresent)
-                        .map(OptionalInt::getAsInt)
-                        .orElse(route.priority());
-        return OptionalInt.of(Math.min(HIGHEST_PRIORITY, Math.max(0, rank)));
-    }
-
     /** Gives a silent backend server up once another may serve the request. */
-    private void awaitProgress(BackendAttempt watched) {
-        final long patienceMillis = patienceMillis();
-        final long silentMillis =
-                TimeUnit.NANOSECONDS.toMillis(environment.nowNanos() - progressNanos);
-        patienceTimer =
-                environment
-                        .loop()
-                        .schedule(
-                                () -> checkProgress(watched),
-                                Math.max(1, patienceMillis - silentMillis),
-                                TimeUnit.MILLISECONDS);
-    }
-
-    private void checkProgress(BackendAttempt watched) {
-        if (isStale(watched)) {
-            return;
-        }
-        final long silentMillis =
-                TimeUnit.NANOSECONDS.toMillis(environment.nowNanos() - progressNanos);
-        if (silentMillis < patienceMillis() || paused) {
-            awaitProgress(watched);
+    private void backendSilent(long silentMillis) {
+        final BackendAttempt watched = attempt;
+        if (done || watched == null || paused) {
             return;
         }
         if (mayTryAnother() && remainingMillis() > 0 && hasAnother(watched)) {
             watched.abort();
             broken(watched, true, "silent for " + silentMillis + " ms");
-        } else {
-            progressNanos = environment.nowNanos();
-            awaitProgress(watched);
         }
     }
 
@@ -580,9 +518,7 @@
         if (limitTimer != null) {
             limitTimer.cancel(false);
         }
-        if (patienceTimer != null) {
-            patienceTimer.cancel(false);
-        }
+        silence.stop();
         final String backend = lastBackend();
         if (attempt != null) {
             final BackendAttempt last = attempt;
@@ -627,6 +563,7 @@
     private void release(BackendAttempt ended) {
         if (attempt == ended) {
             attempt = null;
+            silence.stop();
             paused = false;
             environment.view().ended(ended.target().backend().backend(), ended.target().key());
         }
--- /dev/null
+++ b/daemon/src/main/java/org/crocushaven/forwarding/SilenceWatch.java
@@ -0,0 +1,65 @@
+package org.crocushaven.forwarding;
+
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
+import org.agrona.concurrent.NanoClock;
+
+/** Tells when a backend server has been silent for longer than one may wait for it. */
+final class SilenceWatch {
+    private final EventLoop loop;
+    private final NanoClock clock;
+    private final LongConsumer silent;
+    private ScheduledFuture<?> timer;
+    private long patienceMillis;
+    private long progressNanos;
+
+    /**
+     * Creates a watch that is not running.
+     *
+     * @param silent hears how long the backend server has been silent, in milliseconds
+     */
+    SilenceWatch(EventLoop loop, NanoClock clock, LongConsumer silent) {
+        this.loop = loop;
+        this.clock = clock;
+        this.silent = silent;
+    }
+
+    /** Starts to watch, from now on. */
+    void start(long newPatienceMillis) {
+        stop();
+        patienceMillis = newPatienceMillis;
+        progressNanos = clock.nanoTime();
+        schedule(patienceMillis);
+    }
+
+    /** Notes that something arrived, after which one may wait for the given time. */
+    void progress(long newPatienceMillis) {
+        patienceMillis = newPatienceMillis;
+        progressNanos = clock.nanoTime();
+    }
+
+    /** Stops watching. */
+    void stop() {
+        if (timer != null) {
+            timer.cancel(false);
+            timer = null;
+        }
+    }
+
+    private void check() {
+        final long silentMillis = TimeUnit.NANOSECONDS.toMillis(clock.nanoTime() - progressNanos);
+        if (silentMillis < patienceMillis) {
+            schedule(patienceMillis - silentMillis);
+        } else {
+            progressNanos = clock.nanoTime();
+            schedule(patienceMillis);
+            silent.accept(silentMillis);
+        }
+    }
+
+    private void schedule(long delayMillis) {
+        timer = loop.schedule(this::check, Math.max(1, delayMillis), TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/crocushaven/forwarding/SilenceWatchTest.java
@@ -0,0 +1,60 @@
+package org.crocushaven.forwarding;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+class SilenceWatchTest {
+    private static final long PATIENCE_MILLIS = 100;
+
+    private final EmbeddedChannel channel = new EmbeddedChannel();
+    private final List<Long> silences = new ArrayList<>();
+    private long nowNanos;
+    private final SilenceWatch watch =
+            new SilenceWatch(channel.eventLoop(), () -> nowNanos, silences::add);
+
+    private void pass(long millis) {
+        nowNanos += TimeUnit.MILLISECONDS.toNanos(millis);
+        channel.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
+        channel.runScheduledPendingTasks();
+    }
+
+    @Test
+    void silenceIsToldOnceItsTimeIsOver() {
+        channel.freezeTime();
+        watch.start(PATIENCE_MILLIS);
+        pass(99);
+        assertTrue(silences.isEmpty());
+
+        pass(1);
+        assertEquals(List.of(100L), silences);
+    }
+
+    @Test
+    void progressStartsTheTimeAnew() {
+        channel.freezeTime();
+        watch.start(PATIENCE_MILLIS);
+        pass(60);
+        watch.progress(PATIENCE_MILLIS);
+        pass(60);
+        assertTrue(silences.isEmpty());
+
+        pass(40);
+        assertEquals(1, silences.size());
+    }
+
+    @Test
+    void aStoppedWatchTellsNothing() {
+        channel.freezeTime();
+        watch.start(PATIENCE_MILLIS);
+        watch.stop();
+        pass(1_000);
+
+        assertTrue(silences.isEmpty());
+    }
+}
