--- a/daemon/src/main/java/org/crocushaven/forwarding/ForwardingSummary.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/ForwardingSummary.java
@@ -22,6 +22,7 @@
  * @param waitedMillis time until the first byte for the client, or until the refusal
  * @param totalMillis time until the end
  * @param events events passed on
+ * @param longestPauseMillis longest time between two events as they arrived here
  */
 public record ForwardingSummary(
         IngressRequest request,
@@ -39,4 +40,5 @@
         String reason,
         long waitedMillis,
         long totalMillis,
-        long events) {}
+        long events,
+        long longestPauseMillis) {}
--- /dev/null
+++ b/daemon/src/main/java/org/crocushaven/forwarding/PauseMeter.java
@@ -0,0 +1,24 @@
+package org.crocushaven.forwarding;
+
+import java.util.concurrent.TimeUnit;
+
+/** Measures the longest pause between two events of a stream as they reach this gateway. */
+final class PauseMeter {
+    private boolean begun;
+    private long lastNanos;
+    private long longestNanos;
+
+    /** Notes that an event, or several at once, arrived. */
+    void event(long nowNanos) {
+        if (begun) {
+            longestNanos = Math.max(longestNanos, nowNanos - lastNanos);
+        }
+        begun = true;
+        lastNanos = nowNanos;
+    }
+
+    /** Returns the longest pause in milliseconds; 0 before the second event. */
+    long longestMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(longestNanos);
+    }
+}
--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
@@ -55,6 +55,7 @@
     private final ClientAnswer client;
     private final long arrivedNanos;
     private final EventSplitter splitter = new EventSplitter();
+    private final PauseMeter pauses = new PauseMeter();
     private final SilenceWatch silence;
     private final Set<String> avoided = new HashSet<>();
     private final Set<String> sentTo = new HashSet<>();
@@ -145,6 +146,7 @@
         if (events == null) {
             return;
         }
+        pauses.event(environment.nowNanos());
         silence.progress((long) (route.pauseMillis() * PATIENCE_PAUSES));
         if (!started) {
             started = true;
@@ -557,7 +559,8 @@
                                 reason,
                                 TimeUnit.NANOSECONDS.toMillis(waitedUntil - arrivedNanos),
                                 TimeUnit.NANOSECONDS.toMillis(nowNanos - arrivedNanos),
-                                splitter.events()));
+                                splitter.events(),
+                                pauses.longestMillis()));
     }
 
     private void release(BackendAttempt ended) {
--- a/daemon/src/main/java/org/crocushaven/instance/ForwardingLog.java
+++ b/daemon/src/main/java/org/crocushaven/instance/ForwardingLog.java
@@ -42,6 +42,14 @@
                     .classicUpperBounds(WAIT_SECONDS)
                     .register(registry);
 
+    private final Histogram pauses =
+            Histogram.builder()
+                    .name("crocushaven_gateway_stream_pause_seconds")
+                    .help("Longest time between two events of a stream as they arrived.")
+                    .classicOnly()
+                    .classicUpperBounds(WAIT_SECONDS)
+                    .register(registry);
+
     private ForwardingLog() {}
 
     /** Returns a log with measures of its own. */
@@ -98,6 +106,9 @@
     public void ended(ForwardingSummary summary) {
         requests.labelValues(Integer.toString(summary.code().number())).inc();
         waits.observe(summary.waitedMillis() / (double) TimeUnit.SECONDS.toMillis(1));
+        if (summary.events() > 1) {
+            pauses.observe(summary.longestPauseMillis() / (double) TimeUnit.SECONDS.toMillis(1));
+        }
         EventLine.of("request-ended")
                 .with("request", summary.request().requestId())
                 .with("route", summary.route())
@@ -116,6 +127,7 @@
                 .with("waited_ms", summary.waitedMillis())
                 .with("total_ms", summary.totalMillis())
                 .with("events", summary.events())
+                .with("longest_pause_ms", summary.longestPauseMillis())
                 .info();
     }
 
