Let requests wait for an adapter that is on its way, not be sent at once

Cause: a gateway that was granted an adapter believed at once that the engine held it. Ruled out: late orders (the log has the order accepted), a second leader. Change: the view keeps from when on an adapter is expected; later requests wait for the rest of that time.

--- a/daemon/src/main/java/org/crocushaven/fleet/AdapterKey.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/AdapterKey.java
@@ -8,7 +8,7 @@
  */
 public record AdapterKey(String model, String adapter) {
     /** Returns the name of what an engine holds. */
-    static AdapterKey of(HeldAdapter held) {
+    public static AdapterKey of(HeldAdapter held) {
         return new AdapterKey(held.model(), held.adapter());
     }
 }
--- a/daemon/src/main/java/org/crocushaven/forwarding/FleetView.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/FleetView.java
@@ -22,7 +22,8 @@
  */
 final class FleetView {
     private final Map<String, BackendRecord> backends = new HashMap<>();
-    private final Map<AdapterKey, Map<String, Long>> holders = new HashMap<>();
+    private final Map<AdapterKey, Map<String, Holding>> holders = new HashMap<>();
+    private final Map<String, Set<AdapterKey>> keysAt = new HashMap<>();
     private final Map<AdapterKey, Long> namedVersions = new HashMap<>();
     private final Map<String, Integer> ownLoads = new HashMap<>();
     private final Map<String, Integer> otherLoads = new HashMap<>();
@@ -30,8 +31,10 @@
     private long epoch;
     private long revision;
 
-    /** Takes in an update of the leader. */
-    void apply(GatewayUpdate update) {
+    /**
+     * Takes in an update of the leader; adapters that this gateway had ordered stay on their way.
+     */
+    void apply(GatewayUpdate update, long nowNanos) {
         if (update.complete()) {
             final Set<String> told = new HashSet<>();
             update.changed().forEach(record -> told.add(record.backend()));
@@ -39,7 +42,7 @@
                     .stream().filter(backend -> !told.contains(backend)).forEach(this::remove);
         }
         update.gone().forEach(this::remove);
-        update.changed().forEach(this::put);
+        update.changed().forEach(record -> put(record, nowNanos));
         if (update.statePresent()) {
             namedVersions.clear();
             for (final AdapterVersion named : update.adapterVersions()) {
@@ -84,42 +87,65 @@
     }
 
     /** Returns those of them that hold an adapter, or a base model, in the version named. */
-    List<BackendRecord> holdersOf(String service, AdapterKey key) {
-        final long version = namedVersions.getOrDefault(key, 0L);
+    List<BackendRecord> holdersOf(String service, AdapterKey key, long nowNanos) {
         final List<BackendRecord> found = new ArrayList<>();
-        holders.getOrDefault(key, Map.of())
-                .forEach(
-                        (backend, held) -> {
-                            final BackendRecord record = backends.get(backend);
-                            if (record != null
-                                    && record.takesRequests()
-                                    && record.service().equals(service)
-                                    && held >= version) {
-                                found.add(record);
-                            }
-                        });
+        for (final Map.Entry<String, Holding> known : holdings(key).entrySet()) {
+            if (known.getValue().waitNanos(nowNanos) == 0) {
+                usable(known, service, key).ifPresent(found::add);
+            }
+        }
         return found;
     }
 
+    /** Returns where an adapter that no backend server holds yet will be there first. */
+    Optional<Arrival> firstArrival(String service, AdapterKey key, long nowNanos) {
+        Arrival first = null;
+        for (final Map.Entry<String, Holding> known : holdings(key).entrySet()) {
+            final long waitNanos = known.getValue().waitNanos(nowNanos);
+            final Optional<BackendRecord> record = usable(known, service, key);
+            if (record.isPresent() && (first == null || waitNanos < first.waitNanos())) {
+                first = new Arrival(record.get(), waitNanos);
+            }
+        }
+        return Optional.ofNullable(first);
+    }
+
+    private Map<String, Holding> holdings(AdapterKey key) {
+        return holders.getOrDefault(key, Map.of());
+    }
+
+    private Optional<BackendRecord> usable(
+            Map.Entry<String, Holding> known, String service, AdapterKey key) {
+        return find(known.getKey())
+                .filter(BackendRecord::takesRequests)
+                .filter(record -> record.service().equals(service))
+                .filter(
+                        record ->
+                                known.getValue().version() >= namedVersions.getOrDefault(key, 0L));
+    }
+
     /** Returns the version of an adapter that was named last; empty when none was. */
     OptionalLong namedVersion(AdapterKey key) {
         final Long version = namedVersions.get(key);
         return version == null ? OptionalLong.empty() : OptionalLong.of(version);
     }
 
-    /** Notes that a backend server holds an adapter. */
-    void learn(String backend, AdapterKey key, long version) {
+    /** Notes that a backend server holds an adapter, or will from a time on. */
+    void learn(String backend, AdapterKey key, long version, long usableNanos) {
         if (backends.containsKey(backend)) {
-            holders.computeIfAbsent(key, name -> new HashMap<>()).put(backend, version);
+            holders.computeIfAbsent(key, name -> new HashMap<>())
+                    .put(backend, new Holding(version, usableNanos));
+            keysAt.computeIfAbsent(backend, name -> new HashSet<>()).add(key);
         }
     }
 
     /** Notes that a backend server does not hold an adapter. */
     void forget(String backend, AdapterKey key) {
-        final Map<String, Long> known = holders.get(key);
-        if (known != null) {
-            known.remove(backend);
+        final Map<String, Holding> known = holders.get(key);
+        if (known != null && known.remove(backend) != null && known.isEmpty()) {
+            holders.remove(key);
         }
+        keysAt.getOrDefault(backend, Set.of()).remove(key);
     }
 
     /** Notes that a backend server takes no requests; the leader's next word on it counts again. */
@@ -175,19 +201,39 @@
         return taken;
     }
 
-    private void put(BackendRecord record) {
-        remove(record.backend());
-        backends.put(record.backend(), record);
+    private void put(BackendRecord record, long nowNanos) {
+        final String backend = record.backend();
+        for (final AdapterKey key : List.copyOf(keysAt.getOrDefault(backend, Set.of()))) {
+            if (holdings(key).get(backend).waitNanos(nowNanos) == 0) {
+                forget(backend, key);
+            }
+        }
+        backends.put(backend, record);
         for (final HeldAdapter held : record.held()) {
-            learn(record.backend(), new AdapterKey(held.model(), held.adapter()), held.version());
+            learn(backend, AdapterKey.of(held), held.version(), nowNanos);
         }
     }
 
     private void remove(String backend) {
-        final BackendRecord known = backends.remove(backend);
-        if (known != null) {
-            holders.values().forEach(map -> map.remove(backend));
-            holders.values().removeIf(Map::isEmpty);
+        if (backends.remove(backend) != null) {
+            List.copyOf(keysAt.getOrDefault(backend, Set.of()))
+                    .forEach(key -> forget(backend, key));
+            keysAt.remove(backend);
+        }
+    }
+
+    /**
+     * A backend server that will hold an adapter.
+     *
+     * @param backend the backend server
+     * @param waitNanos time until the adapter is expected there
+     */
+    record Arrival(BackendRecord backend, long waitNanos) {}
+
+    /** The version of an adapter on a backend server, and from when on it is expected there. */
+    private record Holding(long version, long usableNanos) {
+        private long waitNanos(long nowNanos) {
+            return Math.max(0, usableNanos - nowNanos);
         }
     }
 
--- a/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
@@ -195,7 +195,7 @@
             stateRevision = update.stateRevision();
             configure(update);
         }
-        view.apply(update);
+        view.apply(update, nowNanos);
         health.retain(view.identifiers());
         allowance.gateways(update.gateways());
         update.shares().ifPresent(grant -> admission.apply(grant, nowNanos));
--- a/daemon/src/main/java/org/crocushaven/forwarding/TargetFinder.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/TargetFinder.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.crocushaven.fleet.AdapterAsk;
 import org.crocushaven.fleet.AdapterGrant;
 import org.crocushaven.fleet.AdapterKey;
@@ -65,12 +66,17 @@
             String service, IngressRequest request, Set<String> avoided) {
         final AdapterKey key =
                 new AdapterKey(request.model().get().model(), request.model().get().adapter());
+        final long nowNanos = environment.nowNanos();
         final Optional<BackendChoice.Candidate> holder =
-                choose(environment.view().holdersOf(service, key), request, avoided);
+                choose(environment.view().holdersOf(service, key, nowNanos), request, avoided);
         if (holder.isPresent() && holder.get().load() < FULL_LOAD && holder.get().failures() < 1) {
             return CompletableFuture.completedFuture(
                     new Target(holder.get().backend(), key, 0, false));
         }
+        final Optional<Target> arriving = arriving(service, key, avoided, nowNanos);
+        if (holder.isEmpty() && arriving.isPresent()) {
+            return CompletableFuture.completedFuture(arriving.get());
+        }
         final AdapterAsk ask =
                 new AdapterAsk(service, key.model(), key.adapter(), new ArrayList<>(avoided));
         final CompletableFuture<Target> found = new CompletableFuture<>();
@@ -81,6 +87,33 @@
         return found;
     }
 
+    /** Returns where the adapter is on its way already, unless that server is full or was tried. */
+    private Optional<Target> arriving(
+            String service, AdapterKey key, Set<String> avoided, long nowNanos) {
+        return environment
+                .view()
+                .firstArrival(service, key, nowNanos)
+                .filter(arrival -> !avoided.contains(arrival.backend().backend()))
+                .filter(arrival -> load(arrival.backend()) < FULL_LOAD)
+                .filter(arrival -> failures(arrival.backend(), nowNanos) < 1)
+                .map(
+                        arrival ->
+                                new Target(
+                                        arrival.backend(),
+                                        key,
+                                        TimeUnit.NANOSECONDS.toMillis(arrival.waitNanos()),
+                                        true));
+    }
+
+    private double failures(BackendRecord backend, long nowNanos) {
+        return environment.health().failures(backend.backend(), nowNanos);
+    }
+
+    private double load(BackendRecord backend) {
+        return environment.view().requestsAt(backend.backend())
+                / (double) Math.max(1, backend.slots());
+    }
+
     private void granted(
             CompletableFuture<Target> found,
             String service,
@@ -92,7 +125,9 @@
                         ? Optional.empty()
                         : environment.view().find(grant.backend());
         if (backend.isPresent() && backend.get().takesRequests()) {
-            environment.view().learn(grant.backend(), key, grant.version());
+            final long usableNanos =
+                    environment.nowNanos() + TimeUnit.MILLISECONDS.toNanos(grant.readyInMillis());
+            environment.view().learn(grant.backend(), key, grant.version(), usableNanos);
             found.complete(new Target(backend.get(), key, grant.readyInMillis(), true));
         } else if (holder.isPresent() && holder.get().load() < LARGEST_LOAD) {
             found.complete(new Target(holder.get().backend(), key, 0, false));
