Tell callers to come back when a leader is expected again

Cause: clients repeat once. Ruled out: a shorter election (0.5 s from start to leader is the timing's least).

--- a/daemon/src/main/java/org/crocushaven/forwarding/ControlFreshness.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/ControlFreshness.java
@@ -1,5 +1,6 @@
 package org.crocushaven.forwarding;
 
+import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import org.agrona.concurrent.EpochClock;
 import org.crocushaven.network.SuspensionDetector;
@@ -14,15 +15,20 @@
     private final long boundNanos;
     private final SuspensionDetector suspension;
     private final EpochClock epochClock;
+    private final long createdNanos;
     private boolean confirmed;
     private long confirmedNanos;
     private long lapsedNanos = Long.MIN_VALUE;
 
     private ControlFreshness(
-            long boundNanos, SuspensionDetector suspension, EpochClock epochClock) {
+            long boundNanos,
+            SuspensionDetector suspension,
+            EpochClock epochClock,
+            long createdNanos) {
         this.boundNanos = boundNanos;
         this.suspension = suspension;
         this.epochClock = epochClock;
+        this.createdNanos = createdNanos;
     }
 
     /**
@@ -30,10 +36,14 @@
      *
      * @param boundMillis longest age that is fresh
      * @param epochClock the time of day, by which suspensions are noticed
+     * @param nowNanos time of its creation, since when the leader has not answered
      */
-    static ControlFreshness ofMillis(long boundMillis, EpochClock epochClock) {
+    static ControlFreshness ofMillis(long boundMillis, EpochClock epochClock, long nowNanos) {
         return new ControlFreshness(
-                TimeUnit.MILLISECONDS.toNanos(boundMillis), new SuspensionDetector(), epochClock);
+                TimeUnit.MILLISECONDS.toNanos(boundMillis),
+                new SuspensionDetector(),
+                epochClock,
+                nowNanos);
     }
 
     /** Notes that the leader answered a report sent at the given time. */
@@ -63,4 +73,13 @@
     long ageMillis(long nowNanos) {
         return confirmed ? TimeUnit.NANOSECONDS.toMillis(nowNanos - confirmedNanos) : -1;
     }
+
+    /** Returns when a caller who is refused for want of a leader should come back. */
+    Duration untilAnswer(long nowNanos) {
+        if (!confirmed && lapsedNanos != Long.MIN_VALUE) {
+            return LeaderForecast.untilNextReport();
+        }
+        final long sinceNanos = confirmed ? confirmedNanos : createdNanos;
+        return LeaderForecast.untilAnswer(TimeUnit.NANOSECONDS.toMillis(nowNanos - sinceNanos));
+    }
 }
--- a/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
@@ -73,7 +73,8 @@
         this.decoder = decoder;
         this.pool = BackendPool.create(loop, clock);
         this.allowance = RetryAllowance.of(settings.retryRatio(), settings.retryExtra());
-        this.freshness = ControlFreshness.ofMillis(settings.freshnessMillis(), epochClock);
+        this.freshness =
+                ControlFreshness.ofMillis(settings.freshnessMillis(), epochClock, clock.nanoTime());
         this.admission = KeyedAdmission.of(freshness, epochClock.time());
         this.link = new LeaderLink(loop, transport, clock, this::report, this::updated);
         final Random random = new Random(epochClock.time() ^ settings.instance().hashCode());
--- a/daemon/src/main/java/org/crocushaven/forwarding/KeyedAdmission.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/KeyedAdmission.java
@@ -18,9 +18,6 @@
  * its organisation. Not thread-safe.
  */
 final class KeyedAdmission {
-    /** When to come back to a gateway without contact to the leader. */
-    private static final Duration STALE_RETRY = Duration.ofMillis(500);
-
     /** Tokens that are further away than this are not in the leader's pool either. */
     private static final long ASKING_BOUND_NANOS = 60_000_000;
 
@@ -66,7 +63,7 @@
     void requireFresh(long nowNanos) {
         if (!freshness.isFresh(nowNanos)) {
             throw ResultException.of(ResultCode.CONTROL_STATE_STALE, freshness.ageMillis(nowNanos))
-                    .withRetryAfter(STALE_RETRY);
+                    .withRetryAfter(freshness.untilAnswer(nowNanos));
         }
     }
 
@@ -86,14 +83,18 @@
     }
 
     /** Returns the refusal for a charge that was not granted. */
-    static ResultException refusal(Charge charge) {
+    ResultException refusal(Charge charge, long nowNanos) {
+        final Duration retryAfter =
+                charge.code() == ResultCode.SHARE_UNAVAILABLE
+                        ? freshness.untilAnswer(nowNanos)
+                        : Duration.ofNanos(charge.retryAfterNanos());
         return ResultException.of(
                         charge.code() == ResultCode.REQUEST_EXCEEDS_BURST
                                 ? ResultCode.RATE_EXCEEDED
                                 : charge.code(),
                         charge.organisation(),
                         charge.tokens())
-                .withRetryAfter(Duration.ofNanos(charge.retryAfterNanos()));
+                .withRetryAfter(retryAfter);
     }
 
     /** Gives back the charge of a request that did not run. */
--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
@@ -278,7 +278,10 @@
                                         ResultException.of(
                                                         ResultCode.NOT_READY,
                                                         "no configuration is known yet")
-                                                .withRetryAfter(RETRY_AFTER_REFUSAL));
+                                                .withRetryAfter(
+                                                        environment
+                                                                .freshness()
+                                                                .untilAnswer(nowNanos)));
         configurationVersion = configuration.version();
         final Optional<IngressRoute> found = configuration.route(request.host(), request.path());
         if (found.isEmpty()) {
@@ -312,7 +315,7 @@
         } else if (asksLeft > 0 && KeyedAdmission.mayHelpToAsk(tried)) {
             environment.leader().afterNextUpdate(() -> charge(asksLeft - 1));
         } else {
-            refuse(KeyedAdmission.refusal(tried));
+            refuse(environment.admission().refusal(tried, environment.nowNanos()));
         }
     }
 
--- a/daemon/src/main/java/org/crocushaven/forwarding/TargetFinder.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/TargetFinder.java
@@ -132,7 +132,11 @@
         } else if (holder.isPresent() && holder.get().load() < LARGEST_LOAD) {
             found.complete(new Target(holder.get().backend(), key, 0, false));
         } else if (grant == null) {
-            refuse(found, ResultCode.NO_DISPATCHER, service, FULL_RETRY);
+            refuse(
+                    found,
+                    ResultCode.NO_DISPATCHER,
+                    service,
+                    environment.freshness().untilAnswer(environment.nowNanos()));
         } else {
             refuse(
                     found,
--- a/daemon/src/test/java/org/crocushaven/forwarding/ControlFreshnessTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/ControlFreshnessTest.java
@@ -1,5 +1,6 @@
 package org.crocushaven.forwarding;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -11,7 +12,7 @@
 
     private long epochMillis = 1_000_000;
     private final ControlFreshness freshness =
-            ControlFreshness.ofMillis(BOUND_MILLIS, () -> epochMillis);
+            ControlFreshness.ofMillis(BOUND_MILLIS, () -> epochMillis, 0);
 
     private static long millis(long millis) {
         return TimeUnit.MILLISECONDS.toNanos(millis);
@@ -53,4 +54,24 @@
     void itIsNotFreshBeforeTheFirstConfirmation() {
         assertFalse(isFreshAt(0));
     }
+
+    @Test
+    void callersAreToldToComeBackAfterTheFirstElectionCountedFromTheStart() {
+        assertEquals(600, freshness.untilAnswer(millis(300)).toMillis());
+    }
+
+    @Test
+    void callersAreToldToComeBackAfterAnElectionCountedFromTheLastAnswer() {
+        freshness.confirmed(millis(5_000));
+
+        assertEquals(500, freshness.untilAnswer(millis(5_400)).toMillis());
+    }
+
+    @Test
+    void callersComeBackSoonAfterSuspension() {
+        freshness.confirmed(millis(100));
+        freshness.lapse(millis(200));
+
+        assertEquals(200, freshness.untilAnswer(millis(201)).toMillis());
+    }
 }
