Load popular adapters of a busy engine on an idle one too

So they come when several prompts crowd one engine, and all its streams pause together. Engines were used unevenly: 1.36 million tokens at one, 0.38 at another, since each adapter stays on the engine of its first use; ten adapters get 38 in 100 requests. Ruled out: slow gateways (a pause is measured as events arrive), too many running requests (pauses occur at 4 running, too). Change: AdapterSpread, a pure decision: an engine a quarter over the mean load gets relief by a second place for the adapter that busies it most on the idlest engine; one each 200 ms, never while the store is busy with loads for which requests wait. PlannedEngine and AdapterPopularity leave AdapterPlanner, which keeps the choice of places.

--- a/daemon/src/main/java/org/crocushaven/fleet/AdapterLoadTime.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/AdapterLoadTime.java
@@ -41,6 +41,12 @@
         return Math.round(USUAL_MILLIS * crowd * factor);
     }
 
+    /** Returns whether so many loads are under way that another one would slow them soon. */
+    boolean isBusy(long nowNanos) {
+        advance(nowNanos);
+        return remainingMillis.size() >= fullSpeed / 2;
+    }
+
     /** Notes that a load has begun. */
     void hasBegun(long nowNanos) {
         advance(nowNanos);
--- a/daemon/src/main/java/org/crocushaven/fleet/AdapterPlanner.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/AdapterPlanner.java
@@ -7,8 +7,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import org.crocushaven.ingress.BaseModel;
+import java.util.stream.Collectors;
 import org.crocushaven.ingress.EngineProfile;
 
 /**
@@ -37,28 +38,26 @@
     /** Wait for an adapter that weighs as much as an engine full of requests. */
     private static final double USUAL_LOAD_NANOS = 250e6;
 
-    /** Half-life of the count of an adapter's requests. */
-    private static final double POPULARITY_HALF_LIFE_NANOS = 15e9;
-
     /** Asked to come back when no engine can take an adapter, in milliseconds. */
     private static final long RETRY_MILLIS = 150;
 
-    private final Map<String, Engine> engines = new HashMap<>();
-    private final Map<AdapterKey, Popularity> popularity = new HashMap<>();
+    private final Map<String, PlannedEngine> engines = new HashMap<>();
+    private final AdapterPopularity popularity = new AdapterPopularity();
     private final Map<AdapterKey, Long> namedVersions = new HashMap<>();
     private final AdapterLoadTime loadTime = new AdapterLoadTime();
 
     /** Takes in an engine's announcement. */
     void announced(BackendAnnouncement announcement, EngineProfile profile, long nowNanos) {
-        final Engine known = engines.get(announcement.backend());
+        final PlannedEngine known = engines.get(announcement.backend());
         final boolean restarted =
-                known != null && known.announcement.startedMillis() != announcement.startedMillis();
-        final Engine engine = known == null || restarted ? new Engine(announcement) : known;
+                known != null
+                        && known.announcement().startedMillis() != announcement.startedMillis();
+        final PlannedEngine engine =
+                known == null || restarted ? new PlannedEngine(announcement, profile) : known;
         engines.put(announcement.backend(), engine);
-        engine.announcement = announcement;
-        engine.profile = profile;
+        engine.announced(announcement, profile);
         if (announcement.holdsModels()) {
-            engine.slots.announced(announcement.held(), nowNanos);
+            engine.slots().announced(announcement.held(), nowNanos);
         }
     }
 
@@ -69,13 +68,13 @@
 
     /** Takes in the report of an engine that has carried out all orders given to it. */
     void reported(String backend, EngineReport report, long nowNanos) {
-        final Engine engine = engines.get(backend);
+        final PlannedEngine engine = engines.get(backend);
         if (engine == null) {
             return;
         }
-        engine.slots.reported(report, nowNanos);
+        engine.slots().reported(report, nowNanos);
         for (final HeldAdapter pending : report.pending()) {
-            engine.slots.find(AdapterKey.of(pending)).ifPresent(slot -> extend(slot, nowNanos));
+            engine.slots().find(AdapterKey.of(pending)).ifPresent(slot -> extend(slot, nowNanos));
         }
     }
 
@@ -95,7 +94,7 @@
         final List<String> wanting = new ArrayList<>();
         engines.forEach(
                 (backend, engine) -> {
-                    if (engine.slots.wantsReport(nowNanos)) {
+                    if (engine.slots().wantsReport(nowNanos)) {
                         wanting.add(backend);
                     }
                 });
@@ -112,38 +111,38 @@
 
     /** Takes in the requests under way at an engine, over all gateways. */
     void loaded(String backend, int requests) {
-        final Engine engine = engines.get(backend);
+        final PlannedEngine engine = engines.get(backend);
         if (engine != null) {
-            engine.requests = requests;
+            engine.loaded(requests);
         }
     }
 
     /** Takes in the running requests by adapter of all gateways, and how many were started. */
     void used(Collection<AdapterUse> running, Collection<AdapterUse> started, long nowNanos) {
         engines.values()
-                .forEach(engine -> engine.slots.all().values().forEach(EngineSlots.Slot::idle));
+                .forEach(engine -> engine.slots().all().values().forEach(EngineSlots.Slot::idle));
         for (final AdapterUse use : running) {
-            final Engine engine = engines.get(use.backend());
+            final PlannedEngine engine = engines.get(use.backend());
             if (engine != null && use.running() > 0) {
-                engine.slots
+                engine.slots()
                         .find(new AdapterKey(use.model(), use.adapter()))
                         .ifPresent(slot -> slot.used(slot.running() + use.running(), nowNanos));
             }
         }
         for (final AdapterUse use : started) {
-            count(new AdapterKey(use.model(), use.adapter()), use.started(), nowNanos);
+            popularity.add(new AdapterKey(use.model(), use.adapter()), use.started(), nowNanos);
         }
     }
 
     /** Returns what can be used on an engine now. */
     List<HeldAdapter> usable(String backend, long nowNanos) {
-        final Engine engine = engines.get(backend);
-        return engine == null ? List.of() : engine.slots.usable(nowNanos);
+        final PlannedEngine engine = engines.get(backend);
+        return engine == null ? List.of() : engine.slots().usable(nowNanos);
     }
 
     /** Returns the engine's places, for the giver of orders. */
     Optional<EngineSlots> slotsOf(String backend) {
-        return Optional.ofNullable(engines.get(backend)).map(engine -> engine.slots);
+        return Optional.ofNullable(engines.get(backend)).map(engine -> engine.slots());
     }
 
     /** Returns when a caller may ask again for whom no place was found, in milliseconds. */
@@ -159,9 +158,56 @@
         return present.isPresent() ? present : newPlace(ask, key, version, nowNanos);
     }
 
+    /**
+     * Returns a load that gives a busy engine relief; empty when none is needed, or when the store
+     * is busy with adapters that requests wait for.
+     */
+    Optional<AdapterPlacement> relief(String service, long nowNanos) {
+        loadTime.engines(engines.size());
+        if (loadTime.isBusy(nowNanos)) {
+            return Optional.empty();
+        }
+        final List<PlannedEngine> serving =
+                engines.values().stream()
+                        .filter(engine -> engine.announcement().service().equals(service))
+                        .toList();
+        return AdapterSpread.next(serving, nowNanos).flatMap(move -> reliefBy(move, nowNanos));
+    }
+
+    private Optional<AdapterPlacement> reliefBy(AdapterSpread.Move move, long nowNanos) {
+        final PlannedEngine target = move.target();
+        final Optional<AdapterKey> victim =
+                target.hasRoom() ? Optional.empty() : victim(target, nowNanos);
+        final boolean worthIt =
+                target.hasRoom()
+                        || victim.isPresent()
+                                && popularity.of(victim.get(), nowNanos)
+                                        < popularity.of(move.key(), nowNanos) / 2;
+        if (!worthIt) {
+            return Optional.empty();
+        }
+        final boolean remembered = target.slots().remembers(move.key()) && move.version() == 0;
+        return Optional.of(
+                new AdapterPlacement(
+                        target.backend(),
+                        move.key(),
+                        namedVersions.getOrDefault(move.key(), 0L),
+                        victim,
+                        true,
+                        remembered,
+                        remembered ? REMEMBERED_MILLIS : loadTime.millis(nowNanos)));
+    }
+
+    /** Returns the services of all engines. */
+    Set<String> services() {
+        return engines.values().stream()
+                .map(engine -> engine.announcement().service())
+                .collect(Collectors.toSet());
+    }
+
     /** Takes the place that a placement needs and lets its victim leave. */
     void commit(AdapterPlacement placement, long nowNanos) {
-        final EngineSlots slots = engines.get(placement.backend()).slots;
+        final EngineSlots slots = engines.get(placement.backend()).slots();
         placement.victim().flatMap(slots::find).ifPresent(EngineSlots.Slot::startLeaving);
         final long readyNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(placement.readyInMillis());
         slots.reserve(placement.key(), placement.version(), readyNanos, nowNanos);
@@ -172,14 +218,14 @@
 
     /** Returns a base model that an engine without any should load; empty when none fits. */
     Optional<String> missingModel(String backend) {
-        final Engine engine = engines.get(backend);
+        final PlannedEngine engine = engines.get(backend);
         if (engine == null
-                || engine.announcement.state() != BackendState.READY
-                || !engine.slots.isEmpty()) {
+                || engine.announcement().state() != BackendState.READY
+                || !engine.slots().isEmpty()) {
             return Optional.empty();
         }
-        return engine.profile.models().stream()
-                .filter(model -> model.weightsMegabytes() <= engine.profile.weightsMegabytes())
+        return engine.profile().models().stream()
+                .filter(model -> model.weightsMegabytes() <= engine.profile().weightsMegabytes())
                 .min(Comparator.comparingLong(model -> holders(model.name())))
                 .map(model -> model.name());
     }
@@ -190,15 +236,15 @@
     }
 
     private long holders(String model) {
-        return engines.values().stream().filter(engine -> engine.slots.holdsModel(model)).count();
+        return engines.values().stream().filter(engine -> engine.slots().holdsModel(model)).count();
     }
 
     private Optional<AdapterPlacement> presentPlace(
             AdapterAsk ask, AdapterKey key, long version, long nowNanos) {
         AdapterPlacement best = null;
         double bestCost = Double.MAX_VALUE;
-        for (final Engine engine : engines.values()) {
-            final Optional<EngineSlots.Slot> slot = engine.slots.find(key);
+        for (final PlannedEngine engine : engines.values()) {
+            final Optional<EngineSlots.Slot> slot = engine.slots().find(key);
             final boolean usable =
                     isCandidate(engine, ask)
                             && slot.isPresent()
@@ -213,7 +259,7 @@
                 bestCost = cost;
                 best =
                         new AdapterPlacement(
-                                engine.announcement.backend(),
+                                engine.backend(),
                                 key,
                                 slot.get().version(),
                                 Optional.empty(),
@@ -230,33 +276,30 @@
         loadTime.engines(engines.size());
         AdapterPlacement best = null;
         double bestCost = Double.MAX_VALUE;
-        for (final Engine engine : engines.values()) {
-            final int inTransit = engine.slots.inTransit(nowNanos);
+        for (final PlannedEngine engine : engines.values()) {
             if (!isCandidate(engine, ask)
-                    || !engine.slots.isVerified()
-                    || engine.slots.find(key).isPresent()
-                    || inTransit >= EngineSlots.MAXIMUM_IN_TRANSIT) {
+                    || !engine.takesOrders(nowNanos)
+                    || engine.slots().find(key).isPresent()) {
                 continue;
             }
-            final boolean hasRoom = engine.slots.taken() < engine.places();
             final Optional<AdapterKey> victim =
-                    hasRoom ? Optional.empty() : victim(engine, nowNanos);
-            if (!hasRoom && victim.isEmpty()) {
+                    engine.hasRoom() ? Optional.empty() : victim(engine, nowNanos);
+            if (!engine.hasRoom() && victim.isEmpty()) {
                 continue;
             }
-            final boolean remembered = engine.slots.remembers(key) && version == 0;
+            final boolean remembered = engine.slots().remembers(key) && version == 0;
             final double cost =
                     engine.load()
                             - (remembered ? REMEMBERED_GAIN : 0)
-                            + TRANSIT_WEIGHT * inTransit
+                            + TRANSIT_WEIGHT * engine.slots().inTransit(nowNanos)
                             + VICTIM_WEIGHT
-                                    * victim.map(leaving -> popularity(leaving, nowNanos))
+                                    * victim.map(leaving -> popularity.of(leaving, nowNanos))
                                             .orElse(0.0);
             if (cost < bestCost) {
                 bestCost = cost;
                 best =
                         new AdapterPlacement(
-                                engine.announcement.backend(),
+                                engine.backend(),
                                 key,
                                 version,
                                 victim,
@@ -268,18 +311,17 @@
         return Optional.ofNullable(best);
     }
 
-    private boolean isCandidate(Engine engine, AdapterAsk ask) {
-        return engine.announcement.state() == BackendState.READY
-                && engine.announcement.service().equals(ask.service())
-                && engine.slots.holdsModel(ask.model())
-                && !ask.avoided().contains(engine.announcement.backend());
+    private boolean isCandidate(PlannedEngine engine, AdapterAsk ask) {
+        return engine.serves(ask.service(), ask.model())
+                && !ask.avoided().contains(engine.backend());
     }
 
     /** Returns the idle adapter that is wanted least; one of an old version before all others. */
-    private Optional<AdapterKey> victim(Engine engine, long nowNanos) {
+    private Optional<AdapterKey> victim(PlannedEngine engine, long nowNanos) {
         AdapterKey best = null;
         double bestWanted = Double.MAX_VALUE;
-        for (final Map.Entry<AdapterKey, EngineSlots.Slot> entry : engine.slots.all().entrySet()) {
+        for (final Map.Entry<AdapterKey, EngineSlots.Slot> entry :
+                engine.slots().all().entrySet()) {
             final EngineSlots.Slot slot = entry.getValue();
             if (slot.running() > 0
                     || !slot.isConfirmed()
@@ -288,7 +330,7 @@
                 continue;
             }
             final boolean old = slot.version() < namedVersions.getOrDefault(entry.getKey(), 0L);
-            final double wanted = old ? -1 : popularity(entry.getKey(), nowNanos);
+            final double wanted = old ? -1 : popularity.of(entry.getKey(), nowNanos);
             if (wanted < bestWanted) {
                 bestWanted = wanted;
                 best = entry.getKey();
@@ -296,58 +338,4 @@
         }
         return Optional.ofNullable(best);
     }
-
-    private void count(AdapterKey key, int requests, long nowNanos) {
-        popularity.computeIfAbsent(key, name -> new Popularity()).add(requests, nowNanos);
-    }
-
-    private double popularity(AdapterKey key, long nowNanos) {
-        final Popularity known = popularity.get(key);
-        return known == null ? 0 : known.at(nowNanos);
-    }
-
-    private static final class Engine {
-        private final EngineSlots slots = new EngineSlots();
-        private BackendAnnouncement announcement;
-        private EngineProfile profile;
-        private int requests;
-
-        private Engine(BackendAnnouncement announcement) {
-            this.announcement = announcement;
-        }
-
-        /** Returns how many adapters find room beside the base models that it holds. */
-        private int places() {
-            double room = profile.weightsMegabytes();
-            double largest = 0;
-            for (final BaseModel model : profile.models()) {
-                if (slots.holdsModel(model.name())) {
-                    room -= model.weightsMegabytes();
-                    largest = Math.max(largest, model.adapterMegabytes());
-                }
-            }
-            return largest <= 0
-                    ? profile.adapterSlots()
-                    : (int) Math.min(profile.adapterSlots(), Math.max(0, room / largest));
-        }
-
-        /** Returns the part of its slots that is taken; more than 1 when requests wait. */
-        private double load() {
-            return requests / (double) Math.max(1, announcement.slots());
-        }
-    }
-
-    private static final class Popularity {
-        private double count;
-        private long updatedNanos;
-
-        private void add(int requests, long nowNanos) {
-            count = at(nowNanos) + requests;
-            updatedNanos = nowNanos;
-        }
-
-        private double at(long nowNanos) {
-            return count * Math.pow(2, (updatedNanos - nowNanos) / POPULARITY_HALF_LIFE_NANOS);
-        }
-    }
 }
--- a/daemon/src/main/java/org/crocushaven/fleet/EnginePlacement.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/EnginePlacement.java
@@ -108,6 +108,8 @@
         for (final String backend : planner.engines()) {
             planner.missingModel(backend).ifPresent(model -> loadModel(backend, model, nowNanos));
         }
+        planner.services()
+                .forEach(service -> planner.relief(service, nowNanos).ifPresent(this::relieve));
     }
 
     /** Gives no more orders. */
@@ -115,6 +117,16 @@
         orders.values().forEach(EngineOrders::close);
     }
 
+    /** Loads an adapter on a second engine, for which no request waits. */
+    private void relieve(AdapterPlacement chosen) {
+        EventLine.of("adapter-spread")
+                .with("backend", chosen.backend())
+                .with("adapter", chosen.key().adapter())
+                .info();
+        planner.commit(chosen, clock.nanoTime());
+        load(chosen);
+    }
+
     private CompletableFuture<AdapterGrant> none() {
         return CompletableFuture.completedFuture(AdapterGrant.none(planner.retryMillis()));
     }
