Say why an adapter is refused, and when a place will be there

Change: AdapterRefusal counts the engines by what keeps them from taking the adapter, and tells the time of the first that may. Each refusal is a line of the leader. An order that the engine holds already is no longer logged as not accepted.

--- a/daemon/src/main/java/org/crocushaven/fleet/AdapterPlanner.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/AdapterPlanner.java
@@ -38,9 +38,6 @@
     /** Wait for an adapter that weighs as much as an engine full of requests. */
     private static final double USUAL_LOAD_NANOS = 250e6;
 
-    /** Asked to come back when no engine can take an adapter, in milliseconds. */
-    private static final long RETRY_MILLIS = 150;
-
     private final Map<String, PlannedEngine> engines = new HashMap<>();
     private final AdapterPopularity popularity = new AdapterPopularity();
     private final Map<AdapterKey, Long> namedVersions = new HashMap<>();
@@ -145,9 +142,11 @@
         return Optional.ofNullable(engines.get(backend)).map(engine -> engine.slots());
     }
 
-    /** Returns when a caller may ask again for whom no place was found, in milliseconds. */
-    long retryMillis() {
-        return RETRY_MILLIS;
+    /** Returns why no place was found for an adapter, and when to ask again. */
+    AdapterRefusal refusal(AdapterAsk ask, long nowNanos) {
+        return AdapterRefusal.of(
+                engines.values().stream().filter(engine -> isCandidate(engine, ask)).toList(),
+                nowNanos);
     }
 
     /** Returns where an adapter can be used or is to be loaded; empty when nowhere now. */
--- a/daemon/src/main/java/org/crocushaven/fleet/EngineOrders.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/EngineOrders.java
@@ -161,7 +161,7 @@
     }
 
     private void finish(Waiting order, OrderOutcome outcome) {
-        if (outcome != OrderOutcome.ACCEPTED) {
+        if (outcome != OrderOutcome.ACCEPTED && outcome != OrderOutcome.HOLDS) {
             EventLine.of("order-not-accepted")
                     .with("backend", backend.backend())
                     .with("operation", order.order.operation())
--- a/daemon/src/main/java/org/crocushaven/fleet/EnginePlacement.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/EnginePlacement.java
@@ -84,7 +84,7 @@
         doubtDisproved(ask);
         final Optional<AdapterPlacement> placement = planner.place(ask, nowNanos);
         if (placement.isEmpty()) {
-            return none();
+            return none(ask, "no-place");
         }
         final AdapterPlacement chosen = placement.get();
         if (!chosen.needsLoad()) {
@@ -92,10 +92,10 @@
                     new AdapterGrant(chosen.backend(), chosen.readyInMillis(), chosen.version()));
         }
         if (nowNanos - ordersFromNanos < 0) {
-            return none();
+            return none(ask, "no-orders-yet");
         }
         planner.commit(chosen, nowNanos);
-        return load(chosen);
+        return load(chosen, ask);
     }
 
     /** Orders base models to engines that hold none, and asks engines for reports. */
@@ -109,7 +109,10 @@
             planner.missingModel(backend).ifPresent(model -> loadModel(backend, model, nowNanos));
         }
         planner.services()
-                .forEach(service -> planner.relief(service, nowNanos).ifPresent(this::relieve));
+                .forEach(
+                        service ->
+                                planner.relief(service, nowNanos)
+                                        .ifPresent(chosen -> relieve(service, chosen)));
     }
 
     /** Gives no more orders. */
@@ -118,20 +121,38 @@
     }
 
     /** Loads an adapter on a second engine, for which no request waits. */
-    private void relieve(AdapterPlacement chosen) {
+    private void relieve(String service, AdapterPlacement chosen) {
         EventLine.of("adapter-spread")
                 .with("backend", chosen.backend())
                 .with("adapter", chosen.key().adapter())
                 .info();
         planner.commit(chosen, clock.nanoTime());
-        load(chosen);
+        load(
+                chosen,
+                new AdapterAsk(service, chosen.key().model(), chosen.key().adapter(), List.of()));
     }
 
-    private CompletableFuture<AdapterGrant> none() {
-        return CompletableFuture.completedFuture(AdapterGrant.none(planner.retryMillis()));
+    private CompletableFuture<AdapterGrant> none(AdapterAsk ask, String reason) {
+        return CompletableFuture.completedFuture(refused(ask, reason));
     }
 
-    private CompletableFuture<AdapterGrant> load(AdapterPlacement chosen) {
+    private AdapterGrant refused(AdapterAsk ask, String reason) {
+        final AdapterRefusal refusal = planner.refusal(ask, clock.nanoTime());
+        EventLine.of("adapter-refused")
+                .with("service", ask.service())
+                .with("adapter", ask.adapter())
+                .with("reason", reason)
+                .with("avoided", ask.avoided().size())
+                .with("candidates", refusal.candidates())
+                .with("unverified", refusal.unverified())
+                .with("crowded", refusal.crowded())
+                .with("full", refusal.full())
+                .with("retry_ms", refusal.retryMillis())
+                .info();
+        return AdapterGrant.none(refusal.retryMillis());
+    }
+
+    private CompletableFuture<AdapterGrant> load(AdapterPlacement chosen, AdapterAsk ask) {
         final EngineOrders engine = ordersOf(chosen.backend());
         final long orderedNanos = clock.nanoTime();
         final CompletableFuture<OrderOutcome> room =
@@ -143,7 +164,7 @@
                     if (outcome != OrderOutcome.HOLDS) {
                         planner.slotsOf(chosen.backend())
                                 .ifPresent(slots -> slots.release(chosen.key()));
-                        return none();
+                        return none(ask, "no-room-made");
                     }
                     return engine.give(
                                     EngineOrder.load(
@@ -152,7 +173,7 @@
                                             chosen.version() > 0
                                                     ? OptionalLong.of(chosen.version())
                                                     : OptionalLong.empty()))
-                            .thenApply(loaded -> loadOrdered(chosen, loaded, orderedNanos));
+                            .thenApply(loaded -> loadOrdered(chosen, ask, loaded, orderedNanos));
                 });
     }
 
@@ -208,7 +229,7 @@
     }
 
     private AdapterGrant loadOrdered(
-            AdapterPlacement chosen, OrderOutcome outcome, long orderedNanos) {
+            AdapterPlacement chosen, AdapterAsk ask, OrderOutcome outcome, long orderedNanos) {
         final long nowNanos = clock.nanoTime();
         final Optional<EngineSlots> slots = planner.slotsOf(chosen.backend());
         final long passed = TimeUnit.NANOSECONDS.toMillis(nowNanos - orderedNanos);
@@ -233,11 +254,11 @@
             }
             case UNKNOWN, CONFLICT -> {
                 doubt(chosen.backend());
-                return AdapterGrant.none(planner.retryMillis());
+                return refused(ask, "order-" + outcome);
             }
             default -> {
                 slots.ifPresent(known -> known.release(chosen.key()));
-                return AdapterGrant.none(planner.retryMillis());
+                return refused(ask, "order-" + outcome);
             }
         }
     }
--- a/daemon/src/main/java/org/crocushaven/fleet/EngineSlots.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/EngineSlots.java
@@ -117,6 +117,15 @@
         return count;
     }
 
+    /** Returns the time until the next adapter on its way is expected; 0 when none is. */
+    long nextReadyNanos(long nowNanos) {
+        return slots.values().stream()
+                .filter(slot -> slot.isLoading(nowNanos))
+                .mapToLong(slot -> slot.readyNanos - nowNanos)
+                .min()
+                .orElse(0);
+    }
+
     /** Returns all adapters with their places. */
     Map<AdapterKey, Slot> all() {
         return slots;
--- a/daemon/src/main/java/org/crocushaven/forwarding/TargetFinder.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/TargetFinder.java
@@ -138,11 +138,7 @@
                     service,
                     environment.freshness().untilAnswer(environment.nowNanos()));
         } else {
-            refuse(
-                    found,
-                    ResultCode.QUEUE_FULL,
-                    service,
-                    Duration.ofMillis(Math.max(FULL_RETRY.toMillis(), grant.readyInMillis())));
+            refuse(found, ResultCode.QUEUE_FULL, service, Duration.ofMillis(grant.readyInMillis()));
         }
     }
 
