Let a new leader begin at once and call the gateways

Change: ElectionWatch looks every 20 ms while no leader is known; a new leader nudges all registered gateways, which give up a report to another one (it may be lost, and is waited for 300 ms). Times to come back after a start count 1.1 s. Test: LeaderLinkTest fails before (the report to the lost one is waited for); LeaderForecastTest, ControlFreshnessTest.

--- a/daemon/src/main/java/org/crocushaven/fleet/ControlInstance.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/ControlInstance.java
@@ -52,6 +52,7 @@
     private final ReplicaKeeper<GroupHost> keeper;
     private final SuspensionDetector suspension = new SuspensionDetector();
     private final GroupMembership membership;
+    private final ElectionWatch electionWatch;
     private FleetLeader leader;
     private long distrustedUntilNanos;
     private long ticks;
@@ -77,6 +78,7 @@
         this.membership =
                 new GroupMembership(
                         settings.instance(), settings.tolerated(), transport, loop, this::group);
+        this.electionWatch = new ElectionWatch(loop, this::isLeadershipSettled, this::lead);
         final GroupRouter router = GroupRouter.create(transport);
         attach();
         this.keeper = ReplicaKeeper.open(() -> openGroup(router, seed));
@@ -110,7 +112,11 @@
 
     /** Starts timers. */
     public void start(List<String> others) {
-        loop.execute(() -> membership.add(others));
+        loop.execute(
+                () -> {
+                    membership.add(others);
+                    electionWatch.check();
+                });
         loop.scheduleAtFixedRate(
                 GuardedTask.of(this::tick), TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
     }
@@ -379,15 +385,33 @@
                             settings.rateSlack(),
                             this::register);
             registry.present().forEach(leader::announced);
+            final FleetNudge nudge = new FleetNudge(settings.instance());
+            state.gateways().forEach(gateway -> transport.send(gateway, nudge));
         }
         return leader;
     }
 
+    /** Returns whether a leader is known and, if it is this instance, has begun. */
+    private boolean isLeadershipSettled() {
+        return stopped
+                || leader != null
+                || group().leader().filter(name -> !name.equals(settings.instance())).isPresent();
+    }
+
+    /** Begins to lead if the group has chosen this instance. */
+    private void lead() {
+        final FleetLeader leading = current();
+        if (leading != null) {
+            leading.tick();
+        }
+    }
+
     private void tick() {
         if (stopped) {
             return;
         }
         keeper.check(clock.nanoTime());
+        electionWatch.check();
         final FleetLeader leading = current();
         pool.closeExpired();
         if (leading != null) {
--- a/daemon/src/main/java/org/crocushaven/forwarding/ControlFreshness.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/ControlFreshness.java
@@ -79,7 +79,9 @@
         if (!confirmed && lapsedNanos != Long.MIN_VALUE) {
             return LeaderForecast.untilNextReport();
         }
-        final long sinceNanos = confirmed ? confirmedNanos : createdNanos;
-        return LeaderForecast.untilAnswer(TimeUnit.NANOSECONDS.toMillis(nowNanos - sinceNanos));
+        return confirmed
+                ? LeaderForecast.untilAnswer(ageMillis(nowNanos))
+                : LeaderForecast.untilFirstAnswer(
+                        TimeUnit.NANOSECONDS.toMillis(nowNanos - createdNanos));
     }
 }
--- a/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
@@ -99,7 +99,7 @@
         transport.handle(
                 FleetNudge.class,
                 (sender, nudge) -> {
-                    loop.execute(link::reportSoon);
+                    loop.execute(() -> link.nudged(nudge.leader()));
                     return null;
                 });
     }
--- a/daemon/src/main/java/org/crocushaven/forwarding/LeaderForecast.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/LeaderForecast.java
@@ -10,9 +10,12 @@
  * so one who is told to come back too early is lost.
  */
 final class LeaderForecast {
-    /** Time from a leader's loss, or a fleet's start, to the next one's answers; 0.65 to 0.9 s. */
+    /** Time from a leader's loss to the next one's answers; 0.65 to 0.9 s measured. */
     private static final long ELECTION_MILLIS = 900;
 
+    /** Time from a gateway's start with its whole fleet to a leader's answer; 0.65 to 1.1 s. */
+    private static final long START_MILLIS = 1_100;
+
     /** Least time told; a lost report is sent again within it. */
     private static final long LEAST_MILLIS = 200;
 
@@ -30,8 +33,21 @@
      * @param outageMillis time for which the leader has not answered
      */
     static Duration untilAnswer(long outageMillis) {
+        return until(ELECTION_MILLIS, outageMillis);
+    }
+
+    /**
+     * Returns the time until the first answer to a gateway that has had none.
+     *
+     * @param ageMillis time since its start
+     */
+    static Duration untilFirstAnswer(long ageMillis) {
+        return until(START_MILLIS, ageMillis);
+    }
+
+    private static Duration until(long usualMillis, long passedMillis) {
         final long expected =
-                outageMillis < ELECTION_MILLIS ? ELECTION_MILLIS - outageMillis : outageMillis;
+                passedMillis < usualMillis ? usualMillis - passedMillis : passedMillis;
         return Duration.ofMillis(Math.min(LONGEST_MILLIS, Math.max(LEAST_MILLIS, expected)));
     }
 
--- a/daemon/src/main/java/org/crocushaven/forwarding/LeaderLink.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/LeaderLink.java
@@ -54,6 +54,7 @@
     private String leader = "";
     private boolean underWay;
     private boolean again;
+    private long reportNumber;
     private long lastSentNanos;
     private ScheduledFuture<?> timer;
     private boolean stopped;
@@ -95,6 +96,21 @@
         }
     }
 
+    /**
+     * Takes in that an instance leads and has news. A report to another one is given up, since that
+     * one may be lost and would be waited for.
+     */
+    void nudged(String leading) {
+        controls.add(leading);
+        if (leading.equals(target)) {
+            reportSoon();
+            return;
+        }
+        target = leading;
+        underWay = false;
+        report();
+    }
+
     /** Brings the next report forward. */
     void reportSoon() {
         if (underWay) {
@@ -143,6 +159,7 @@
             target = next("");
         }
         underWay = true;
+        final long number = ++reportNumber;
         waitingForThis = waiting.size();
         again = false;
         lastSentNanos = clock.nanoTime();
@@ -152,7 +169,14 @@
                 .request(asked, reports.apply(sentNanos), REPORT_TIMEOUT)
                 .whenComplete(
                         (answer, failure) ->
-                                loop.execute(() -> reported(asked, sentNanos, answer)));
+                                loop.execute(
+                                        () -> reportAnswered(number, asked, sentNanos, answer)));
+    }
+
+    private void reportAnswered(long number, String asked, long sentNanos, Message answer) {
+        if (number == reportNumber) {
+            reported(asked, sentNanos, answer);
+        }
     }
 
     private void reported(String asked, long sentNanos, Message answer) {
--- /dev/null
+++ b/daemon/src/test/java/org/crocushaven/forwarding/LeaderLinkTest.java
@@ -0,0 +1,122 @@
+package org.crocushaven.forwarding;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.netty.channel.DefaultEventLoop;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.agrona.concurrent.SystemNanoClock;
+import org.crocushaven.admission.ShareHolder;
+import org.crocushaven.fleet.GatewayReport;
+import org.crocushaven.fleet.GatewayUpdate;
+import org.crocushaven.protocol.Message;
+import org.crocushaven.protocol.MessageHandler;
+import org.crocushaven.protocol.PeerTransport;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class LeaderLinkTest {
+    private static final String LOST = "lost";
+    private static final String NEXT = "next";
+    private static final long LONGEST_WAIT_MILLIS = 5_000;
+
+    private final DefaultEventLoop loop = new DefaultEventLoop();
+    private final BlockingQueue<Sent> sent = new LinkedBlockingQueue<>();
+    private final BlockingQueue<Long> updates = new LinkedBlockingQueue<>();
+    private final LeaderLink link =
+            new LeaderLink(
+                    loop,
+                    new SilentTransport(),
+                    SystemNanoClock.INSTANCE,
+                    LeaderLinkTest::report,
+                    (update, sentNanos) -> updates.add(update.epoch()));
+
+    @AfterEach
+    void stop() throws InterruptedException {
+        loop.execute(link::stop);
+        loop.shutdownGracefully(0, 1, TimeUnit.SECONDS).await();
+    }
+
+    private static GatewayReport report(long nowNanos) {
+        return new GatewayReport(
+                "gateway",
+                0,
+                0,
+                0,
+                0,
+                List.of(),
+                List.of(),
+                ShareHolder.create(1).report(nowNanos));
+    }
+
+    private static GatewayUpdate update(long epoch) {
+        return new GatewayUpdate(
+                epoch,
+                1,
+                true,
+                1,
+                1,
+                new byte[0],
+                List.of(),
+                false,
+                List.of(),
+                List.of(),
+                List.of(),
+                1,
+                List.of(LOST, NEXT),
+                Optional.empty());
+    }
+
+    private Sent nextSent() throws InterruptedException {
+        return sent.poll(LONGEST_WAIT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * The report to a lost leader takes 300 ms to fail; a new leader's word must not wait for it.
+     */
+    @Test
+    void theWordOfNewLeaderIsFollowedWhileAnotherOneIsWaitedFor() throws InterruptedException {
+        loop.execute(() -> link.addControls(List.of(LOST)));
+        loop.execute(link::start);
+        final Sent unanswered = nextSent();
+        assertEquals(LOST, unanswered.to());
+
+        loop.execute(() -> link.nudged(NEXT));
+        final Sent second = nextSent();
+        assertEquals(NEXT, second.to());
+        second.answer().complete(update(2));
+        unanswered.answer().complete(update(1));
+
+        assertEquals(2, updates.poll(LONGEST_WAIT_MILLIS, TimeUnit.MILLISECONDS));
+        assertEquals(NEXT, nextSent().to());
+        assertEquals(0, updates.size());
+    }
+
+    private record Sent(String to, CompletableFuture<Message> answer) {}
+
+    /** Answers nothing by itself. */
+    private final class SilentTransport implements PeerTransport {
+        @Override
+        public void send(String instance, Message message) {
+            throw new AssertionError("nothing is sent without an answer");
+        }
+
+        @Override
+        public CompletableFuture<Message> request(
+                String instance, Message message, Duration timeout) {
+            final CompletableFuture<Message> answer = new CompletableFuture<>();
+            sent.add(new Sent(instance, answer));
+            return answer;
+        }
+
+        @Override
+        public <M extends Message> void handle(Class<M> type, MessageHandler<M> handler) {
+            throw new AssertionError("a link handles nothing itself");
+        }
+    }
+}
