Order adapters in turn, and go on after orders without an answer

Change 1: AdapterLoadTime gives each load its turn; as many begin as the store serves at full speed (one for each engine), the others are promised with their time. Change 2: OrderSequence, a pure class: of all orders left unanswered at one count at most one can have been carried out, so the next order goes out at once and, if refused for its count, once more with one more. What an unanswered order asked for takes its place until a report tells; another engine is tried for the request.

--- a/daemon/src/main/java/org/crocushaven/fleet/AdapterAsk.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/AdapterAsk.java
@@ -1,6 +1,7 @@
 package org.crocushaven.fleet;
 
 import com.fasterxml.jackson.annotation.JsonFormat;
+import java.util.ArrayList;
 import java.util.List;
 import org.crocushaven.protocol.Message;
 
@@ -18,4 +19,11 @@
     public AdapterAsk {
         avoided = List.copyOf(avoided);
     }
+
+    /** Returns the question with one more backend server that will not do. */
+    AdapterAsk without(String backend) {
+        final List<String> more = new ArrayList<>(avoided);
+        more.add(backend);
+        return new AdapterAsk(service, model, adapter, more);
+    }
 }
--- a/daemon/src/main/java/org/crocushaven/fleet/AdapterPlacement.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/AdapterPlacement.java
@@ -11,7 +11,8 @@
  * @param victim adapter that must leave first
  * @param needsLoad whether the adapter must be loaded
  * @param fromMemory whether the engine has it in its own memory
- * @param readyInMillis when it is expected to be usable
+ * @param turnInMillis when it may be ordered, so that the weight store is not crowded
+ * @param loadMillis how long it takes then
  */
 record AdapterPlacement(
         String backend,
@@ -20,4 +21,10 @@
         Optional<AdapterKey> victim,
         boolean needsLoad,
         boolean fromMemory,
-        long readyInMillis) {}
+        long turnInMillis,
+        long loadMillis) {
+    /** Returns when the adapter is expected to be usable, in milliseconds. */
+    long readyInMillis() {
+        return turnInMillis + loadMillis;
+    }
+}
--- a/daemon/src/main/java/org/crocushaven/fleet/AdapterPlanner.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/AdapterPlanner.java
@@ -194,7 +194,8 @@
                         victim,
                         true,
                         remembered,
-                        remembered ? REMEMBERED_MILLIS : loadTime.millis(nowNanos)));
+                        remembered ? 0 : loadTime.untilTurnMillis(nowNanos),
+                        remembered ? REMEMBERED_MILLIS : loadTime.millis()));
     }
 
     /** Returns the services of all engines. */
@@ -211,7 +212,7 @@
         final long readyNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(placement.readyInMillis());
         slots.reserve(placement.key(), placement.version(), readyNanos, nowNanos);
         if (!placement.fromMemory()) {
-            loadTime.hasBegun(nowNanos);
+            loadTime.planned(nowNanos);
         }
     }
 
@@ -264,6 +265,7 @@
                                 Optional.empty(),
                                 false,
                                 true,
+                                0,
                                 TimeUnit.NANOSECONDS.toMillis(wait));
             }
         }
@@ -304,7 +306,8 @@
                                 victim,
                                 true,
                                 remembered,
-                                remembered ? REMEMBERED_MILLIS : loadTime.millis(nowNanos));
+                                remembered ? 0 : loadTime.untilTurnMillis(nowNanos),
+                                remembered ? REMEMBERED_MILLIS : loadTime.millis());
             }
         }
         return Optional.ofNullable(best);
--- a/daemon/src/main/java/org/crocushaven/fleet/EngineOrders.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/EngineOrders.java
@@ -19,7 +19,7 @@
  */
 final class EngineOrders {
     /** Time after which an order counts as unanswered; a round trip takes a few milliseconds. */
-    private static final long ORDER_TIMEOUT_MILLIS = 250;
+    private static final long ORDER_TIMEOUT_MILLIS = 150;
 
     private static final long REPORT_TIMEOUT_MILLIS = 400;
 
@@ -29,7 +29,7 @@
     private final BackendAnnouncement backend;
     private final EngineOrderContext context;
     private final Deque<Waiting> waiting = new ArrayDeque<>();
-    private OptionalLong sequence = OptionalLong.empty();
+    private final OrderSequence sequence = new OrderSequence();
     private boolean underWay;
     private boolean fenced;
     private boolean closed;
@@ -72,11 +72,9 @@
 
     private Optional<EngineReport> verified(EngineReport report, boolean answered) {
         final boolean current =
-                answered
-                        && waiting.isEmpty()
-                        && (sequence.isEmpty() || report.sequence() >= sequence.getAsLong());
+                answered && waiting.isEmpty() && sequence.isCurrent(report.sequence());
         if (current) {
-            sequence = OptionalLong.of(report.sequence());
+            sequence.reported(report.sequence());
         }
         underWay = false;
         next();
@@ -110,7 +108,7 @@
             return;
         }
         underWay = true;
-        if (sequence.isPresent()) {
+        if (sequence.expected().isPresent()) {
             send(waiting.poll());
         } else {
             learnSequence();
@@ -121,7 +119,7 @@
         report().whenComplete(
                         (report, failure) -> {
                             if (failure == null) {
-                                sequence = OptionalLong.of(report.sequence());
+                                sequence.reported(report.sequence());
                             }
                             final Waiting order = waiting.poll();
                             if (order == null) {
@@ -148,11 +146,13 @@
                                         backend.backend(),
                                         order.order,
                                         new OrderFence(
-                                                context.holder(), context.token(), sequence)),
+                                                context.holder(),
+                                                context.token(),
+                                                sequence.expected())),
                         ORDER_TIMEOUT_MILLIS)
                 .whenComplete(
                         (answer, failure) ->
-                                finish(
+                                answered(
                                         order,
                                         failure == null
                                                 ? context.dialect()
@@ -160,19 +160,29 @@
                                                 : outcomeOf(failure)));
     }
 
+    /** Gives an order again when only the count that it expected was one too low. */
+    private void answered(Waiting order, OrderOutcome outcome) {
+        if (outcome == OrderOutcome.CONFLICT && sequence.refused()) {
+            send(order);
+        } else {
+            finish(order, outcome);
+        }
+    }
+
     private void finish(Waiting order, OrderOutcome outcome) {
+        final OptionalLong known = sequence.expected();
         if (outcome != OrderOutcome.ACCEPTED && outcome != OrderOutcome.HOLDS) {
             EventLine.of("order-not-accepted")
                     .with("backend", backend.backend())
                     .with("operation", order.order.operation())
                     .with("adapter", order.order.model() + '/' + order.order.adapter())
-                    .with("sequence", sequence.isPresent() ? sequence.getAsLong() : "unknown")
+                    .with("sequence", known.isPresent() ? known.getAsLong() : "unknown")
                     .with("outcome", outcome)
                     .info();
         }
         learn(order.order, outcome);
         order.outcome.complete(outcome);
-        if (sequence.isPresent() || fenced) {
+        if (sequence.expected().isPresent() || fenced) {
             underWay = false;
             next();
         } else {
@@ -189,17 +199,18 @@
 
     private void learn(EngineOrder order, OrderOutcome outcome) {
         switch (outcome) {
-            case ACCEPTED -> sequence = OptionalLong.of(sequence.orElse(0) + 1);
+            case ACCEPTED -> sequence.counted();
             case HOLDS -> {
                 if (order.operation() == EngineOrder.Operation.UNLOAD) {
-                    sequence = OptionalLong.of(sequence.orElse(0) + 1);
+                    sequence.counted();
                 }
             }
+            case UNKNOWN -> sequence.unanswered();
             case FENCED -> {
                 fenced = true;
                 close();
             }
-            default -> sequence = OptionalLong.empty();
+            default -> sequence.forget();
         }
     }
 
--- a/daemon/src/main/java/org/crocushaven/fleet/EnginePlacement.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/EnginePlacement.java
@@ -17,6 +17,9 @@
  * is believed of engines in step with their answers. Used on one event loop only.
  */
 final class EnginePlacement {
+    /** Engines that are tried besides the first for one request. */
+    private static final int OTHER_ENGINES = 2;
+
     private final EngineOrderContext context;
     private final BackendRegistry registry;
     private final NanoClock clock;
@@ -25,6 +28,7 @@
     private final Map<String, EngineOrders> orders = new HashMap<>();
     private final Map<String, EngineProfile> profiles = new HashMap<>();
     private final ModelLoadPace modelPace = new ModelLoadPace();
+    private boolean closed;
 
     /**
      * Creates the placement of a leader that has given no order yet.
@@ -80,8 +84,13 @@
 
     /** Finds or makes a place for an adapter. */
     CompletableFuture<AdapterGrant> place(AdapterAsk ask) {
-        final long nowNanos = clock.nanoTime();
         doubtDisproved(ask);
+        return place(ask, OTHER_ENGINES);
+    }
+
+    /** Places an adapter; where an engine does not take the order, another one is tried. */
+    private CompletableFuture<AdapterGrant> place(AdapterAsk ask, int othersLeft) {
+        final long nowNanos = clock.nanoTime();
         final Optional<AdapterPlacement> placement = planner.place(ask, nowNanos);
         if (placement.isEmpty()) {
             return none(ask, "no-place");
@@ -95,7 +104,29 @@
             return none(ask, "no-orders-yet");
         }
         planner.commit(chosen, nowNanos);
-        return load(chosen, ask);
+        return chosen.turnInMillis() > 0 ? loadLater(chosen) : loadNow(chosen, ask, othersLeft);
+    }
+
+    private CompletableFuture<AdapterGrant> loadNow(
+            AdapterPlacement chosen, AdapterAsk ask, int othersLeft) {
+        return load(chosen)
+                .thenCompose(
+                        outcome -> {
+                            if (outcome == OrderOutcome.ACCEPTED) {
+                                return CompletableFuture.completedFuture(
+                                        new AdapterGrant(
+                                                chosen.backend(),
+                                                chosen.loadMillis(),
+                                                chosen.version()));
+                            }
+                            if (outcome == OrderOutcome.HOLDS) {
+                                return CompletableFuture.completedFuture(
+                                        new AdapterGrant(chosen.backend(), 0, chosen.version()));
+                            }
+                            return othersLeft > 0
+                                    ? place(ask.without(chosen.backend()), othersLeft - 1)
+                                    : none(ask, "order-" + outcome);
+                        });
     }
 
     /** Orders base models to engines that hold none, and asks engines for reports. */
@@ -109,27 +140,23 @@
             planner.missingModel(backend).ifPresent(model -> loadModel(backend, model, nowNanos));
         }
         planner.services()
-                .forEach(
-                        service ->
-                                planner.relief(service, nowNanos)
-                                        .ifPresent(chosen -> relieve(service, chosen)));
+                .forEach(service -> planner.relief(service, nowNanos).ifPresent(this::relieve));
     }
 
     /** Gives no more orders. */
     void close() {
+        closed = true;
         orders.values().forEach(EngineOrders::close);
     }
 
     /** Loads an adapter on a second engine, for which no request waits. */
-    private void relieve(String service, AdapterPlacement chosen) {
+    private void relieve(AdapterPlacement chosen) {
         EventLine.of("adapter-spread")
                 .with("backend", chosen.backend())
                 .with("adapter", chosen.key().adapter())
                 .info();
         planner.commit(chosen, clock.nanoTime());
-        load(
-                chosen,
-                new AdapterAsk(service, chosen.key().model(), chosen.key().adapter(), List.of()));
+        load(chosen);
     }
 
     private CompletableFuture<AdapterGrant> none(AdapterAsk ask, String reason) {
@@ -152,7 +179,34 @@
         return AdapterGrant.none(refusal.retryMillis());
     }
 
-    private CompletableFuture<AdapterGrant> load(AdapterPlacement chosen, AdapterAsk ask) {
+    /** Promises an adapter that is ordered when its turn at the weight store has come. */
+    private CompletableFuture<AdapterGrant> loadLater(AdapterPlacement chosen) {
+        context.loop()
+                .schedule(
+                        () -> {
+                            if (isQueued(chosen)) {
+                                load(chosen);
+                            }
+                        },
+                        chosen.turnInMillis(),
+                        TimeUnit.MILLISECONDS);
+        return CompletableFuture.completedFuture(
+                new AdapterGrant(chosen.backend(), chosen.readyInMillis(), chosen.version()));
+    }
+
+    private boolean isQueued(AdapterPlacement chosen) {
+        return !closed
+                && planner.slotsOf(chosen.backend())
+                        .flatMap(slots -> slots.find(chosen.key()))
+                        .filter(EngineSlots.Slot::isQueued)
+                        .isPresent();
+    }
+
+    /** Makes room for an adapter and orders it. */
+    private CompletableFuture<OrderOutcome> load(AdapterPlacement chosen) {
+        planner.slotsOf(chosen.backend())
+                .flatMap(slots -> slots.find(chosen.key()))
+                .ifPresent(EngineSlots.Slot::ordered);
         final EngineOrders engine = ordersOf(chosen.backend());
         final long orderedNanos = clock.nanoTime();
         final CompletableFuture<OrderOutcome> room =
@@ -164,7 +218,7 @@
                     if (outcome != OrderOutcome.HOLDS) {
                         planner.slotsOf(chosen.backend())
                                 .ifPresent(slots -> slots.release(chosen.key()));
-                        return none(ask, "no-room-made");
+                        return CompletableFuture.completedFuture(OrderOutcome.REFUSED);
                     }
                     return engine.give(
                                     EngineOrder.load(
@@ -173,7 +227,9 @@
                                             chosen.version() > 0
                                                     ? OptionalLong.of(chosen.version())
                                                     : OptionalLong.empty()))
-                            .thenApply(loaded -> loadOrdered(chosen, ask, loaded, orderedNanos));
+                            .whenComplete(
+                                    (loaded, failure) ->
+                                            loadAnswered(chosen, loaded, orderedNanos));
                 });
     }
 
@@ -202,71 +258,64 @@
         }
     }
 
-    private void doubt(String backend) {
-        planner.slotsOf(backend).ifPresent(EngineSlots::doubt);
-    }
-
     private CompletableFuture<OrderOutcome> unload(
             EngineOrders engine, AdapterPlacement chosen, AdapterKey victim) {
         return engine.give(EngineOrder.unload(victim.model(), victim.adapter()))
-                .thenApply(
-                        outcome -> {
-                            planner.slotsOf(chosen.backend())
-                                    .ifPresent(slots -> unloaded(slots, victim, outcome));
-                            if (outcome != OrderOutcome.HOLDS) {
-                                doubt(chosen.backend());
-                            }
-                            return outcome;
-                        });
+                .whenComplete(
+                        (outcome, failure) ->
+                                planner.slotsOf(chosen.backend())
+                                        .ifPresent(
+                                                slots -> unloadAnswered(slots, victim, outcome)));
     }
 
-    private void unloaded(EngineSlots slots, AdapterKey victim, OrderOutcome outcome) {
-        if (outcome == OrderOutcome.HOLDS) {
-            slots.left(victim);
-        } else if (outcome == OrderOutcome.CONFLICT || outcome == OrderOutcome.REFUSED) {
-            slots.find(victim).ifPresent(slot -> slot.stay());
+    private static void unloadAnswered(EngineSlots slots, AdapterKey victim, OrderOutcome outcome) {
+        switch (outcome) {
+            case HOLDS -> slots.left(victim);
+            case UNKNOWN -> slots.find(victim).ifPresent(EngineSlots.Slot::doubt);
+            case CONFLICT, REFUSED -> {
+                slots.find(victim).ifPresent(EngineSlots.Slot::stay);
+                slots.doubt();
+            }
+            default -> slots.doubt();
         }
     }
 
-    private AdapterGrant loadOrdered(
-            AdapterPlacement chosen, AdapterAsk ask, OrderOutcome outcome, long orderedNanos) {
+    private void loadAnswered(AdapterPlacement chosen, OrderOutcome outcome, long orderedNanos) {
         final long nowNanos = clock.nanoTime();
-        final Optional<EngineSlots> slots = planner.slotsOf(chosen.backend());
-        final long passed = TimeUnit.NANOSECONDS.toMillis(nowNanos - orderedNanos);
+        planner.slotsOf(chosen.backend())
+                .ifPresent(slots -> loadAnswered(slots, chosen, outcome, nowNanos));
+        if (outcome == OrderOutcome.ACCEPTED) {
+            EventLine.of("adapter-loading")
+                    .with("backend", chosen.backend())
+                    .with("adapter", chosen.key().adapter())
+                    .with("version", chosen.version())
+                    .with("victim", chosen.victim().map(AdapterKey::adapter).orElse("-"))
+                    .with("turn_ms", chosen.turnInMillis())
+                    .with("load_ms", chosen.loadMillis())
+                    .with("order_ms", TimeUnit.NANOSECONDS.toMillis(nowNanos - orderedNanos))
+                    .info();
+        }
+    }
+
+    private static void loadAnswered(
+            EngineSlots slots, AdapterPlacement chosen, OrderOutcome outcome, long nowNanos) {
+        final Optional<EngineSlots.Slot> slot = slots.find(chosen.key());
         switch (outcome) {
-            case ACCEPTED -> {
-                slots.flatMap(known -> known.find(chosen.key()))
-                        .ifPresent(slot -> loadAccepted(slot, chosen, nowNanos));
-                EventLine.of("adapter-loading")
-                        .with("backend", chosen.backend())
-                        .with("adapter", chosen.key().adapter())
-                        .with("version", chosen.version())
-                        .with("victim", chosen.victim().map(AdapterKey::adapter).orElse("-"))
-                        .with("ready_in_ms", chosen.readyInMillis())
-                        .with("order_ms", passed)
-                        .info();
-                return new AdapterGrant(chosen.backend(), chosen.readyInMillis(), chosen.version());
-            }
-            case HOLDS -> {
-                slots.flatMap(known -> known.find(chosen.key()))
-                        .ifPresent(slot -> slot.ready(nowNanos));
-                return new AdapterGrant(chosen.backend(), 0, chosen.version());
-            }
-            case UNKNOWN, CONFLICT -> {
-                doubt(chosen.backend());
-                return refused(ask, "order-" + outcome);
-            }
-            default -> {
-                slots.ifPresent(known -> known.release(chosen.key()));
-                return refused(ask, "order-" + outcome);
+            case ACCEPTED -> slot.ifPresent(taken -> loadAccepted(taken, chosen, nowNanos));
+            case HOLDS -> slot.ifPresent(taken -> taken.ready(nowNanos));
+            case UNKNOWN -> slot.ifPresent(EngineSlots.Slot::doubt);
+            case CONFLICT -> {
+                slots.release(chosen.key());
+                slots.doubt();
             }
+            default -> slots.release(chosen.key());
         }
     }
 
     private static void loadAccepted(
             EngineSlots.Slot slot, AdapterPlacement chosen, long nowNanos) {
         slot.accepted();
-        slot.ready(nowNanos + TimeUnit.MILLISECONDS.toNanos(chosen.readyInMillis()));
+        slot.ready(nowNanos + TimeUnit.MILLISECONDS.toNanos(chosen.loadMillis()));
     }
 
     private void loadModel(String backend, String model, long nowNanos) {
--- a/daemon/src/main/java/org/crocushaven/fleet/EngineSlots.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/EngineSlots.java
@@ -31,6 +31,9 @@
      */
     private static final long TOLD_UNUSED_NANOS = TimeUnit.MILLISECONDS.toNanos(550);
 
+    /** Time between two reports while it is not known whether orders were carried out. */
+    private static final long UNSURE_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+
     /** Adapters that an engine is believed to keep in memory after they left their places. */
     private static final int REMEMBERED = 100;
 
@@ -66,7 +69,9 @@
             pending.add(AdapterKey.of(onItsWay));
             versions.put(AdapterKey.of(onItsWay), onItsWay.version());
         }
-        slots.keySet().retainAll(versions.keySet());
+        slots.entrySet()
+                .removeIf(
+                        entry -> !entry.getValue().queued && !versions.containsKey(entry.getKey()));
         versions.forEach(
                 (key, version) -> {
                     final Slot slot = slots.computeIfAbsent(key, name -> told(version, nowNanos));
@@ -78,7 +83,9 @@
     boolean wantsReport(long nowNanos) {
         return !verified
                 || nowNanos - reportedNanos >= CONFIRMATION_NANOS
-                        && slots.values().stream().anyMatch(slot -> !slot.confirmed);
+                        && slots.values().stream().anyMatch(slot -> !slot.confirmed)
+                || nowNanos - reportedNanos >= UNSURE_NANOS
+                        && slots.values().stream().anyMatch(slot -> slot.unsure);
     }
 
     /** Returns whether the engine has reported itself, so that its places are known. */
@@ -139,6 +146,7 @@
     /** Takes a place for an adapter that is about to be ordered. */
     Slot reserve(AdapterKey key, long version, long readyNanos, long nowNanos) {
         final Slot slot = new Slot(version, nowNanos);
+        slot.queued = true;
         slot.loading = true;
         slot.readyNanos = readyNanos;
         slots.put(key, slot);
@@ -185,6 +193,8 @@
     /** The place of one adapter. */
     static final class Slot {
         private long version;
+        private boolean queued;
+        private boolean unsure;
         private boolean loading;
         private boolean leaving;
         private boolean confirmed;
@@ -203,6 +213,7 @@
             loading = onItsWay;
             confirmed = !onItsWay;
             leaving = false;
+            unsure = false;
         }
 
         long version() {
@@ -229,6 +240,21 @@
             return loading && readyNanos - nowNanos > 0;
         }
 
+        /** Notes that the order to load it is given now. */
+        void ordered() {
+            queued = false;
+        }
+
+        /** Returns whether it waits for its turn at the weight store. */
+        boolean isQueued() {
+            return queued;
+        }
+
+        /** Notes that an order for it got no answer; it takes its place until a report tells. */
+        void doubt() {
+            unsure = true;
+        }
+
         /** Notes that the engine accepted the order to load it. */
         void accepted() {
             accepted = true;
@@ -247,7 +273,7 @@
         }
 
         boolean isUsable(long nowNanos) {
-            return !leaving && !isLoading(nowNanos);
+            return !leaving && !unsure && !isLoading(nowNanos);
         }
 
         void used(int runningNow, long nowNanos) {
--- a/daemon/src/test/java/org/crocushaven/fleet/AdapterLoadTimeTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/AdapterLoadTimeTest.java
@@ -12,13 +12,13 @@
 
     private void begin(int loads) {
         for (int load = 0; load < loads; load++) {
-            loadTime.hasBegun(nowNanos);
+            loadTime.planned(nowNanos);
         }
     }
 
     private long millisAfter(long passedMillis) {
         nowNanos += TimeUnit.MILLISECONDS.toNanos(passedMillis);
-        return loadTime.millis(nowNanos);
+        return loadTime.untilTurnMillis(nowNanos) + loadTime.millis();
     }
 
     @Test
@@ -30,11 +30,30 @@
     }
 
     @Test
-    void moreLoadsShareItsSpeed() {
+    void moreLoadsWaitForTheirTurn() {
         loadTime.engines(10);
-        begin(17);
+        begin(10);
+        assertEquals(252, loadTime.untilTurnMillis(nowNanos));
 
-        assertEquals(504, millisAfter(0));
+        begin(10);
+
+        assertEquals(504, loadTime.untilTurnMillis(nowNanos));
+        assertEquals(756, millisAfter(0));
+    }
+
+    /** Of many adapters wanted at once the first half is there before all would be together. */
+    @Test
+    void oneAfterTheOtherComesSoonerThanAllTogether() {
+        loadTime.engines(8);
+        final int wanted = 32;
+        long sum = 0;
+        for (int load = 0; load < wanted; load++) {
+            sum += loadTime.untilTurnMillis(nowNanos) + loadTime.millis();
+            loadTime.planned(nowNanos);
+        }
+        final long together = 252 * wanted / 8;
+
+        assertTrue(sum / wanted <= together * 0.65, "mean: " + sum / wanted);
     }
 
     @Test
@@ -51,7 +70,7 @@
         loadTime.engines(8);
         for (int load = 0; load < 200; load++) {
             nowNanos += TimeUnit.MILLISECONDS.toNanos(36);
-            loadTime.hasBegun(nowNanos);
+            loadTime.planned(nowNanos);
         }
 
         assertTrue(millisAfter(0) <= 300, "expected: " + millisAfter(0));
--- a/daemon/src/test/java/org/crocushaven/fleet/AdapterPlannerTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/AdapterPlannerTest.java
@@ -62,9 +62,17 @@
     private AdapterPlacement load(String adapter) {
         final AdapterPlacement placement = place(adapter).orElseThrow();
         planner.commit(placement, nowNanos);
+        slot(placement.backend(), adapter).ordered();
         return placement;
     }
 
+    private EngineSlots.Slot slot(String backend, String adapter) {
+        return planner.slotsOf(backend)
+                .orElseThrow()
+                .find(new AdapterKey(MODEL, adapter))
+                .orElseThrow();
+    }
+
     private void pass(long millis) {
         nowNanos += TimeUnit.MILLISECONDS.toNanos(millis);
     }
@@ -126,6 +134,35 @@
                     Optional.of(new AdapterKey(MODEL, "rare")), place("a9").orElseThrow().victim());
         }
 
+        @Test
+        void whatWaitsForItsTurnKeepsItsPlaceThroughReports() {
+            engine("one");
+            planner.commit(place("a1").orElseThrow(), nowNanos);
+            load("a2");
+
+            report("one", "a2");
+
+            assertTrue(slot("one", "a1").isQueued());
+            assertTrue(place("a3").isEmpty());
+        }
+
+        @Test
+        void anOrderWithoutAnswerTakesItsPlaceUntilTheReport() {
+            engine("one");
+            load("a1");
+            slot("one", "a1").doubt();
+            pass(500);
+
+            assertFalse(slot("one", "a1").isUsable(nowNanos));
+            assertEquals(List.of("one"), planner.wantingReport(nowNanos));
+            assertTrue(place("a2").orElseThrow().victim().isEmpty());
+            load("a2");
+            assertTrue(place("a3").isEmpty());
+
+            report("one", "a2");
+            assertTrue(place("a3").isPresent());
+        }
+
         /** A new leader must not refuse for want of places while it learns what is used. */
         @Test
         void whatAnEngineToldOfCanLeaveOnceTheGatewaysHaveReported() {
