Count the order in the time promised for an adapter, and split the forwarding of requests

Change: 25 ms more for each such promise; a late adapter is awaited three times 50 ms, whatever the engine answers. Test: RepeatRulesTest. Besides, RequestForwarding (600 lines) loses two jobs: RequestAdmission finds route and organisation and charges, RepeatRules decides on sending again and is tested by itself; no decision changed but the one above.

--- a/daemon/src/main/java/org/crocushaven/fleet/AdapterPlacement.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/AdapterPlacement.java
@@ -23,8 +23,11 @@
         boolean fromMemory,
         long turnInMillis,
         long loadMillis) {
+    /** Time from an adapter's turn until its order is accepted; 1 to 16 ms measured, and timers. */
+    private static final long ORDER_MILLIS = 25;
+
     /** Returns when the adapter is expected to be usable, in milliseconds. */
     long readyInMillis() {
-        return turnInMillis + loadMillis;
+        return turnInMillis > 0 ? turnInMillis + ORDER_MILLIS + loadMillis : loadMillis;
     }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestAdmission.java
@@ -0,0 +1,139 @@
+package org.crocushaven.forwarding;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.crocushaven.admission.Charge;
+import org.crocushaven.ingress.IngressConfiguration;
+import org.crocushaven.ingress.IngressRequest;
+import org.crocushaven.ingress.IngressRoute;
+import org.crocushaven.ingress.KeyedOrganisation;
+import org.crocushaven.result.ResultCode;
+import org.crocushaven.result.ResultException;
+
+/**
+ * Finds a request's route and organisation and charges it; keeps by what it was decided. Used on
+ * the event loop only.
+ */
+final class RequestAdmission {
+    /** How often the leader is asked for tokens before a request is refused. */
+    private static final int SHARE_ASKS = 2;
+
+    private final ForwardingEnvironment environment;
+    private final IngressRequest request;
+    private IngressRoute route;
+    private String service = "-";
+    private Optional<KeyedOrganisation> organisation = Optional.empty();
+    private Optional<Charge> charge = Optional.empty();
+    private long configurationVersion;
+    private long freshnessMillis;
+    private boolean abandoned;
+
+    RequestAdmission(ForwardingEnvironment environment, IngressRequest request) {
+        this.environment = environment;
+        this.request = request;
+    }
+
+    /**
+     * Finds the route and checks the key.
+     *
+     * @throws ResultException when the request may not run here now
+     */
+    void identify(long nowNanos) {
+        freshnessMillis = environment.freshness().ageMillis(nowNanos);
+        final IngressConfiguration configuration =
+                environment.configuration().current().orElseThrow(() -> notReady(nowNanos));
+        configurationVersion = configuration.version();
+        final Optional<IngressRoute> found = configuration.route(request.host(), request.path());
+        if (found.isEmpty()) {
+            environment.admission().requireFresh(nowNanos);
+            throw ResultException.of(ResultCode.UNKNOWN_ROUTE, request.path());
+        }
+        route = found.get();
+        organisation = environment.admission().identify(configuration, route, request, nowNanos);
+        service = route.serviceAt(environment.random().nextDouble());
+    }
+
+    /**
+     * Charges the organisation, and asks the leader for tokens that are lacking.
+     *
+     * @return completes once the request may run, and never after {@link #abandon}; fails with the
+     *     refusal
+     */
+    CompletableFuture<Void> charge() {
+        final CompletableFuture<Void> charged = new CompletableFuture<>();
+        if (organisation.filter(KeyedOrganisation::isBounded).isEmpty()) {
+            charged.complete(null);
+        } else {
+            tryCharge(charged, SHARE_ASKS);
+        }
+        return charged;
+    }
+
+    /** Gives the charge of a request back that did not run. */
+    void refund() {
+        charge.ifPresent(taken -> environment.admission().refund(taken, environment.nowNanos()));
+    }
+
+    /** Notes that the request has ended, so that nothing more is charged. */
+    void abandon() {
+        abandoned = true;
+    }
+
+    /** Returns the route; null before it was found. */
+    IngressRoute route() {
+        return route;
+    }
+
+    /** Returns the name of the route; "-" before it was found. */
+    String routeName() {
+        return route == null ? "-" : route.name();
+    }
+
+    String service() {
+        return service;
+    }
+
+    Optional<KeyedOrganisation> organisation() {
+        return organisation;
+    }
+
+    /** Returns the name of the organisation; "-" when the request has none. */
+    String organisationName() {
+        return organisation.map(KeyedOrganisation::name).orElse("-");
+    }
+
+    /** Returns the tokens that were charged; 0 when none were. */
+    long chargedTokens() {
+        return charge.map(Charge::tokens).orElse(0L);
+    }
+
+    long configurationVersion() {
+        return configurationVersion;
+    }
+
+    long freshnessMillis() {
+        return freshnessMillis;
+    }
+
+    private ResultException notReady(long nowNanos) {
+        return ResultException.of(ResultCode.NOT_READY, "no configuration is known yet")
+                .withRetryAfter(environment.freshness().untilAnswer(nowNanos));
+    }
+
+    private void tryCharge(CompletableFuture<Void> charged, int asksLeft) {
+        if (abandoned) {
+            return;
+        }
+        final long nowNanos = environment.nowNanos();
+        final Charge tried =
+                environment.admission().charge(organisation.orElseThrow(), request, nowNanos);
+        if (tried.granted()) {
+            charge = Optional.of(tried);
+            charged.complete(null);
+        } else if (asksLeft > 0 && tried.worthAsking()) {
+            environment.leader().afterNextUpdate(() -> tryCharge(charged, asksLeft - 1));
+        } else {
+            charged.completeExceptionally(environment.admission().refusal(tried, nowNanos));
+        }
+    }
+}
--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
@@ -4,16 +4,10 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.HashSet;
-import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import org.crocushaven.admission.Charge;
 import org.crocushaven.fleet.BackendRecord;
-import org.crocushaven.ingress.IngressConfiguration;
 import org.crocushaven.ingress.IngressRequest;
 import org.crocushaven.ingress.IngressRoute;
-import org.crocushaven.ingress.KeyedOrganisation;
 import org.crocushaven.ingress.RouteKind;
 import org.crocushaven.outbound.BackendChannel;
 import org.crocushaven.result.Execution;
@@ -29,18 +23,10 @@
  */
 final class RequestForwarding {
     private static final int SERVER_ERROR = 500;
-    private static final int MISDIRECTED = 421;
-    private static final int TOO_MANY_REQUESTS = 429;
 
-    /** How often a request waits once more for an adapter that comes later than expected. */
-    private static final int ADAPTER_WAITS = 4;
-
-    /** How long it waits then. */
+    /** How long a request waits once more for an adapter that comes later than expected. */
     private static final long ADAPTER_WAIT_MILLIS = 50;
 
-    /** How often the leader is asked for tokens before a request is refused. */
-    private static final int SHARE_ASKS = 2;
-
     private static final Duration RETRY_AFTER_REFUSAL = Duration.ofMillis(300);
 
     /** Times the objective after which a silent backend server is given up for another. */
@@ -57,21 +43,12 @@
     private final EventSplitter splitter = new EventSplitter();
     private final PauseMeter pauses = new PauseMeter();
     private final SilenceWatch silence;
-    private final Set<String> avoided = new HashSet<>();
-    private final Set<String> sentTo = new HashSet<>();
-    private IngressRoute route;
-    private String service = "-";
-    private Optional<KeyedOrganisation> organisation = Optional.empty();
-    private Optional<Charge> charge = Optional.empty();
-    private long configurationVersion;
-    private long freshnessMillis;
+    private final RequestAdmission admission;
+    private final RepeatRules repeats = new RepeatRules();
     private ScheduledFuture<?> limitTimer;
     private BackendAttempt attempt;
-    private int sends;
-    private int adapterWaits;
     private long adapterWaitMillis;
     private int requestsThere;
-    private boolean mayHaveRun;
     private boolean started;
     private boolean done;
     private boolean paused;
@@ -89,6 +66,7 @@
         this.body = body;
         this.client = client;
         this.arrivedNanos = environment.nowNanos();
+        this.admission = new RequestAdmission(environment, request);
         this.silence =
                 new SilenceWatch(environment.loop(), environment.clock(), this::backendSilent);
     }
@@ -103,7 +81,6 @@
                 new RequestForwarding(environment, request, body, client);
         try {
             forwarding.admit();
-            forwarding.charge(SHARE_ASKS);
         } catch (ResultException refusal) {
             forwarding.refuse(refusal);
         }
@@ -119,7 +96,7 @@
     }
 
     boolean isStream() {
-        return route.kind() == RouteKind.STREAM;
+        return route().kind() == RouteKind.STREAM;
     }
 
     /** The client has left: the backend server is told at once. */
@@ -147,7 +124,7 @@
             return;
         }
         pauses.event(environment.nowNanos());
-        silence.progress((long) (route.pauseMillis() * PATIENCE_PAUSES));
+        silence.progress((long) (route().pauseMillis() * PATIENCE_PAUSES));
         if (!started) {
             started = true;
             firstByteNanos = environment.nowNanos();
@@ -195,7 +172,7 @@
         final long nowNanos = environment.nowNanos();
         final String backend = from.target().backend().backend();
         if (from.status().code() >= SERVER_ERROR) {
-            mayHaveRun = true;
+            repeats.mayHaveRun(true);
             environment.health().failed(backend, 1, nowNanos);
             noteFailure(from, true, "status " + from.status().code());
             release(from);
@@ -219,14 +196,14 @@
         final String backend = from.target().backend().backend();
         noteFailure(from, false, "not run, status " + from.status().code());
         release(from);
-        if (awaitsAdapter(from)) {
-            adapterWaits++;
-            if (environment.allowance().tryRepeat(service)) {
-                sendLater(from.target(), ADAPTER_WAIT_MILLIS);
-                return;
-            }
+        final int status = from.status().code();
+        if (remainingMillis() > 0
+                && repeats.awaitsAdapter(from.target(), status)
+                && environment.allowance().tryRepeat(admission.service())) {
+            sendLater(from.target(), ADAPTER_WAIT_MILLIS);
+            return;
         }
-        if (from.status().code() == MISDIRECTED && from.target().key() != null) {
+        if (RepeatRules.isMisdirected(status) && from.target().key() != null) {
             environment.view().forget(backend, from.target().key());
         } else {
             environment.health().failed(backend, 0.5, environment.nowNanos());
@@ -239,7 +216,7 @@
         if (isStale(from)) {
             return;
         }
-        mayHaveRun |= mayHaveArrived;
+        repeats.mayHaveRun(mayHaveArrived);
         environment
                 .health()
                 .failed(
@@ -251,77 +228,40 @@
         if (mayHaveArrived) {
             repeatOrGiveUp(from);
         } else {
-            sentTo.remove(from.target().backend().backend());
-            avoided.add(from.target().backend().backend());
+            repeats.neverReached(from.target().backend().backend());
             tryAnother();
         }
     }
 
-    /** Returns whether the adapter was ordered for this request and may just not be there yet. */
-    private boolean awaitsAdapter(BackendAttempt from) {
-        final int waits = from.status().code() == MISDIRECTED ? 1 : ADAPTER_WAITS;
-        return from.target().fresh()
-                && from.status().code() != TOO_MANY_REQUESTS
-                && adapterWaits < waits
-                && remainingMillis() > 0;
-    }
-
+    /** Starts the time limit and charges the request. */
     private void admit() {
-        final long nowNanos = arrivedNanos;
-        freshnessMillis = environment.freshness().ageMillis(nowNanos);
-        final IngressConfiguration configuration =
-                environment
-                        .configuration()
-                        .current()
-                        .orElseThrow(
-                                () ->
-                                        ResultException.of(
-                                                        ResultCode.NOT_READY,
-                                                        "no configuration is known yet")
-                                                .withRetryAfter(
-                                                        environment
-                                                                .freshness()
-                                                                .untilAnswer(nowNanos)));
-        configurationVersion = configuration.version();
-        final Optional<IngressRoute> found = configuration.route(request.host(), request.path());
-        if (found.isEmpty()) {
-            environment.admission().requireFresh(nowNanos);
-            throw ResultException.of(ResultCode.UNKNOWN_ROUTE, request.path());
-        }
-        route = found.get();
-        organisation = environment.admission().identify(configuration, route, request, nowNanos);
-        service = route.serviceAt(environment.random().nextDouble());
+        admission.identify(arrivedNanos);
         request.lastEventId().ifPresent(splitter::startAfter);
         limitTimer =
                 environment
                         .loop()
                         .schedule(this::limitReached, remainingMillis(), TimeUnit.MILLISECONDS);
+        admission.charge().whenComplete((charged, failure) -> admitted(failure));
     }
 
-    /** Charges the organisation, asks the leader for tokens that are lacking, and goes on. */
-    private void charge(int asksLeft) {
+    private void admitted(Throwable failure) {
         if (done) {
             return;
         }
-        if (organisation.filter(KeyedOrganisation::isBounded).isEmpty()) {
-            findTarget();
-            return;
-        }
-        final Charge tried =
-                environment.admission().charge(organisation.get(), request, environment.nowNanos());
-        if (tried.granted()) {
-            charge = Optional.of(tried);
-            findTarget();
-        } else if (asksLeft > 0 && tried.worthAsking()) {
-            environment.leader().afterNextUpdate(() -> charge(asksLeft - 1));
+        if (failure instanceof ResultException refusal) {
+            refuse(refusal);
         } else {
-            refuse(environment.admission().refusal(tried, environment.nowNanos()));
+            findTarget();
         }
     }
 
+    private IngressRoute route() {
+        return admission.route();
+    }
+
     private void findTarget() {
         new TargetFinder(environment)
-                .find(service, request, avoided)
+                .find(admission.service(), request, repeats.avoided())
                 .whenComplete(
                         (target, failure) -> {
                             if (done) {
@@ -356,19 +296,18 @@
 
     private void send(Target target) {
         final BackendRecord backend = target.backend();
-        sends++;
-        sentTo.add(backend.backend());
-        final BackendAttempt next = new BackendAttempt(this, target, sends);
+        final int number = repeats.sent(backend.backend());
+        final BackendAttempt next = new BackendAttempt(this, target, number);
         attempt = next;
         environment.view().started(backend.backend(), target.key());
-        if (sends == 1) {
-            environment.allowance().sent(service);
+        if (number == 1) {
+            environment.allowance().sent(admission.service());
         }
         environment
                 .pool()
                 .acquire(
                         new InetSocketAddress(backend.host(), backend.port()),
-                        !route.isRepeatable())
+                        !route().isRepeatable())
                 .whenComplete(
                         (channel, failure) -> {
                             if (failure != null) {
@@ -396,13 +335,13 @@
                         .create(
                                 request,
                                 body,
-                                route,
-                                organisation,
+                                route(),
+                                admission.organisation(),
                                 next.target(),
                                 left,
                                 splitter.lastEventId()),
                 next);
-        if (route.isRepeatable()) {
+        if (route().isRepeatable()) {
             silence.start(patienceMillis());
         }
     }
@@ -422,23 +361,21 @@
     private long patienceMillis() {
         return (long)
                 (started
-                        ? route.pauseMillis() * PATIENCE_PAUSES
-                        : route.objectiveMillis() * PATIENCE_OBJECTIVES);
+                        ? route().pauseMillis() * PATIENCE_PAUSES
+                        : route().objectiveMillis() * PATIENCE_OBJECTIVES);
     }
 
     private boolean hasAnother(BackendAttempt watched) {
-        return environment.view().ofService(service).stream()
+        return environment.view().ofService(admission.service()).stream()
                 .map(BackendRecord::backend)
                 .anyMatch(
                         other ->
                                 !other.equals(watched.target().backend().backend())
-                                        && !avoided.contains(other));
+                                        && !repeats.avoided().contains(other));
     }
 
     private boolean mayTryAnother() {
-        return sentTo.size() < route.maximumAttempts()
-                && (!mayHaveRun || route.isRepeatable())
-                && (!started || splitter.lastEventId().isPresent());
+        return repeats.mayTryAnother(route(), started, splitter.lastEventId().isPresent());
     }
 
     /** Goes on with another backend server after one that the request never reached. */
@@ -452,8 +389,8 @@
     }
 
     private void repeatOrGiveUp(BackendAttempt failed) {
-        avoided.add(failed.target().backend().backend());
-        if (mayTryAnother() && environment.allowance().tryRepeat(service)) {
+        repeats.avoid(failed.target().backend().backend());
+        if (mayTryAnother() && environment.allowance().tryRepeat(admission.service())) {
             tryAnother();
         } else {
             giveUp();
@@ -466,7 +403,7 @@
             finish(ResultCode.ANSWER_INCOMPLETE, 0, "stream broke off");
         } else if (lastFailure != null) {
             deliver(lastFailure, "backend server failed");
-        } else if (mayHaveRun) {
+        } else if (repeats.mayHaveRun()) {
             refuse(failure());
         } else if (lastRefusal != null) {
             refuse(lastRefusal.withExecution(Execution.NOT_RUN));
@@ -485,7 +422,7 @@
         if (started) {
             client.breakOff();
             finish(ResultCode.ANSWER_INCOMPLETE, 0, "time limit reached within a stream");
-        } else if (current != null || mayHaveRun) {
+        } else if (current != null || repeats.mayHaveRun()) {
             refuse(ResultException.of(ResultCode.BACKEND_SERVER_TIMEOUT, lastBackend()));
         } else {
             refuse(
@@ -532,9 +469,9 @@
                 last.abort();
             }
         }
-        if (code != ResultCode.OK && !mayHaveRun && attempt == null) {
-            charge.ifPresent(
-                    taken -> environment.admission().refund(taken, environment.nowNanos()));
+        admission.abandon();
+        if (code != ResultCode.OK && !repeats.mayHaveRun() && attempt == null) {
+            admission.refund();
         }
         body.release();
         report(code, status, reason, backend);
@@ -548,15 +485,15 @@
                 .ended(
                         new ForwardingSummary(
                                 request,
-                                route == null ? "-" : route.name(),
-                                organisation.map(KeyedOrganisation::name).orElse("-"),
-                                configurationVersion,
-                                freshnessMillis,
-                                charge.map(Charge::tokens).orElse(0L),
+                                admission.routeName(),
+                                admission.organisationName(),
+                                admission.configurationVersion(),
+                                admission.freshnessMillis(),
+                                admission.chargedTokens(),
                                 adapterWaitMillis,
                                 requestsThere,
                                 backend,
-                                sends,
+                                repeats.sends(),
                                 status,
                                 code,
                                 reason,
@@ -588,7 +525,7 @@
 
     private long remainingMillis() {
         final long limit =
-                Math.min(request.deadlineMillis().orElse(Long.MAX_VALUE), route.timeoutMillis());
+                Math.min(request.deadlineMillis().orElse(Long.MAX_VALUE), route().timeoutMillis());
         return limit - TimeUnit.NANOSECONDS.toMillis(environment.nowNanos() - arrivedNanos);
     }
 }
