--- a/daemon/src/main/java/org/crocushaven/forwarding/BackendAttempt.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/BackendAttempt.java
@@ -75,6 +75,7 @@
                         .filter(id -> !id.equals(forwarding.request().requestId()))
                         .isPresent();
         if (foreign) {
+            forwarding.foreignAnswer(this);
             return false;
         }
         status = head.status();
--- a/daemon/src/main/java/org/crocushaven/forwarding/ForwardingObserver.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/ForwardingObserver.java
@@ -12,6 +12,9 @@
     void attemptFailed(
             IngressRequest request, String backend, int attempt, boolean mayHaveRun, String reason);
 
+    /** An answer to another request came where this one's was awaited, and was dropped. */
+    void foreignAnswer(IngressRequest request, String backend, int attempt);
+
     /** A request ended. */
     void ended(ForwardingSummary summary);
 
--- a/daemon/src/main/java/org/crocushaven/forwarding/LeaderLink.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/LeaderLink.java
@@ -128,10 +128,12 @@
                     ResultException.of(ResultCode.NO_DISPATCHER, ask.service()));
         }
         final CompletableFuture<AdapterGrant> granted = new CompletableFuture<>();
+        final String asked = leader;
         transport
-                .request(leader, ask, ASK_TIMEOUT)
+                .request(asked, ask, ASK_TIMEOUT)
                 .whenComplete(
-                        (answer, failure) -> loop.execute(() -> answered(granted, ask, answer)));
+                        (answer, failure) ->
+                                loop.execute(() -> answered(granted, ask, asked, answer)));
         return granted;
     }
 
@@ -142,10 +144,15 @@
     }
 
     private static void answered(
-            CompletableFuture<AdapterGrant> granted, AdapterAsk ask, Message answer) {
+            CompletableFuture<AdapterGrant> granted, AdapterAsk ask, String asked, Message answer) {
         if (answer instanceof AdapterGrant grant) {
             granted.complete(grant);
         } else {
+            EventLine.of("adapter-ask-unanswered")
+                    .with("leader", asked)
+                    .with("service", ask.service())
+                    .with("adapter", ask.adapter())
+                    .info();
             granted.completeExceptionally(
                     ResultException.of(ResultCode.NO_DISPATCHER, ask.service()));
         }
--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
@@ -47,6 +47,7 @@
     private final RepeatRules repeats = new RepeatRules();
     private ScheduledFuture<?> limitTimer;
     private BackendAttempt attempt;
+    private String lastTried = "-";
     private long adapterWaitMillis;
     private int requestsThere;
     private boolean started;
@@ -211,6 +212,13 @@
         repeatOrGiveUp(from);
     }
 
+    /** Takes the news that an answer to another request came where this one's was awaited. */
+    void foreignAnswer(BackendAttempt from) {
+        environment
+                .observer()
+                .foreignAnswer(request, from.target().backend().backend(), from.number());
+    }
+
     /** Takes the news that no complete answer will come. */
     void broken(BackendAttempt from, boolean mayHaveArrived, String reason) {
         if (isStale(from)) {
@@ -296,7 +304,8 @@
 
     private void send(Target target) {
         final BackendRecord backend = target.backend();
-        final int number = repeats.sent(backend.backend());
+        lastTried = backend.backend();
+        final int number = repeats.sent(lastTried);
         final BackendAttempt next = new BackendAttempt(this, target, number);
         attempt = next;
         environment.view().started(backend.backend(), target.key());
@@ -419,6 +428,9 @@
             return;
         }
         final BackendAttempt current = attempt;
+        if (current != null) {
+            noteFailure(current, true, "time limit reached");
+        }
         if (started) {
             client.breakOff();
             finish(ResultCode.ANSWER_INCOMPLETE, 0, "time limit reached within a stream");
@@ -437,7 +449,7 @@
     }
 
     private String lastBackend() {
-        return attempt == null ? "-" : attempt.target().backend().backend();
+        return lastTried;
     }
 
     private void deliver(BackendAttempt answer, String reason) {
--- a/daemon/src/main/java/org/crocushaven/instance/ForwardingLog.java
+++ b/daemon/src/main/java/org/crocushaven/instance/ForwardingLog.java
@@ -34,6 +34,16 @@
                     .help("Sends that led to no answer, by whether the request may have run.")
                     .labelNames("may_have_run")
                     .register(registry);
+    private final Counter repeats =
+            Counter.builder()
+                    .name("crocushaven_gateway_repeats")
+                    .help("Requests sent to a backend server once more.")
+                    .register(registry);
+    private final Counter foreignAnswers =
+            Counter.builder()
+                    .name("crocushaven_gateway_foreign_answers")
+                    .help("Answers that came where another request's was awaited.")
+                    .register(registry);
     private final Histogram waits =
             Histogram.builder()
                     .name("crocushaven_gateway_wait_seconds")
@@ -76,6 +86,7 @@
     @Override
     public void sent(IngressRequest request, String backend, int attempt, int requestsThere) {
         if (attempt > 1) {
+            repeats.inc();
             EventLine.of("sent-again")
                     .with("request", request.requestId())
                     .with("backend", backend)
@@ -102,6 +113,16 @@
                 .info();
     }
 
+    @Override
+    public void foreignAnswer(IngressRequest request, String backend, int attempt) {
+        foreignAnswers.inc();
+        EventLine.of("foreign-answer")
+                .with("request", request.requestId())
+                .with("backend", backend)
+                .with("attempt", attempt)
+                .info();
+    }
+
     @Override
     public void ended(ForwardingSummary summary) {
         requests.labelValues(Integer.toString(summary.code().number())).inc();
