Choose engines by the prompts under way, and tell them every 100 ms

Gateways choose the engine with the fewest requests as reported up to 250 ms ago, and so send their prompts to the same one at the same time. Change: each gateway counts the tokens of prompts sent, halved every 100 ms (PromptWork), reports them, and hears the others'; BackendChoice weighs 8,000 tokens as a full engine; reports go every 100 ms while prompts are sent.

--- a/daemon/src/main/java/org/crocushaven/fleet/AdapterPopularity.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/AdapterPopularity.java
@@ -8,30 +8,17 @@
     /** Half-life of the count of an adapter's requests. */
     private static final double HALF_LIFE_NANOS = 15e9;
 
-    private final Map<AdapterKey, Count> counts = new HashMap<>();
+    private final Map<AdapterKey, DecayingCount> counts = new HashMap<>();
 
     /** Counts requests. */
     void add(AdapterKey key, int requests, long nowNanos) {
-        counts.computeIfAbsent(key, name -> new Count()).add(requests, nowNanos);
+        counts.computeIfAbsent(key, name -> DecayingCount.withHalfLife(HALF_LIFE_NANOS))
+                .add(requests, nowNanos);
     }
 
     /** Returns the requests for an adapter, older ones counting less. */
     double of(AdapterKey key, long nowNanos) {
-        final Count known = counts.get(key);
+        final DecayingCount known = counts.get(key);
         return known == null ? 0 : known.at(nowNanos);
     }
-
-    private static final class Count {
-        private double count;
-        private long updatedNanos;
-
-        private void add(int requests, long nowNanos) {
-            count = at(nowNanos) + requests;
-            updatedNanos = nowNanos;
-        }
-
-        private double at(long nowNanos) {
-            return count * Math.pow(2, (updatedNanos - nowNanos) / HALF_LIFE_NANOS);
-        }
-    }
 }
--- a/daemon/src/main/java/org/crocushaven/fleet/FleetLeader.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/FleetLeader.java
@@ -113,7 +113,7 @@
                 !hasState,
                 ledger.changedSince(since),
                 ledger.goneSince(since),
-                reports.otherLoads(report.gateway()),
+                reports.otherLoads(report.gateway(), nowNanos),
                 reports.gateways().size(),
                 controls,
                 lending.lend(report, nowNanos));
--- a/daemon/src/main/java/org/crocushaven/fleet/GatewayReports.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/GatewayReports.java
@@ -26,14 +26,37 @@
 
     /** Returns the requests under way by backend server, over all gateways. */
     Map<String, Integer> loads() {
-        return loadsExcept("");
+        final Map<String, Integer> loads = new HashMap<>();
+        for (final Heard heard : reports.values()) {
+            heard.report
+                    .loads()
+                    .forEach(load -> loads.merge(load.backend(), load.requests(), Integer::sum));
+        }
+        return loads;
     }
 
-    /** Returns the requests under way of all gateways but one. */
-    List<BackendLoad> otherLoads(String gateway) {
-        final List<BackendLoad> loads = new ArrayList<>();
-        loadsExcept(gateway)
-                .forEach((backend, requests) -> loads.add(new BackendLoad(backend, requests)));
+    /** Returns the requests under way of all gateways but one, and what is left of prompts. */
+    List<BackendLoad> otherLoads(String gateway, long nowNanos) {
+        final Map<String, Integer> requests = new HashMap<>();
+        final Map<String, PromptWork> prompts = new HashMap<>();
+        for (final Heard heard : reports.values()) {
+            if (heard.report.gateway().equals(gateway)) {
+                continue;
+            }
+            for (final BackendLoad load : heard.report.loads()) {
+                requests.merge(load.backend(), load.requests(), Integer::sum);
+                prompts.computeIfAbsent(load.backend(), backend -> PromptWork.none())
+                        .sent(load.promptTokens(), heard.atNanos);
+            }
+        }
+        final List<BackendLoad> loads = new ArrayList<>(requests.size());
+        requests.forEach(
+                (backend, count) ->
+                        loads.add(
+                                new BackendLoad(
+                                        backend,
+                                        count,
+                                        Math.round(prompts.get(backend).left(nowNanos)))));
         return loads;
     }
 
@@ -44,18 +67,5 @@
         return uses;
     }
 
-    private Map<String, Integer> loadsExcept(String gateway) {
-        final Map<String, Integer> loads = new HashMap<>();
-        for (final Heard heard : reports.values()) {
-            if (!heard.report.gateway().equals(gateway)) {
-                heard.report
-                        .loads()
-                        .forEach(
-                                load -> loads.merge(load.backend(), load.requests(), Integer::sum));
-            }
-        }
-        return loads;
-    }
-
     private record Heard(GatewayReport report, long atNanos) {}
 }
--- a/daemon/src/main/java/org/crocushaven/forwarding/BackendChoice.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/BackendChoice.java
@@ -21,6 +21,13 @@
     /** Cost of another failure domain; a little more than one request of a small server. */
     private static final double DOMAIN_COST = 0.06;
 
+    /**
+     * Prompt tokens that weigh as much as a full backend server: reading them takes the pause that
+     * a stream may have, 250 ms by the sheets. Playing seven gateways before eight engines with
+     * reports each 100 ms, 16 in 100 streams paused for longer with it, 28 without.
+     */
+    private static final double PROMPT_TOKENS = 8_000;
+
     /** Gain where the parts of the prompt were read before. */
     private static final double PROMPT_GAIN = 0.15;
 
@@ -55,7 +62,10 @@
     }
 
     private double cost(Candidate candidate) {
-        double cost = candidate.load() + FAILURE_COST * candidate.failures();
+        double cost =
+                candidate.load()
+                        + candidate.promptTokens() / PROMPT_TOKENS
+                        + FAILURE_COST * candidate.failures();
         if (candidate.backend().silent()) {
             cost += SILENCE_COST;
         }
@@ -74,9 +84,15 @@
      * @param backend the backend server
      * @param requests requests believed to be under way there, over all gateways
      * @param failures recent failures, decayed
+     * @param promptTokens tokens of prompts that it may still have to read
      * @param promptKnown whether it has lately read the shared parts of the prompt
      */
-    record Candidate(BackendRecord backend, int requests, double failures, boolean promptKnown) {
+    record Candidate(
+            BackendRecord backend,
+            int requests,
+            double failures,
+            double promptTokens,
+            boolean promptKnown) {
         /** Returns the part of its slots that is taken; more than 1 when requests wait. */
         double load() {
             return requests / (double) Math.max(1, backend.slots());
--- a/daemon/src/main/java/org/crocushaven/forwarding/FleetView.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/FleetView.java
@@ -15,18 +15,24 @@
 import org.crocushaven.fleet.BackendRecord;
 import org.crocushaven.fleet.GatewayUpdate;
 import org.crocushaven.fleet.HeldAdapter;
+import org.crocushaven.fleet.PromptWork;
 
 /**
  * What a gateway knows of backend servers: those the leader told of, what they hold, and the
  * requests under way there. Not thread-safe.
  */
 final class FleetView {
+    /** Prompts of fewer tokens than this are read at once; a tenth of a usual one. */
+    private static final double NOTABLE_TOKENS = 100;
+
     private final Map<String, BackendRecord> backends = new HashMap<>();
     private final Map<AdapterKey, Map<String, Holding>> holders = new HashMap<>();
     private final Map<String, Set<AdapterKey>> keysAt = new HashMap<>();
     private final Map<AdapterKey, Long> namedVersions = new HashMap<>();
     private final Map<String, Integer> ownLoads = new HashMap<>();
     private final Map<String, Integer> otherLoads = new HashMap<>();
+    private final Map<String, PromptWork> ownPrompts = new HashMap<>();
+    private final Map<String, PromptWork> otherPrompts = new HashMap<>();
     private final Map<UseKey, Use> uses = new HashMap<>();
     private long epoch;
     private long revision;
@@ -50,7 +56,13 @@
             }
         }
         otherLoads.clear();
-        update.otherLoads().forEach(load -> otherLoads.put(load.backend(), load.requests()));
+        otherPrompts.clear();
+        for (final BackendLoad load : update.otherLoads()) {
+            otherLoads.put(load.backend(), load.requests());
+            final PromptWork prompts = PromptWork.none();
+            prompts.sent(load.promptTokens(), nowNanos);
+            otherPrompts.put(load.backend(), prompts);
+        }
         epoch = update.epoch();
         revision = update.revision();
     }
@@ -176,13 +188,40 @@
         }
     }
 
-    /** Returns the requests of this gateway under way. */
-    List<BackendLoad> ownLoads() {
+    /** Notes the prompt of a request that is sent to a backend server now. */
+    void promptSent(String backend, double tokens, long nowNanos) {
+        ownPrompts.computeIfAbsent(backend, name -> PromptWork.none()).sent(tokens, nowNanos);
+    }
+
+    /** Returns the tokens of prompts that a backend server may still have to read. */
+    double promptTokensAt(String backend, long nowNanos) {
+        return left(ownPrompts, backend, nowNanos) + left(otherPrompts, backend, nowNanos);
+    }
+
+    /** Returns whether prompts were sent lately that other gateways should know of. */
+    boolean hasNewPrompts(long nowNanos) {
+        return ownPrompts.values().stream()
+                .anyMatch(prompts -> prompts.left(nowNanos) > NOTABLE_TOKENS);
+    }
+
+    /** Returns the requests of this gateway under way, for a report. */
+    List<BackendLoad> ownLoads(long nowNanos) {
         final List<BackendLoad> loads = new ArrayList<>(ownLoads.size());
-        ownLoads.forEach((backend, requests) -> loads.add(new BackendLoad(backend, requests)));
+        ownLoads.forEach(
+                (backend, requests) ->
+                        loads.add(
+                                new BackendLoad(
+                                        backend,
+                                        requests,
+                                        Math.round(left(ownPrompts, backend, nowNanos)))));
         return loads;
     }
 
+    private static double left(Map<String, PromptWork> prompts, String backend, long nowNanos) {
+        final PromptWork known = prompts.get(backend);
+        return known == null ? 0 : known.left(nowNanos);
+    }
+
     /** Returns the use of adapters since the last call. */
     List<AdapterUse> takeUses() {
         final List<AdapterUse> taken = new ArrayList<>(uses.size());
@@ -219,6 +258,7 @@
             List.copyOf(keysAt.getOrDefault(backend, Set.of()))
                     .forEach(key -> forget(backend, key));
             keysAt.remove(backend);
+            ownPrompts.remove(backend);
         }
     }
 
--- a/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
@@ -76,7 +76,14 @@
         this.freshness =
                 ControlFreshness.ofMillis(settings.freshnessMillis(), epochClock, clock.nanoTime());
         this.admission = KeyedAdmission.of(freshness, epochClock.time());
-        this.link = new LeaderLink(loop, transport, clock, this::report, this::updated);
+        this.link =
+                new LeaderLink(
+                        loop,
+                        transport,
+                        clock,
+                        this::report,
+                        this::updated,
+                        () -> view.hasNewPrompts(clock.nanoTime()));
         final Random random = new Random(epochClock.time() ^ settings.instance().hashCode());
         this.server =
                 new IngressServer(
@@ -185,7 +192,7 @@
                 view.revision(),
                 configuration.map(IngressConfiguration::version).orElse(0L),
                 stateRevision,
-                view.ownLoads(),
+                view.ownLoads(nowNanos),
                 view.takeUses(),
                 admission.report(nowNanos));
     }
--- a/daemon/src/main/java/org/crocushaven/forwarding/LeaderLink.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/LeaderLink.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongFunction;
 import org.agrona.concurrent.NanoClock;
 import org.crocushaven.fleet.AdapterAsk;
@@ -30,6 +31,9 @@
     /** Time between two reports; a twelfth of the shortest time within which news must arrive. */
     private static final long REPORT_MILLIS = 250;
 
+    /** The same while prompts are sent, which the other gateways should know of soon. */
+    private static final long BUSY_REPORT_MILLIS = 100;
+
     /** Time until another instance is tried while none answers as leader. */
     private static final long SEARCH_MILLIS = 60;
 
@@ -47,6 +51,7 @@
     private final NanoClock clock;
     private final LongFunction<GatewayReport> reports;
     private final UpdateListener updates;
+    private final BooleanSupplier busy;
     private final Set<String> controls = new LinkedHashSet<>();
     private final List<Runnable> waiting = new ArrayList<>();
     private int waitingForThis;
@@ -64,18 +69,21 @@
      *
      * @param reports makes the report to be sent at a time
      * @param updates takes the leader's answers
+     * @param busy whether there is news that others should know of soon
      */
     LeaderLink(
             EventLoop loop,
             PeerTransport transport,
             NanoClock clock,
             LongFunction<GatewayReport> reports,
-            UpdateListener updates) {
+            UpdateListener updates,
+            BooleanSupplier busy) {
         this.loop = loop;
         this.transport = transport;
         this.clock = clock;
         this.reports = reports;
         this.updates = updates;
+        this.busy = busy;
     }
 
     /** Adds instances that may hold control state. */
@@ -235,7 +243,8 @@
     }
 
     private void scheduleNext(boolean someoneWaited) {
-        final long usual = someoneWaited ? FOLLOWING_MILLIS : REPORT_MILLIS;
+        final long regular = busy.getAsBoolean() ? BUSY_REPORT_MILLIS : REPORT_MILLIS;
+        final long usual = someoneWaited ? FOLLOWING_MILLIS : regular;
         schedule(again ? URGENT_MILLIS : usual);
     }
 
--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
@@ -339,6 +339,15 @@
         final String backend = next.target().backend().backend();
         requestsThere = environment.view().requestsAt(backend);
         environment.observer().sent(request, backend, next.number(), requestsThere);
+        request.usage()
+                .ifPresent(
+                        usage ->
+                                environment
+                                        .view()
+                                        .promptSent(
+                                                backend,
+                                                usage.promptTokens(),
+                                                environment.nowNanos()));
         channel.send(
                 new BackendRequestFactory(environment)
                         .create(
--- a/daemon/src/main/java/org/crocushaven/forwarding/TargetFinder.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/TargetFinder.java
@@ -154,6 +154,7 @@
                                 backend,
                                 environment.view().requestsAt(backend.backend()),
                                 environment.health().failures(backend.backend(), nowNanos),
+                                environment.view().promptTokensAt(backend.backend(), nowNanos),
                                 backend.backend().equals(reader)));
             }
         }
--- a/daemon/src/test/java/org/crocushaven/forwarding/BackendChoiceTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/BackendChoiceTest.java
@@ -29,6 +29,7 @@
                         List.of()),
                 requests,
                 failures,
+                0,
                 promptKnown);
     }
 
@@ -45,6 +46,16 @@
                         candidate("idle", "here", 1, 0, false)));
     }
 
+    /** Prompts that are read at the same time make all streams of an engine pause. */
+    @Test
+    void theOneThatReadsNoPromptsIsChosenAmongEquals() {
+        final BackendChoice.Candidate reading =
+                new BackendChoice.Candidate(
+                        candidate("reading", "here", 4, 0, false).backend(), 4, 0, 2_400, false);
+
+        assertEquals("idle", chosen(reading, candidate("idle", "here", 5, 0, false)));
+    }
+
     @Test
     void theOwnFailureDomainGoesFirstAmongEqualsOnly() {
         assertEquals(
--- a/daemon/src/test/java/org/crocushaven/forwarding/FleetViewTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/FleetViewTest.java
@@ -1,6 +1,7 @@
 package org.crocushaven.forwarding;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
@@ -8,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import org.crocushaven.fleet.AdapterKey;
 import org.crocushaven.fleet.AdapterVersion;
+import org.crocushaven.fleet.BackendLoad;
 import org.crocushaven.fleet.BackendRecord;
 import org.crocushaven.fleet.BackendState;
 import org.crocushaven.fleet.GatewayUpdate;
@@ -17,6 +19,7 @@
 
 class FleetViewTest {
     private static final AdapterKey KEY = new AdapterKey("base", "a1");
+    private static final long HALF_LIFE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
     private static final long READY_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
     private final FleetView view = new FleetView();
@@ -47,6 +50,15 @@
             List<AdapterVersion> versions,
             List<BackendRecord> changed,
             List<String> gone) {
+        told(nowNanos, versions, changed, gone, List.of());
+    }
+
+    private void told(
+            long nowNanos,
+            List<AdapterVersion> versions,
+            List<BackendRecord> changed,
+            List<String> gone,
+            List<BackendLoad> otherLoads) {
         view.apply(
                 new GatewayUpdate(
                         1,
@@ -59,13 +71,22 @@
                         !versions.isEmpty(),
                         changed,
                         gone,
-                        List.of(),
+                        otherLoads,
                         1,
                         List.of(),
                         Optional.empty()),
                 nowNanos);
     }
 
+    private void othersSent(String backend, long promptTokens) {
+        told(
+                0,
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of(new BackendLoad(backend, 1, promptTokens)));
+    }
+
     private List<String> holdersAt(long nowNanos) {
         return view.holdersOf("engines", KEY, nowNanos).stream()
                 .map(BackendRecord::backend)
@@ -145,4 +166,29 @@
             assertEquals(List.of(), holdersAt(10));
         }
     }
+
+    @Nested
+    class Prompts {
+        @Test
+        void ofThisGatewayAndOthersCountTogetherAndFadeAway() {
+            told(0, engine("one"));
+            view.promptSent("one", 1_000, 0);
+            othersSent("one", 500);
+
+            assertEquals(1_500, view.promptTokensAt("one", 0), 0.1);
+            assertEquals(750, view.promptTokensAt("one", HALF_LIFE_NANOS), 0.1);
+            assertEquals(0, view.promptTokensAt("two", 0), 0.1);
+        }
+
+        @Test
+        void areToldOfWhileTheyAreNotable() {
+            told(0, engine("one"));
+            view.started("one", KEY);
+            view.promptSent("one", 1_000, 0);
+
+            assertTrue(view.hasNewPrompts(0));
+            assertFalse(view.hasNewPrompts(10 * HALF_LIFE_NANOS));
+            assertEquals(List.of(new BackendLoad("one", 1, 500)), view.ownLoads(HALF_LIFE_NANOS));
+        }
+    }
 }
--- a/daemon/src/test/java/org/crocushaven/forwarding/LeaderLinkTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/LeaderLinkTest.java
@@ -34,7 +34,8 @@
                     new SilentTransport(),
                     SystemNanoClock.INSTANCE,
                     LeaderLinkTest::report,
-                    (update, sentNanos) -> updates.add(update.epoch()));
+                    (update, sentNanos) -> updates.add(update.epoch()),
+                    () -> false);
 
     @AfterEach
     void stop() throws InterruptedException {
