--- a/daemon/src/main/java/org/crocushaven/forwarding/LeaderLink.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/LeaderLink.java
@@ -44,7 +44,10 @@
     private static final long FOLLOWING_MILLIS = 60;
 
     private static final Duration REPORT_TIMEOUT = Duration.ofMillis(300);
-    /** Two orders to an engine, each with its answer; beyond, the caller is told when to come back. */
+
+    /**
+     * Two orders to an engine, each with its answer; beyond, the caller is told when to come back.
+     */
     private static final Duration ASK_TIMEOUT = Duration.ofMillis(400);
 
     private final EventLoop loop;
