Keep what leaves for an adapter in turn from leaving for another one

Since adapters wait for their turn, a report can come between the promise of a place and its order; it made the adapter that was to leave usable again, so that a second load chose the same victim. The second unload is answered 'holds' and not counted by the engine, while we count it; the next order is refused for its count, and if that is another one, the second load follows with a count learned anew: one adapter left, two came. Change: an adapter that waits keeps its victim, which stays on its way out through reports. When the turn comes, the engine must have reported itself and all that it holds and was promised must fit (AdapterPlanner.fits); else its report is awaited, three times 0.1 s, and then the place is given up. Test: AdapterPlannerTest.whatLeavesForAnAdapterInTurnDoesNotLeaveForAnother fails before; whatWaitsForItsTurnIsNotOrderedWhereItsPlaceIsGone. Left: orders that wait at an engine go on after another one was refused for its count; they should be placed anew.

--- a/daemon/src/main/java/org/crocushaven/fleet/AdapterPlanner.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/AdapterPlanner.java
@@ -137,6 +137,11 @@
         return engine == null ? List.of() : engine.slots().usable(nowNanos);
     }
 
+    /** Returns whether all that an engine holds or was promised finds a place. */
+    boolean fits(String backend) {
+        return Optional.ofNullable(engines.get(backend)).filter(PlannedEngine::fits).isPresent();
+    }
+
     /** Returns the engine's places, for the giver of orders. */
     Optional<EngineSlots> slotsOf(String backend) {
         return Optional.ofNullable(engines.get(backend)).map(engine -> engine.slots());
@@ -210,7 +215,8 @@
         final EngineSlots slots = engines.get(placement.backend()).slots();
         placement.victim().flatMap(slots::find).ifPresent(EngineSlots.Slot::startLeaving);
         final long readyNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(placement.readyInMillis());
-        slots.reserve(placement.key(), placement.version(), readyNanos, nowNanos);
+        slots.reserve(
+                placement.key(), placement.version(), placement.victim(), readyNanos, nowNanos);
         if (!placement.fromMemory()) {
             loadTime.planned(nowNanos);
         }
--- a/daemon/src/main/java/org/crocushaven/fleet/EnginePlacement.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/EnginePlacement.java
@@ -20,6 +20,12 @@
     /** Engines that are tried besides the first for one request. */
     private static final int OTHER_ENGINES = 2;
 
+    /** Time until a turn is tried again while the engine's report is awaited. */
+    private static final long REPORT_MILLIS = 100;
+
+    /** How often it is tried again; engines are asked for reports every 200 ms. */
+    private static final int LOOKS = 3;
+
     private final EngineOrderContext context;
     private final BackendRegistry registry;
     private final NanoClock clock;
@@ -181,19 +187,37 @@
 
     /** Promises an adapter that is ordered when its turn at the weight store has come. */
     private CompletableFuture<AdapterGrant> loadLater(AdapterPlacement chosen) {
-        context.loop()
-                .schedule(
-                        () -> {
-                            if (isQueued(chosen)) {
-                                load(chosen);
-                            }
-                        },
-                        chosen.turnInMillis(),
-                        TimeUnit.MILLISECONDS);
+        scheduleTurn(chosen, chosen.turnInMillis(), LOOKS);
         return CompletableFuture.completedFuture(
                 new AdapterGrant(chosen.backend(), chosen.readyInMillis(), chosen.version()));
     }
 
+    private void scheduleTurn(AdapterPlacement chosen, long delayMillis, int looksLeft) {
+        context.loop()
+                .schedule(() -> takeTurn(chosen, looksLeft), delayMillis, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Orders an adapter whose turn has come, if what the engine holds is known and leaves room.
+     *
+     * @param looksLeft how often a report is awaited before the place is given up
+     */
+    private void takeTurn(AdapterPlacement chosen, int looksLeft) {
+        if (!isQueued(chosen)) {
+            return;
+        }
+        final EngineSlots slots = planner.slotsOf(chosen.backend()).orElseThrow();
+        chosen.victim().flatMap(slots::find).ifPresent(EngineSlots.Slot::startLeaving);
+        if (slots.isVerified() && planner.fits(chosen.backend())) {
+            load(chosen);
+        } else if (looksLeft > 0) {
+            slots.doubt();
+            scheduleTurn(chosen, REPORT_MILLIS, looksLeft - 1);
+        } else {
+            slots.release(chosen.key());
+        }
+    }
+
     private boolean isQueued(AdapterPlacement chosen) {
         return !closed
                 && planner.slotsOf(chosen.backend())
--- a/daemon/src/main/java/org/crocushaven/fleet/EngineSlots.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/EngineSlots.java
@@ -77,6 +77,16 @@
                     final Slot slot = slots.computeIfAbsent(key, name -> told(version, nowNanos));
                     slot.told(version, pending.contains(key));
                 });
+        keepPromisedRoom();
+    }
+
+    /** What leaves for an adapter that waits for its turn must not leave for another one too. */
+    private void keepPromisedRoom() {
+        final List<AdapterKey> victims = new ArrayList<>();
+        slots.values().stream()
+                .filter(slot -> slot.queued)
+                .forEach(slot -> slot.victim.ifPresent(victims::add));
+        victims.forEach(victim -> find(victim).ifPresent(Slot::startLeaving));
     }
 
     /** Returns whether a report is wanted, since places are not known or loads not confirmed. */
@@ -118,6 +128,11 @@
         return slots.size();
     }
 
+    /** Returns how many places are taken without those of adapters that leave. */
+    long staying() {
+        return slots.values().stream().filter(slot -> !slot.leaving).count();
+    }
+
     /** Returns how many adapters are on their way. */
     int inTransit(long nowNanos) {
         int count = 0;
@@ -143,9 +158,19 @@
         return slots;
     }
 
-    /** Takes a place for an adapter that is about to be ordered. */
-    Slot reserve(AdapterKey key, long version, long readyNanos, long nowNanos) {
+    /**
+     * Takes a place for an adapter that is about to be ordered.
+     *
+     * @param victim adapter that leaves for it
+     */
+    Slot reserve(
+            AdapterKey key,
+            long version,
+            Optional<AdapterKey> victim,
+            long readyNanos,
+            long nowNanos) {
         final Slot slot = new Slot(version, nowNanos);
+        slot.victim = victim;
         slot.queued = true;
         slot.loading = true;
         slot.readyNanos = readyNanos;
@@ -193,6 +218,7 @@
     /** The place of one adapter. */
     static final class Slot {
         private long version;
+        private Optional<AdapterKey> victim = Optional.empty();
         private boolean queued;
         private boolean unsure;
         private boolean loading;
--- a/daemon/src/main/java/org/crocushaven/fleet/PlannedEngine.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/PlannedEngine.java
@@ -64,6 +64,11 @@
         return slots.taken() < places();
     }
 
+    /** Returns whether what it holds and was promised, without what leaves, finds room. */
+    boolean fits() {
+        return slots.staying() <= places();
+    }
+
     /** Returns the part of its slots that is taken; more than 1 when requests wait. */
     double load() {
         return requests / (double) Math.max(1, announcement.slots());
--- a/daemon/src/test/java/org/crocushaven/fleet/AdapterPlannerTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/AdapterPlannerTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
@@ -146,6 +147,34 @@
             assertTrue(place("a3").isEmpty());
         }
 
+        /** A second load with the same victim would find no room: the engine would crash. */
+        @Test
+        void whatLeavesForAnAdapterInTurnDoesNotLeaveForAnother() {
+            engine("one", "a1", "a2");
+            pass(2_000);
+            final AdapterPlacement waiting = place("a8").orElseThrow();
+            planner.commit(waiting, nowNanos);
+
+            report("one", "a1", "a2");
+            pass(2_000);
+
+            assertNotEquals(waiting.victim(), place("a9").orElseThrow().victim());
+        }
+
+        /** Late orders may have filled the engine since the place was promised. */
+        @Test
+        void whatWaitsForItsTurnIsNotOrderedWhereItsPlaceIsGone() {
+            engine("one");
+            planner.commit(place("a1").orElseThrow(), nowNanos);
+            assertTrue(planner.fits("one"));
+
+            report("one", "late1", "late2");
+            assertFalse(planner.fits("one"));
+
+            slot("one", "late1").startLeaving();
+            assertTrue(planner.fits("one"));
+        }
+
         @Test
         void anOrderWithoutAnswerTakesItsPlaceUntilTheReport() {
             engine("one");
--- a/daemon/src/test/java/org/crocushaven/fleet/AdapterRefusalTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/AdapterRefusalTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.crocushaven.ingress.BaseModel;
 import org.crocushaven.ingress.EngineProfile;
@@ -43,6 +44,7 @@
                     .reserve(
                             new AdapterKey(MODEL, "a" + millis),
                             0,
+                            Optional.empty(),
                             nowNanos + TimeUnit.MILLISECONDS.toNanos(millis),
                             nowNanos);
         }
