Ask the leader for tokens of an organisation that was never heard of

The rate known for such an organisation is 0, and so the pool seemed to have nothing. Change: an organisation of which nothing is known is worth asking for. Test: ShareAllocatorTest.tokensOfAnUnknownOrganisationAreWorthAskingFor.

--- a/daemon/src/main/java/org/crocushaven/admission/OrganisationShare.java
+++ b/daemon/src/main/java/org/crocushaven/admission/OrganisationShare.java
@@ -106,9 +106,10 @@
         forgetRefunds();
     }
 
-    /** Returns whether the pool is likely to have tokens, so that the allocator may give some. */
+    /** Returns whether the allocator may give tokens: it was never heard, or its pool has some. */
     boolean poolMayGive(long nowNanos) {
-        return poolTokens + organisationRate * ((nowNanos - appliedNanos) / NANOS_PER_SECOND) > 0;
+        final double made = organisationRate * ((nowNanos - appliedNanos) / NANOS_PER_SECOND);
+        return organisationBurst <= 0 || poolTokens + made > 0;
     }
 
     /** Returns when the given tokens are expected, counting the pool. */
--- a/daemon/src/test/java/org/crocushaven/admission/ShareAllocatorTest.java
+++ b/daemon/src/test/java/org/crocushaven/admission/ShareAllocatorTest.java
@@ -144,4 +144,13 @@
                 report.entries(),
                 report.emptyNanos());
     }
+
+    /** A holder that has never heard of an organisation must ask before it refuses. */
+    @Test
+    void tokensOfAnUnknownOrganisationAreWorthAskingFor() {
+        allocator.allHoldersKnown(0, nowNanos);
+        report();
+
+        assertTrue(holder.tryCharge("unknown", 1, nowNanos).worthAsking());
+    }
 }
