--- a/daemon/src/main/java/org/crocushaven/fleet/BackendRegistry.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/BackendRegistry.java
@@ -99,6 +99,13 @@
                 .toList();
     }
 
+    /** Returns the number of backend servers whose last announcement has a state. */
+    public long count(BackendState state) {
+        return entries.values().stream()
+                .filter(entry -> entry.announcement.state() == state)
+                .count();
+    }
+
     private static boolean isNewer(BackendAnnouncement candidate, BackendAnnouncement known) {
         if (candidate.service().isEmpty()) {
             return known.state() != BackendState.GONE;
--- a/daemon/src/main/java/org/crocushaven/fleet/ControlInstance.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/ControlInstance.java
@@ -139,20 +139,35 @@
     /** Applies an announcement; completes when it may be acknowledged. */
     public CompletableFuture<Void> announce(BackendAnnouncement announcement) {
         apply(announcement);
-        final boolean needsLeader = announcement.state() != BackendState.READY;
-        if (currentLeader() != null) {
+        if (announcement.state() == BackendState.READY) {
             forwardToOthers(announcement, "");
             return CompletableFuture.completedFuture(null);
         }
-        final String known = group().leader().orElse("");
-        if (!needsLeader) {
+        final long receivedNanos = clock.nanoTime();
+        return announceDeparture(announcement)
+                .thenRun(() -> logDeparture(announcement, receivedNanos));
+    }
+
+    private CompletableFuture<Void> announceDeparture(BackendAnnouncement announcement) {
+        if (currentLeader() != null) {
             forwardToOthers(announcement, "");
             return CompletableFuture.completedFuture(null);
         }
-        forwardToOthers(announcement, known);
+        forwardToOthers(announcement, group().leader().orElse(""));
         return askLeader(announcement).thenApply(answer -> null);
     }
 
+    private void logDeparture(BackendAnnouncement announcement, long receivedNanos) {
+        EventLine.of("departure-acknowledged")
+                .with("backend", announcement.backend())
+                .with("state", announcement.state())
+                .with("sequence", announcement.sequence())
+                .with("leading", leader != null)
+                .with("term", group().term())
+                .with("after_ms", TimeUnit.NANOSECONDS.toMillis(clock.nanoTime() - receivedNanos))
+                .info();
+    }
+
     /** Puts a configuration in force; completes when it is committed. */
     public CompletableFuture<Void> replace(long version, byte[] document) {
         return propose(FleetCommand.configuration(version, Documents.compress(document)));
@@ -379,7 +394,12 @@
             if (leader != null) {
                 leader.close();
             }
-            EventLine.of("leading-started").with("epoch", term).info();
+            EventLine.of("leading-started")
+                    .with("epoch", term)
+                    .with("ready", registry.count(BackendState.READY))
+                    .with("draining", registry.count(BackendState.DRAINING))
+                    .with("gone", registry.count(BackendState.GONE))
+                    .info();
             membership.leadingStarted(nowNanos);
             leader =
                     new FleetLeader(
--- a/daemon/src/main/java/org/crocushaven/fleet/FleetLeader.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/FleetLeader.java
@@ -28,6 +28,7 @@
     private final EnginePlacement placement;
     private final GatewayReports reports = new GatewayReports();
     private final BackendChanges changes = new BackendChanges();
+    private final LeaderLoad load;
     private long configuredRevision = -1;
     private Optional<IngressConfiguration> configuration = Optional.empty();
 
@@ -53,6 +54,7 @@
         this.dialect = orders.dialect();
         this.clock = clock;
         final long nowNanos = clock.nanoTime();
+        this.load = new LeaderLoad(nowNanos);
         this.lending = new ShareLending(epoch, state, registration, rateSlack, nowNanos);
         this.placement =
                 new EnginePlacement(
@@ -105,21 +107,24 @@
         final boolean gatewayHasState = report.stateRevision() == view.revision();
         final boolean gatewayHasDocument =
                 report.configurationVersion() == view.configurationVersion();
-        return new GatewayUpdate(
-                epoch,
-                changes.revision(),
-                !isKnown,
-                view.revision(),
-                view.configurationVersion(),
-                gatewayHasDocument ? NO_DOCUMENT : view.document(),
-                gatewayHasState ? List.of() : view.adapterVersions(),
-                !gatewayHasState,
-                changes.changedSince(since),
-                changes.goneSince(since),
-                reports.otherLoads(report.gateway(), nowNanos),
-                reports.gateways().size(),
-                controls,
-                lending.lend(report, nowNanos));
+        final GatewayUpdate update =
+                new GatewayUpdate(
+                        epoch,
+                        changes.revision(),
+                        !isKnown,
+                        view.revision(),
+                        view.configurationVersion(),
+                        gatewayHasDocument ? NO_DOCUMENT : view.document(),
+                        gatewayHasState ? List.of() : view.adapterVersions(),
+                        !gatewayHasState,
+                        changes.changedSince(since),
+                        changes.goneSince(since),
+                        reports.otherLoads(report.gateway(), nowNanos),
+                        reports.gateways().size(),
+                        controls,
+                        lending.lend(report, nowNanos));
+        load.recordReport(nowNanos, clock.nanoTime(), update.changed().size());
+        return update;
     }
 
     /** Returns the gateways that report to this leader. */
@@ -137,6 +142,7 @@
         refresh();
         lending.tick(clock.nanoTime());
         placement.tick();
+        load.tick(reports.gateways().size(), changes.present().size(), clock.nanoTime());
     }
 
     /** Stops sending orders. */
--- a/daemon/src/main/java/org/crocushaven/forwarding/ForwardingObserver.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/ForwardingObserver.java
@@ -8,6 +8,20 @@
     /** Called when a request is sent to a backend server. */
     void sent(IngressRequest request, String backend, int attempt, int requestsAtBackend);
 
+    /**
+     * Called when a request is sent to a backend server that does not accept requests any more.
+     *
+     * @param state the last known state of the backend server
+     * @param sinceArrivalMillis time since the request arrived
+     * @param adapterWaitMillis the part of it for which the request waited for its adapter
+     */
+    void sentToLeaving(
+            IngressRequest request,
+            String backend,
+            String state,
+            long sinceArrivalMillis,
+            long adapterWaitMillis);
+
     /**
      * Called when an attempt fails.
      *
--- a/daemon/src/main/java/org/crocushaven/forwarding/GatewayBackends.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/GatewayBackends.java
@@ -16,6 +16,7 @@
 import org.crocushaven.fleet.GatewayUpdate;
 import org.crocushaven.fleet.HeldAdapter;
 import org.crocushaven.fleet.PromptBacklog;
+import org.crocushaven.observability.EventLine;
 
 /**
  * Holds what a gateway knows of the backend servers: the leader's records of them, the adapters
@@ -266,6 +267,7 @@
 
     private void put(BackendRecord record, long nowNanos) {
         final String backend = record.backend();
+        logStateChange(backends.get(backend), record);
         for (final AdapterKey key : List.copyOf(keysByBackend.getOrDefault(backend, Set.of()))) {
             if (holdings(key).get(backend).waitNanos(nowNanos) == 0) {
                 removeHolder(backend, key);
@@ -277,6 +279,16 @@
         }
     }
 
+    private static void logStateChange(BackendRecord known, BackendRecord record) {
+        if (known != null && known.state() != record.state()) {
+            EventLine.of("backend-state-received")
+                    .with("backend", record.backend())
+                    .with("state", record.state())
+                    .with("previous", known.state())
+                    .info();
+        }
+    }
+
     private void remove(String backend) {
         if (backends.remove(backend) != null) {
             List.copyOf(keysByBackend.getOrDefault(backend, Set.of()))
--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
@@ -4,6 +4,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.crocushaven.fleet.BackendRecord;
 import org.crocushaven.ingress.IngressRequest;
@@ -350,6 +351,7 @@
         final String backend = next.target().backend().backend();
         requestsAtBackend = environment.view().requestsAt(backend);
         environment.observer().sent(request, backend, next.number(), requestsAtBackend);
+        reportIfLeaving(backend);
         request.usage()
                 .ifPresent(
                         usage ->
@@ -375,6 +377,21 @@
         }
     }
 
+    /** Reports a send to a backend server that does not accept requests any more. */
+    private void reportIfLeaving(String backend) {
+        final Optional<BackendRecord> known = environment.view().find(backend);
+        if (known.filter(BackendRecord::acceptsRequests).isEmpty()) {
+            environment
+                    .observer()
+                    .sentToLeaving(
+                            request,
+                            backend,
+                            known.map(record -> record.state().toString()).orElse("unknown"),
+                            TimeUnit.NANOSECONDS.toMillis(environment.nowNanos() - arrivedNanos),
+                            adapterWaitMillis);
+        }
+    }
+
     /** Abandons a silent backend server if another one may serve the request. */
     private void backendSilent(long silentMillis) {
         final BackendAttempt watched = attempt;
--- a/daemon/src/main/java/org/crocushaven/instance/ForwardingLog.java
+++ b/daemon/src/main/java/org/crocushaven/instance/ForwardingLog.java
@@ -41,6 +41,12 @@
                     .name("crocushaven_gateway_repeats")
                     .help("Requests sent to a backend server once more.")
                     .register(registry);
+    private final Counter leavingSends =
+            Counter.builder()
+                    .name("crocushaven_gateway_sends_to_leaving")
+                    .help("Requests sent to a backend server that leaves or is unknown, by state.")
+                    .labelNames("state")
+                    .register(registry);
     private final Counter foreignAnswers =
             Counter.builder()
                     .name("crocushaven_gateway_foreign_answers")
@@ -98,6 +104,23 @@
         }
     }
 
+    @Override
+    public void sentToLeaving(
+            IngressRequest request,
+            String backend,
+            String state,
+            long sinceArrivalMillis,
+            long adapterWaitMillis) {
+        leavingSends.labelValues(state).inc();
+        EventLine.of("sent-to-leaving")
+                .with("request", request.requestId())
+                .with("backend", backend)
+                .with("state", state)
+                .with("since_arrival_ms", sinceArrivalMillis)
+                .with("adapter_wait_ms", adapterWaitMillis)
+                .info();
+    }
+
     @Override
     public void attemptFailed(
             IngressRequest request,
