Look for another backend server when the one that a request waits for has left

Cause: RequestForwarding.sendLater kept the decision and did not look at the state again; class: decision used after the state it rests on has changed. Now the state is read again when the wait ends; a target that has left is excluded and another one is found, within the route's attempts; if there is none the request is refused as not run.

RequestForwardingTest: 3 of 3 failed before (sent to the one that left, twice; no refusal within 10 s), 3 of 3 pass.

--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
@@ -307,13 +307,31 @@
                                     .view()
                                     .requestEnded(target.backend().backend(), target.key());
                             if (!done) {
-                                send(target);
+                                sendAfterWait(target);
                             }
                         },
                         delayMillis,
                         TimeUnit.MILLISECONDS);
     }
 
+    /** Sends a request to the target that it waited for, or looks for another if that one left. */
+    private void sendAfterWait(Target target) {
+        if (acceptsRequests(target)) {
+            send(target);
+        } else {
+            retries.exclude(target.backend().backend());
+            tryAnother();
+        }
+    }
+
+    private boolean acceptsRequests(Target target) {
+        return environment
+                .view()
+                .find(target.backend().backend())
+                .filter(BackendRecord::acceptsRequests)
+                .isPresent();
+    }
+
     private void send(Target target) {
         final BackendRecord backend = target.backend();
         lastBackend = backend.backend();
--- /dev/null
+++ b/daemon/src/test/java/org/crocushaven/forwarding/RequestForwardingTest.java
@@ -0,0 +1,306 @@
+package org.crocushaven.forwarding;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.agrona.concurrent.SystemEpochClock;
+import org.agrona.concurrent.SystemNanoClock;
+import org.crocushaven.fleet.AdapterGrant;
+import org.crocushaven.fleet.AdapterRequest;
+import org.crocushaven.fleet.BackendRecord;
+import org.crocushaven.fleet.BackendState;
+import org.crocushaven.fleet.GatewayUpdate;
+import org.crocushaven.ingress.IngressConfiguration;
+import org.crocushaven.ingress.IngressLimits;
+import org.crocushaven.ingress.IngressRequest;
+import org.crocushaven.ingress.IngressRoute;
+import org.crocushaven.ingress.ModelReference;
+import org.crocushaven.ingress.RouteKind;
+import org.crocushaven.ingress.WeightedService;
+import org.crocushaven.outbound.BackendPool;
+import org.crocushaven.result.ResultCode;
+import org.crocushaven.result.ResultException;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class RequestForwardingTest {
+    private static final String SERVICE = "engines";
+    private static final String LEAVING = "leaving";
+    private static final String STAYING = "staying";
+    private static final long LOAD_MILLIS = 100;
+    private static final long TIMEOUT_MILLIS = 10_000;
+
+    private final EventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = (EventLoop) group.next();
+    private final GatewayBackends view = new GatewayBackends();
+    private final Deque<AdapterGrant> grants = new ArrayDeque<>();
+    private final List<AdapterRequest> adapterRequests = new ArrayList<>();
+    private final BlockingQueue<String> sent = new LinkedBlockingQueue<>();
+    private final BlockingQueue<ResultCode> refusals = new LinkedBlockingQueue<>();
+    private ServerSocket server;
+
+    @BeforeEach
+    void listen() throws IOException {
+        server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        server.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).await();
+    }
+
+    private BackendRecord backend(String name, BackendState state) {
+        return new BackendRecord(
+                name, SERVICE, "127.0.0.1", server.getLocalPort(), "a", state, false, 4, List.of());
+    }
+
+    private void update(BackendRecord... changed) {
+        update(Arrays.asList(changed), List.of());
+    }
+
+    private void update(List<BackendRecord> changed, List<String> gone) {
+        view.apply(
+                new GatewayUpdate(
+                        1,
+                        1,
+                        false,
+                        0,
+                        1,
+                        new byte[0],
+                        List.of(),
+                        false,
+                        changed,
+                        gone,
+                        List.of(),
+                        1,
+                        List.of(),
+                        Optional.empty()),
+                System.nanoTime());
+    }
+
+    private ForwardingEnvironment environment() {
+        final IngressRoute route =
+                new IngressRoute(
+                        "chat",
+                        "host",
+                        "/chat/",
+                        RouteKind.STREAM,
+                        TIMEOUT_MILLIS,
+                        600,
+                        300,
+                        0,
+                        List.of(new WeightedService(SERVICE, 1)),
+                        1,
+                        true,
+                        false);
+        final IngressConfiguration configuration =
+                IngressConfiguration.of(
+                        1, List.of(route), List.of(), List.of(), IngressLimits.DEFAULT);
+        final ControlFreshness freshness =
+                ControlFreshness.ofMillis(
+                        TIMEOUT_MILLIS, SystemEpochClock.INSTANCE, System.nanoTime());
+        freshness.confirm(System.nanoTime());
+        final Random random = new Random(1);
+        return new ForwardingEnvironment(
+                loop,
+                SystemNanoClock.INSTANCE,
+                random,
+                new PlainDialect(),
+                () -> Optional.of(configuration),
+                BackendPool.create(loop, SystemNanoClock.INSTANCE),
+                view,
+                new BackendHealth(),
+                BackendSelector.of("a", random),
+                ServiceRetryBudget.of(1, 10),
+                KeyedAdmission.of(freshness, 1),
+                freshness,
+                new PromptReaders(),
+                new QueuedGrants(),
+                new SendRecorder());
+    }
+
+    private static IngressRequest request() {
+        return new IngressRequest(
+                "request",
+                HttpMethod.POST,
+                "/chat/x",
+                "host",
+                "/chat/x",
+                new DefaultHttpHeaders(),
+                OptionalLong.empty(),
+                Optional.empty(),
+                Optional.of(new ModelReference("base", "a1")),
+                Optional.empty(),
+                List.of(),
+                Optional.empty());
+    }
+
+    private void startRequestThen(Runnable change) {
+        loop.execute(
+                () -> {
+                    update(
+                            backend(LEAVING, BackendState.READY),
+                            backend(STAYING, BackendState.READY));
+                    RequestForwarding.start(
+                            environment(), request(), Unpooled.EMPTY_BUFFER, new RefusalRecorder());
+                    change.run();
+                });
+    }
+
+    @Test
+    void requestThatWaitsForAdapterIsNotSentToBackendServerThatLeftMeanwhile() throws Exception {
+        grants.add(new AdapterGrant(LEAVING, LOAD_MILLIS, 1));
+        grants.add(new AdapterGrant(STAYING, LOAD_MILLIS, 1));
+
+        startRequestThen(() -> update(backend(LEAVING, BackendState.DRAINING)));
+
+        assertEquals(STAYING, sent.poll(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+        assertEquals(List.of(LEAVING), adapterRequests.get(1).excludedBackends());
+    }
+
+    @Test
+    void requestThatWaitsForAdapterIsNotSentToBackendServerThatIsGone() throws Exception {
+        grants.add(new AdapterGrant(LEAVING, LOAD_MILLIS, 1));
+        grants.add(new AdapterGrant(STAYING, LOAD_MILLIS, 1));
+
+        startRequestThen(() -> update(List.of(), List.of(LEAVING)));
+
+        assertEquals(STAYING, sent.poll(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+    }
+
+    @Test
+    void requestWhoseOnlyBackendServerLeftIsRefusedAsNotRun() throws Exception {
+        grants.add(new AdapterGrant(LEAVING, LOAD_MILLIS, 1));
+        grants.add(AdapterGrant.none(LOAD_MILLIS));
+
+        startRequestThen(() -> update(backend(LEAVING, BackendState.DRAINING)));
+
+        assertEquals(ResultCode.QUEUE_FULL, refusals.poll(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+        assertEquals(0, sent.size());
+    }
+
+    /** Answers each request for an adapter with the next grant. */
+    private final class QueuedGrants implements LeaderRequests {
+        @Override
+        public CompletableFuture<AdapterGrant> requestAdapter(AdapterRequest request) {
+            adapterRequests.add(request);
+            return CompletableFuture.completedFuture(grants.remove());
+        }
+
+        @Override
+        public void afterNextReport(Runnable action) {
+            throw new AssertionError("the route needs no tokens");
+        }
+    }
+
+    /** Records to which backend servers requests are sent. */
+    private final class SendRecorder implements ForwardingObserver {
+        @Override
+        public void sent(
+                IngressRequest request, String backend, int attempt, int requestsAtBackend) {
+            sent.add(backend);
+        }
+
+        @Override
+        public void sentToLeaving(
+                IngressRequest request,
+                String backend,
+                String state,
+                long sinceArrivalMillis,
+                long adapterWaitMillis) {}
+
+        @Override
+        public void attemptFailed(
+                IngressRequest request,
+                String backend,
+                int attempt,
+                boolean mayHaveRun,
+                String reason) {}
+
+        @Override
+        public void foreignAnswer(IngressRequest request, String backend, int attempt) {}
+
+        @Override
+        public void ended(ForwardingSummary summary) {}
+
+        @Override
+        public void refusedBeforeDecoding(ResultCode code, String detail) {}
+    }
+
+    /** Records refusals. */
+    private final class RefusalRecorder implements ClientAnswer {
+        @Override
+        public void refuse(ResultException refusal) {
+            refusals.add(refusal.code());
+        }
+
+        @Override
+        public void sendComplete(HttpResponseStatus status, HttpHeaders headers, ByteBuf body) {
+            body.release();
+        }
+
+        @Override
+        public void startStream(HttpResponseStatus status, HttpHeaders headers) {}
+
+        @Override
+        public void sendEvents(ByteBuf events) {
+            events.release();
+        }
+
+        @Override
+        public void endStream() {}
+
+        @Override
+        public void abort() {}
+
+        @Override
+        public boolean isWritable() {
+            return true;
+        }
+    }
+
+    /** Adds no headers; no answer is decoded in these tests. */
+    private static final class PlainDialect implements IngressDialect {
+        @Override
+        public IngressRequest decodeRequest(HttpRequest head) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void addForwardingHeaders(HttpHeaders headers, ForwardingFields fields) {}
+
+        @Override
+        public BackendAnswerHead decodeAnswer(HttpResponse head) {
+            throw new UnsupportedOperationException();
+        }
+    }
+}
