Commit the departure of a backend server before it is acknowledged

The next leader started from its own registry, where the backend server was ready, and told all gateways so; one that deregisters first says nothing more that would correct it. Class: acknowledged before a quorum holds it.

Departures (draining, deregistered) are now commands of the replicated log; those that arrive while one is proposed share the next. A new leader applies them to its registry before its first update. They are removed when the registry has forgotten the backend server or knows a later start. A deregistration names no start, so it takes the time of its receipt: of a backend server that this registry never saw, an old heartbeat that comes later counts no more, a later start does. What was weighed: answers of a majority's registries (no sync, but lost with a restart, and each new leader has to read a majority), gateways told directly (they cannot tell a later leader).

ControlInstanceTest: 3 of 3 failed before (READY instead of DRAINING and of gone at the next leader; acknowledged by a leader cut from both others), 3 of 3 pass.

--- a/daemon/src/main/java/org/crocushaven/fleet/BackendAnnouncement.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/BackendAnnouncement.java
@@ -43,6 +43,55 @@
                 backend, "", "", 0, "", BackendState.GONE, 0, 0, Long.MAX_VALUE, false, List.of());
     }
 
+    /** Returns whether this is a deregistration, which names nothing but the backend server. */
+    public boolean isDeregistration() {
+        return service.isEmpty();
+    }
+
+    /**
+     * Returns whether this replaces what is known of the same backend server, by start and
+     * sequence. After the end of a start only a later start counts.
+     */
+    public boolean isNewerThan(BackendAnnouncement known) {
+        if (startedMillis != known.startedMillis) {
+            return startedMillis > known.startedMillis;
+        }
+        return known.state != BackendState.GONE
+                && (state == BackendState.GONE || sequence > known.sequence);
+    }
+
+    /** Returns the same announcement with another start. */
+    BackendAnnouncement withStart(long newStartedMillis) {
+        return new BackendAnnouncement(
+                backend,
+                service,
+                host,
+                port,
+                failureDomain,
+                state,
+                requestSlots,
+                newStartedMillis,
+                sequence,
+                holdsModels,
+                held);
+    }
+
+    /** Returns the same announcement without what the backend server holds. */
+    BackendAnnouncement withoutHeld() {
+        return new BackendAnnouncement(
+                backend,
+                service,
+                host,
+                port,
+                failureDomain,
+                state,
+                requestSlots,
+                startedMillis,
+                sequence,
+                false,
+                List.of());
+    }
+
     /** Returns the same announcement with another state. */
     public BackendAnnouncement withState(BackendState newState) {
         return new BackendAnnouncement(
--- a/daemon/src/main/java/org/crocushaven/fleet/BackendRegistry.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/BackendRegistry.java
@@ -51,16 +51,30 @@
             entries.put(announcement.backend(), new Entry(announcement, nowNanos));
             return true;
         }
-        if (!isNewer(announcement, known.announcement)) {
-            return false;
+        final boolean isDeregistration = announcement.isDeregistration();
+        final boolean accepted =
+                isDeregistration
+                        ? known.announcement.state() != BackendState.GONE
+                        : announcement.isNewerThan(known.announcement);
+        if (accepted) {
+            known.announcement =
+                    isDeregistration
+                            ? known.announcement.withState(BackendState.GONE)
+                            : announcement;
+            known.receivedNanos = nowNanos;
         }
-        if (announcement.service().isEmpty()) {
-            known.announcement = known.announcement.withState(BackendState.GONE);
-        } else {
-            known.announcement = announcement;
+        return accepted;
+    }
+
+    /**
+     * Applies a departure that an earlier leader acknowledged, unless a later start of the backend
+     * server is known.
+     */
+    public void restoreDeparture(BackendAnnouncement departure, long nowNanos) {
+        final Entry known = entries.get(departure.backend());
+        if (known == null || departure.isNewerThan(known.announcement)) {
+            accept(departure, nowNanos);
         }
-        known.receivedNanos = nowNanos;
-        return true;
     }
 
     /** Removes backend servers that have long been silent or gone; returns their identifiers. */
@@ -106,16 +120,6 @@
                 .count();
     }
 
-    private static boolean isNewer(BackendAnnouncement candidate, BackendAnnouncement known) {
-        if (candidate.service().isEmpty()) {
-            return known.state() != BackendState.GONE;
-        }
-        if (candidate.startedMillis() != known.startedMillis()) {
-            return candidate.startedMillis() > known.startedMillis();
-        }
-        return known.state() != BackendState.GONE && candidate.sequence() > known.sequence();
-    }
-
     /** Marks backend servers as gone whose address is now used by one that started later. */
     private void markOlderAtAddressGone(BackendAnnouncement announcement) {
         final Map<String, Entry> older = new HashMap<>();
--- a/daemon/src/main/java/org/crocushaven/fleet/ControlInstance.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/ControlInstance.java
@@ -53,6 +53,7 @@
     private final SuspensionDetector suspension = new SuspensionDetector();
     private final GroupMembership membership;
     private final ElectionWatch electionWatch;
+    private final DepartureLog departures;
     private FleetLeader leader;
     private long distrustedUntilNanos;
     private long ticks;
@@ -83,6 +84,8 @@
                         loop,
                         this::group);
         this.electionWatch = new ElectionWatch(loop, this::isLeadershipSettled, this::startLeading);
+        this.departures =
+                new DepartureLog(state, change -> commit(MessageCodec.encodeValue(change)));
         final GroupRouter router = GroupRouter.create(transport);
         attach();
         this.supervisor = ReplicaSupervisor.open(() -> openGroup(router, seed));
@@ -137,7 +140,9 @@
     }
 
     /** Applies an announcement; completes when it may be acknowledged. */
-    public CompletableFuture<Void> announce(BackendAnnouncement announcement) {
+    public CompletableFuture<Void> announce(BackendAnnouncement received) {
+        final BackendAnnouncement announcement =
+                received.isDeregistration() ? received.withStart(epochClock.time()) : received;
         apply(announcement);
         if (announcement.state() == BackendState.READY) {
             forwardToOthers(announcement, "");
@@ -151,12 +156,21 @@
     private CompletableFuture<Void> announceDeparture(BackendAnnouncement announcement) {
         if (currentLeader() != null) {
             forwardToOthers(announcement, "");
-            return CompletableFuture.completedFuture(null);
+            return commitDeparture(announcement);
         }
         forwardToOthers(announcement, group().leader().orElse(""));
         return askLeader(announcement).thenApply(answer -> null);
     }
 
+    /** Commits that a backend server leaves, with its start if that is known. */
+    private CompletableFuture<Void> commitDeparture(BackendAnnouncement announcement) {
+        final BackendAnnouncement known =
+                registry.find(announcement.backend())
+                        .filter(found -> found.state() != BackendState.READY)
+                        .orElse(announcement);
+        return departures.commit(known.withoutHeld());
+    }
+
     private void logDeparture(BackendAnnouncement announcement, long receivedNanos) {
         EventLine.of("departure-acknowledged")
                 .with("backend", announcement.backend())
@@ -217,10 +231,14 @@
 
     private CompletableFuture<Message> announced(BackendAnnouncement announcement) {
         apply(announcement);
-        return currentLeader() == null
-                ? CompletableFuture.failedFuture(notLeader())
-                : CompletableFuture.completedFuture(
-                        new AnnouncementAcknowledged(announcement.backend()));
+        if (currentLeader() == null) {
+            return CompletableFuture.failedFuture(notLeader());
+        }
+        final CompletableFuture<Void> recorded =
+                announcement.state() == BackendState.READY
+                        ? CompletableFuture.completedFuture(null)
+                        : commitDeparture(announcement);
+        return recorded.thenApply(done -> new AnnouncementAcknowledged(announcement.backend()));
     }
 
     private CompletableFuture<Message> reported(GatewayReport report) {
@@ -333,6 +351,11 @@
         if (currentLeader() == null) {
             return CompletableFuture.failedFuture(notLeader());
         }
+        return commit(command).thenRun(this::applyCommitted);
+    }
+
+    /** Commits a command; the future completes on the event loop. */
+    private CompletableFuture<Void> commit(byte[] command) {
         final CompletableFuture<Void> committed = new CompletableFuture<>();
         group().propose(command)
                 .whenComplete(
@@ -340,7 +363,7 @@
                                 loop.execute(
                                         () -> {
                                             if (failure == null) {
-                                                finishProposal(committed);
+                                                committed.complete(null);
                                             } else {
                                                 committed.completeExceptionally(failure);
                                             }
@@ -361,13 +384,13 @@
                         });
     }
 
-    private void finishProposal(CompletableFuture<Void> committed) {
+    /** Passes a committed change on to the gateways. */
+    private void applyCommitted() {
         final FleetLeader activeLeader = currentLeader();
         if (activeLeader != null) {
             activeLeader.refresh();
             notifyGateways(activeLeader);
         }
-        committed.complete(null);
     }
 
     /**
@@ -395,6 +418,7 @@
             if (leader != null) {
                 leader.close();
             }
+            state.departures().forEach(departure -> registry.restoreDeparture(departure, nowNanos));
             EventLine.of("leading-started")
                     .with("epoch", term)
                     .with("ready", registry.count(BackendState.READY))
@@ -449,6 +473,7 @@
         pool.closeExpired();
         if (activeLeader != null) {
             activeLeader.tick();
+            departures.forget(obsoleteDepartures());
             membership.maintainVoters(clock.nanoTime());
         }
         if (ticks++ % JOIN_TICKS == 0 && activeLeader == null) {
@@ -456,6 +481,20 @@
         }
     }
 
+    /** Returns the departures of backend servers that are forgotten or have started again. */
+    private List<BackendAnnouncement> obsoleteDepartures() {
+        return state.departures().stream()
+                .filter(
+                        departure ->
+                                registry.find(departure.backend())
+                                        .filter(
+                                                known ->
+                                                        known.startedMillis()
+                                                                <= departure.startedMillis())
+                                        .isEmpty())
+                .toList();
+    }
+
     private ResultException notLeader() {
         return ResultException.of(ResultCode.NOT_LEADER, GROUP);
     }
--- /dev/null
+++ b/daemon/src/main/java/org/crocushaven/fleet/DepartureLog.java
@@ -0,0 +1,81 @@
+package org.crocushaven.fleet;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+
+/**
+ * Commits the departures of backend servers to the replicated state before they are acknowledged,
+ * so that every later leader knows them.
+ *
+ * <p>One command is proposed at a time; departures that are announced meanwhile share the next one,
+ * since whole failure domains leave at once. Used on one event loop only.
+ */
+final class DepartureLog {
+    /** Maximum number of departures in one command, far below the maximum size of a command. */
+    private static final int MAXIMUM_BATCH = 500;
+
+    private final FleetState state;
+    private final Function<FleetCommand, CompletableFuture<Void>> proposer;
+    private final Map<BackendAnnouncement, CompletableFuture<Void>> waiting = new LinkedHashMap<>();
+    private boolean proposing;
+
+    /**
+     * Creates a log.
+     *
+     * @param proposer proposes a command; the future completes on the event loop
+     */
+    DepartureLog(FleetState state, Function<FleetCommand, CompletableFuture<Void>> proposer) {
+        this.state = state;
+        this.proposer = proposer;
+    }
+
+    /** Commits a departure; completes when it may be acknowledged. */
+    CompletableFuture<Void> commit(BackendAnnouncement departure) {
+        if (state.knowsDeparture(departure)) {
+            return CompletableFuture.completedFuture(null);
+        }
+        final CompletableFuture<Void> committed =
+                waiting.computeIfAbsent(departure, added -> new CompletableFuture<>());
+        proposeNext();
+        return committed;
+    }
+
+    /** Removes departures that need no longer be remembered. */
+    void forget(List<BackendAnnouncement> departures) {
+        if (!proposing && !departures.isEmpty()) {
+            propose(FleetCommand.departures(List.of(), departures), List.of());
+        }
+    }
+
+    private void proposeNext() {
+        if (proposing || waiting.isEmpty()) {
+            return;
+        }
+        final List<BackendAnnouncement> batch =
+                waiting.keySet().stream().limit(MAXIMUM_BATCH).toList();
+        final List<CompletableFuture<Void>> futures = new ArrayList<>();
+        batch.forEach(departure -> futures.add(waiting.remove(departure)));
+        propose(FleetCommand.departures(batch, List.of()), futures);
+    }
+
+    private void propose(FleetCommand command, List<CompletableFuture<Void>> futures) {
+        proposing = true;
+        proposer.apply(command)
+                .whenComplete(
+                        (done, failure) -> {
+                            proposing = false;
+                            for (final CompletableFuture<Void> future : futures) {
+                                if (failure == null) {
+                                    future.complete(null);
+                                } else {
+                                    future.completeExceptionally(failure);
+                                }
+                            }
+                            proposeNext();
+                        });
+    }
+}
--- a/daemon/src/main/java/org/crocushaven/fleet/FleetCommand.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/FleetCommand.java
@@ -11,6 +11,8 @@
  * @param adapterVersions adapter versions that the operator requires
  * @param gatewaysAdded gateways that may hold shares from now on
  * @param gatewaysRemoved gateways that no longer hold shares
+ * @param departuresAdded announcements of backend servers that leave or have left
+ * @param departuresRemoved those that no longer have to be remembered
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record FleetCommand(
@@ -18,27 +20,44 @@
         byte[] document,
         List<AdapterVersion> adapterVersions,
         List<String> gatewaysAdded,
-        List<String> gatewaysRemoved) {
+        List<String> gatewaysRemoved,
+        List<BackendAnnouncement> departuresAdded,
+        List<BackendAnnouncement> departuresRemoved) {
     private static final byte[] NO_DOCUMENT = new byte[0];
 
     public FleetCommand {
         adapterVersions = List.copyOf(adapterVersions);
         gatewaysAdded = List.copyOf(gatewaysAdded);
         gatewaysRemoved = List.copyOf(gatewaysRemoved);
+        departuresAdded = copyOrEmpty(departuresAdded);
+        departuresRemoved = copyOrEmpty(departuresRemoved);
+    }
+
+    /** Copies a list; one that was stored before the component existed is null. */
+    private static <T> List<T> copyOrEmpty(List<T> stored) {
+        return stored == null ? List.of() : List.copyOf(stored);
     }
 
     /** Returns the command that puts a configuration in force. */
     public static FleetCommand configuration(long version, byte[] document) {
-        return new FleetCommand(version, document, List.of(), List.of(), List.of());
+        return new FleetCommand(
+                version, document, List.of(), List.of(), List.of(), List.of(), List.of());
     }
 
     /** Returns the command that requires a version of an adapter. */
     public static FleetCommand adapterVersion(AdapterVersion version) {
-        return new FleetCommand(0, NO_DOCUMENT, List.of(version), List.of(), List.of());
+        return new FleetCommand(
+                0, NO_DOCUMENT, List.of(version), List.of(), List.of(), List.of(), List.of());
     }
 
     /** Returns the command that changes which gateways may hold shares. */
     public static FleetCommand gateways(List<String> added, List<String> removed) {
-        return new FleetCommand(0, NO_DOCUMENT, List.of(), added, removed);
+        return new FleetCommand(0, NO_DOCUMENT, List.of(), added, removed, List.of(), List.of());
+    }
+
+    /** Returns the command that changes which departures of backend servers are remembered. */
+    public static FleetCommand departures(
+            List<BackendAnnouncement> added, List<BackendAnnouncement> removed) {
+        return new FleetCommand(0, NO_DOCUMENT, List.of(), List.of(), List.of(), added, removed);
     }
 }
--- a/daemon/src/main/java/org/crocushaven/fleet/FleetState.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/FleetState.java
@@ -10,8 +10,8 @@
 import org.crocushaven.protocol.MessageCodec;
 
 /**
- * The replicated state of a fleet: the newest configuration, the newest adapter versions, and the
- * gateways that may hold shares.
+ * The replicated state of a fleet: the newest configuration, the newest adapter versions, the
+ * gateways that may hold shares, and the backend servers that leave.
  *
  * <p>A configuration or adapter version that is not higher than the current one changes nothing.
  * Thread-safe; guarded by its own monitor.
@@ -26,6 +26,7 @@
     private long revision;
     private List<AdapterVersion> adapterVersionList = List.of();
     private final Set<String> gateways = new TreeSet<>();
+    private final Map<String, BackendAnnouncement> departures = new TreeMap<>();
 
     /** Returns a state without configuration. */
     public static FleetState create() {
@@ -45,6 +46,9 @@
         }
         gateways.addAll(decoded.gatewaysAdded());
         decoded.gatewaysRemoved().forEach(gateways::remove);
+        decoded.departuresAdded().forEach(this::applyDeparture);
+        decoded.departuresRemoved()
+                .forEach(departure -> departures.remove(departure.backend(), departure));
         return NO_RESULT;
     }
 
@@ -56,6 +60,8 @@
                         document,
                         List.copyOf(adapterVersions.values()),
                         List.copyOf(gateways),
+                        List.of(),
+                        List.copyOf(departures.values()),
                         List.of()));
     }
 
@@ -63,6 +69,7 @@
     public synchronized void restore(long index, byte[] snapshot) {
         adapterVersions.clear();
         gateways.clear();
+        departures.clear();
         configurationVersion = 0;
         document = NO_DOCUMENT;
         apply(index, snapshot);
@@ -80,6 +87,30 @@
         return Set.copyOf(gateways);
     }
 
+    /** Returns the last announcements of backend servers that leave or have left. */
+    public synchronized List<BackendAnnouncement> departures() {
+        return List.copyOf(departures.values());
+    }
+
+    /**
+     * Returns whether it is known that a backend server leaves; its later announcements of the same
+     * state add nothing.
+     */
+    public synchronized boolean knowsDeparture(BackendAnnouncement departure) {
+        final BackendAnnouncement known = departures.get(departure.backend());
+        return known != null
+                && (!departure.isNewerThan(known)
+                        || departure.startedMillis() == known.startedMillis()
+                                && departure.state() == known.state());
+    }
+
+    private void applyDeparture(BackendAnnouncement departure) {
+        final BackendAnnouncement known = departures.get(departure.backend());
+        if (known == null || departure.isNewerThan(known)) {
+            departures.put(departure.backend(), departure);
+        }
+    }
+
     private void applyVersion(AdapterVersion required, long index) {
         final String key = required.model() + '/' + required.adapter();
         final AdapterVersion known = adapterVersions.get(key);
