Send gateways at most one notice of updates in 100 ms

Each notice makes all gateways report within milliseconds. Changes within 100 ms of a notice now share the next one; the bounds for a change to be in force are 2 s and more. UpdateNoticesTest: 50 changes, one notice at once and one later.

--- a/daemon/src/main/java/org/crocushaven/fleet/ControlInstance.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/ControlInstance.java
@@ -54,6 +54,7 @@
     private final GroupMembership membership;
     private final ElectionWatch electionWatch;
     private final DepartureLog departures;
+    private final UpdateNotices notices;
     private FleetLeader leader;
     private long distrustedUntilNanos;
     private long ticks;
@@ -84,6 +85,7 @@
                         loop,
                         this::group);
         this.electionWatch = new ElectionWatch(loop, this::isLeadershipSettled, this::startLeading);
+        this.notices = new UpdateNotices(loop, clock, this::notifyGateways);
         this.departures =
                 new DepartureLog(state, change -> commit(MessageCodec.encodeValue(change)));
         final GroupRouter router = GroupRouter.create(transport);
@@ -300,14 +302,17 @@
             activeLeader.announced(announcement);
             if (announcement.state() != before) {
                 activeLeader.refresh();
-                notifyGateways(activeLeader);
+                notices.request();
             }
         }
     }
 
-    private void notifyGateways(FleetLeader activeLeader) {
-        final FleetUpdateNotice notice = new FleetUpdateNotice(settings.instance());
-        activeLeader.gateways().forEach(gateway -> transport.send(gateway, notice));
+    private void notifyGateways() {
+        final FleetLeader activeLeader = currentLeader();
+        if (activeLeader != null) {
+            final FleetUpdateNotice notice = new FleetUpdateNotice(settings.instance());
+            activeLeader.gateways().forEach(gateway -> transport.send(gateway, notice));
+        }
     }
 
     private void forwardToOthers(BackendAnnouncement announcement, String except) {
@@ -389,7 +394,7 @@
         final FleetLeader activeLeader = currentLeader();
         if (activeLeader != null) {
             activeLeader.refresh();
-            notifyGateways(activeLeader);
+            notices.request();
         }
     }
 
