--- a/daemon/src/test/java/org/crocushaven/fleet/BackendRegistryTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/BackendRegistryTest.java
@@ -72,6 +72,42 @@
         }
     }
 
+    @Nested
+    class Departures {
+        @Test
+        void restoredDepartureKeepsOutLateHeartbeatsAndAdmitsLaterStart() {
+            registry.restoreDeparture(announcement("x", 1, 10, 5, BackendState.DRAINING), 0);
+
+            assertFalse(registry.accept(announcement("x", 1, 10, 4, BackendState.READY), 0));
+            assertTrue(registry.accept(announcement("x", 1, 20, 1, BackendState.READY), 0));
+        }
+
+        @Test
+        void restoredDepartureDoesNotReplaceLaterStart() {
+            registry.accept(announcement("x", 1, 20, 1, BackendState.READY), 0);
+            registry.restoreDeparture(announcement("x", 1, 10, 5, BackendState.GONE), 0);
+            registry.restoreDeparture(BackendAnnouncement.deregistration("x").withStart(15), 0);
+
+            assertEquals(BackendState.READY, registry.find("x").orElseThrow().state());
+        }
+
+        @Test
+        void restoredDeregistrationEndsEarlierStart() {
+            registry.accept(announcement("x", 1, 10, 1, BackendState.READY), 0);
+            registry.restoreDeparture(BackendAnnouncement.deregistration("x").withStart(15), 0);
+
+            assertEquals(BackendState.GONE, registry.find("x").orElseThrow().state());
+        }
+
+        @Test
+        void deregistrationOfUnknownBackendServerKeepsOutItsLateHeartbeats() {
+            registry.accept(BackendAnnouncement.deregistration("x").withStart(15), 0);
+
+            assertFalse(registry.accept(announcement("x", 1, 10, 5, BackendState.READY), 0));
+            assertTrue(registry.accept(announcement("x", 1, 20, 1, BackendState.READY), 0));
+        }
+    }
+
     @Nested
     class Expiry {
         @Test
--- a/daemon/src/test/java/org/crocushaven/fleet/FleetStateTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/FleetStateTest.java
@@ -2,9 +2,12 @@
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -36,6 +39,82 @@
         assertEquals(1, state.view().revision());
     }
 
+    private static BackendAnnouncement departure(
+            BackendState state, long startedMillis, long sequence) {
+        return new BackendAnnouncement(
+                "worker",
+                "service",
+                "10.0.0.1",
+                80,
+                "a",
+                state,
+                4,
+                startedMillis,
+                sequence,
+                false,
+                List.of());
+    }
+
+    private static byte[] added(BackendAnnouncement departure) {
+        return MessageCodec.encodeValue(FleetCommand.departures(List.of(departure), List.of()));
+    }
+
+    @Test
+    void departuresOfLaterStartsAndTheEndReplaceOthers() {
+        final FleetState state = FleetState.create();
+        state.apply(1, added(departure(BackendState.DRAINING, 20, 5)));
+        state.apply(2, added(departure(BackendState.GONE, 10, 9)));
+        assertEquals(List.of(departure(BackendState.DRAINING, 20, 5)), state.departures());
+
+        state.apply(3, added(departure(BackendState.GONE, 20, 5)));
+        state.apply(4, added(departure(BackendState.DRAINING, 20, 6)));
+
+        assertEquals(List.of(departure(BackendState.GONE, 20, 5)), state.departures());
+        assertTrue(state.knowsDeparture(departure(BackendState.DRAINING, 20, 7)));
+        assertFalse(state.knowsDeparture(departure(BackendState.DRAINING, 30, 1)));
+    }
+
+    @Test
+    void departuresSurviveSnapshotAndDoNotChangeTheRevision() {
+        final FleetState state = FleetState.create();
+        state.apply(1, configuration(7, 1));
+        state.apply(2, added(departure(BackendState.DRAINING, 20, 5)));
+        final FleetState restored = FleetState.create();
+        restored.restore(2, state.snapshot());
+
+        assertEquals(1, state.view().revision());
+        assertEquals(state.departures(), restored.departures());
+    }
+
+    @Test
+    void removalOfDepartureLeavesOneOfLaterStart() {
+        final FleetState state = FleetState.create();
+        final BackendAnnouncement earlier = departure(BackendState.GONE, 10, 5);
+        final BackendAnnouncement later = departure(BackendState.DRAINING, 20, 1);
+        state.apply(1, added(earlier));
+        state.apply(2, added(later));
+        state.apply(
+                3, MessageCodec.encodeValue(FleetCommand.departures(List.of(), List.of(earlier))));
+        assertEquals(List.of(later), state.departures());
+
+        state.apply(
+                4, MessageCodec.encodeValue(FleetCommand.departures(List.of(), List.of(later))));
+        assertEquals(List.of(), state.departures());
+    }
+
+    @Test
+    void commandsThatWereStoredBeforeDeparturesExistedAreRead() {
+        final FleetState state = FleetState.create();
+        state.apply(
+                1,
+                MessageCodec.encodeValue(
+                        List.of(7, new byte[] {1}, List.of(), List.of("gateway"), List.of())));
+
+        assertEquals(7, state.view().configurationVersion());
+        assertEquals(Set.of("gateway"), state.gateways());
+        assertEquals(List.of(), state.departures());
+    }
+
     /** The highest version wins in any order; a snapshot in between changes nothing. */
     @Property(tries = 200)
     void theHighestVersionsWin(
