Let an instance that is no voter pass calls on to the leader

Cause: an instance with control state beyond the voters (1 of 6, 3 of 8 in the grown sites) receives nothing from the leader, so its group names none, and each departure, configuration and read that reaches it is refused; the backend server has to try another.

ControlInstanceTest.areGivenByInstanceThatIsNoVoter failed before (no acknowledgement within 20 s), passes now.

--- a/daemon/src/main/java/org/crocushaven/fleet/ControlInstance.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/ControlInstance.java
@@ -160,7 +160,7 @@
             forwardToOthers(announcement, "");
             return commitDeparture(announcement);
         }
-        forwardToOthers(announcement, group().leader().orElse(""));
+        forwardToOthers(announcement, membership.leader().orElse(""));
         return askLeader(announcement).thenApply(answer -> null);
     }
 
@@ -325,7 +325,7 @@
 
     private CompletableFuture<Message> askLeader(Message message) {
         final Optional<String> known =
-                group().leader().filter(name -> !name.equals(settings.instance()));
+                membership.leader().filter(name -> !name.equals(settings.instance()));
         if (known.isEmpty()) {
             return CompletableFuture.failedFuture(notLeader());
         }
--- a/daemon/src/main/java/org/crocushaven/fleet/GroupMembership.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/GroupMembership.java
@@ -30,6 +30,9 @@
     private VoterMaintenance maintenance;
     private boolean changingVoters;
 
+    /** The leader that another instance named last; only of use where the group names none. */
+    private Optional<String> leaderByHint = Optional.empty();
+
     /**
      * Creates the membership of an instance that knows no other.
      *
@@ -61,6 +64,15 @@
         return new ArrayList<>(known);
     }
 
+    /**
+     * Returns the instance to which calls are passed on. An instance that is no voter receives
+     * nothing from the leader and relies on the hints of others.
+     */
+    Optional<String> leader() {
+        final Optional<String> known = group.get().leader();
+        return known.isPresent() ? known : leaderByHint;
+    }
+
     /** Returns the answer of an instance that is not the leader. */
     ControlHint hint() {
         return new ControlHint(group.get().leader().orElse(""), controlInstances());
@@ -100,6 +112,10 @@
     private void hintReceived(Message answer) {
         if (answer instanceof ControlHint found) {
             controlInstances.addAll(found.controlInstances());
+            leaderByHint =
+                    Optional.of(found.leader())
+                            .filter(name -> !name.isEmpty() && !name.equals(instance))
+                            .or(() -> leaderByHint);
             if (!found.leader().isEmpty() && !found.leader().equals(instance)) {
                 transport.send(found.leader(), new ControlJoin(instance));
             }
--- a/daemon/src/test/java/org/crocushaven/fleet/ControlInstanceTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/ControlInstanceTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.DefaultEventLoop;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -27,6 +28,7 @@
 
 class ControlInstanceTest {
     private static final List<String> NAMES = List.of("one", "two", "three");
+    private static final String NO_VOTER = "no-voter";
     private static final String BACKEND = "worker";
     private static final long TIMEOUT_MILLIS = 20_000;
     private static final long HEARTBEAT_MILLIS = 10_000;
@@ -38,24 +40,27 @@
 
     @BeforeEach
     void start() {
-        for (final String name : NAMES) {
-            final DefaultEventLoop loop = new DefaultEventLoop();
-            loops.put(name, loop);
-            instances.put(
-                    name,
-                    ControlInstance.open(
-                            new ControlSettings(
-                                    name, folder.resolve(name), NAMES, 1, HEARTBEAT_MILLIS, 0, 0),
-                            network.endpoint(name, loop),
-                            loop,
-                            new NoDialect(),
-                            SystemNanoClock.INSTANCE,
-                            SystemEpochClock.INSTANCE,
-                            name.hashCode()));
-        }
+        NAMES.forEach(name -> open(name, NAMES));
+        open(NO_VOTER, List.of());
         instances.values().forEach(instance -> instance.start(NAMES));
     }
 
+    private void open(String name, List<String> firstVoters) {
+        final DefaultEventLoop loop = new DefaultEventLoop();
+        loops.put(name, loop);
+        instances.put(
+                name,
+                ControlInstance.open(
+                        new ControlSettings(
+                                name, folder.resolve(name), firstVoters, 1, HEARTBEAT_MILLIS, 0, 0),
+                        network.endpoint(name, loop),
+                        loop,
+                        new NoDialect(),
+                        SystemNanoClock.INSTANCE,
+                        SystemEpochClock.INSTANCE,
+                        name.hashCode()));
+    }
+
     @AfterEach
     void stop() {
         instances.values().forEach(ControlInstance::close);
@@ -165,6 +170,20 @@
             assertFalse(isAcknowledged(leader, announcement(2, BackendState.DRAINING)));
         }
 
+        @Test
+        void areGivenByInstanceThatIsNoVoter() throws Exception {
+            leaderThatKnowsBackend();
+            final long startNanos = System.nanoTime();
+            boolean acknowledged = false;
+            while (!acknowledged
+                    && TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos)
+                            < TIMEOUT_MILLIS) {
+                acknowledged = isAcknowledged(NO_VOTER, announcement(2, BackendState.DRAINING));
+            }
+
+            assertTrue(acknowledged);
+        }
+
         private boolean isAcknowledged(String instance, BackendAnnouncement announcement)
                 throws Exception {
             try {
