Stop copying the registered gateways for each report

The test of the leader's cost left the registrations of gateways empty, which hid one more part that grows with them: each report copied the set of registered gateways and the names of those that report.

--- a/daemon/src/main/java/org/crocushaven/fleet/FleetLeader.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/FleetLeader.java
@@ -132,7 +132,7 @@
                         changes.changedSince(since),
                         changes.goneSince(since),
                         reports.otherLoads(report.gateway(), nowNanos),
-                        reports.gateways().size(),
+                        reports.gatewayCount(),
                         controls,
                         lending.lend(report, nowNanos));
         load.recordReport(nowNanos, clock.nanoTime(), update.changed().size());
@@ -155,7 +155,7 @@
         refresh();
         lending.tick(clock.nanoTime());
         placement.tick();
-        load.tick(reports.gateways().size(), changes.present().size(), clock.nanoTime());
+        load.tick(reports.gatewayCount(), changes.present().size(), clock.nanoTime());
     }
 
     /** Stops sending orders. */
--- a/daemon/src/main/java/org/crocushaven/fleet/FleetState.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/FleetState.java
@@ -26,6 +26,7 @@
     private long revision;
     private List<AdapterVersion> adapterVersionList = List.of();
     private final Set<String> gateways = new TreeSet<>();
+    private Set<String> gatewaysView = Set.of();
     private final Map<String, BackendAnnouncement> departures = new TreeMap<>();
 
     /** Returns a state without configuration. */
@@ -44,8 +45,7 @@
         for (final AdapterVersion required : decoded.adapterVersions()) {
             applyVersion(required, index);
         }
-        gateways.addAll(decoded.gatewaysAdded());
-        decoded.gatewaysRemoved().forEach(gateways::remove);
+        applyGateways(decoded.gatewaysAdded(), decoded.gatewaysRemoved());
         decoded.departuresAdded().forEach(this::applyDeparture);
         decoded.departuresRemoved()
                 .forEach(departure -> departures.remove(departure.backend(), departure));
@@ -69,6 +69,7 @@
     public synchronized void restore(long index, byte[] snapshot) {
         adapterVersions.clear();
         gateways.clear();
+        gatewaysView = Set.of();
         departures.clear();
         configurationVersion = 0;
         document = NO_DOCUMENT;
@@ -84,7 +85,15 @@
 
     /** Returns the gateways that may hold shares. */
     public synchronized Set<String> gateways() {
-        return Set.copyOf(gateways);
+        return gatewaysView;
+    }
+
+    private void applyGateways(List<String> added, List<String> removed) {
+        final boolean isLarger = gateways.addAll(added);
+        final boolean isSmaller = gateways.removeAll(Set.copyOf(removed));
+        if (isLarger || isSmaller) {
+            gatewaysView = Set.copyOf(gateways);
+        }
     }
 
     /** Returns the last announcements of backend servers that leave or have left. */
--- a/daemon/src/main/java/org/crocushaven/fleet/GatewayReports.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/GatewayReports.java
@@ -50,6 +50,11 @@
         return List.copyOf(reports.keySet());
     }
 
+    /** Returns the number of gateways. */
+    int gatewayCount() {
+        return reports.size();
+    }
+
     /** Returns the requests in flight by backend server, over all gateways. */
     Map<String, Integer> loads() {
         final Map<String, Integer> loads = new HashMap<>();
--- a/daemon/src/test/java/org/crocushaven/fleet/FleetLeaderTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/FleetLeaderTest.java
@@ -7,8 +7,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import org.agrona.concurrent.SystemNanoClock;
 import org.crocushaven.admission.ShareHolder;
+import org.crocushaven.protocol.MessageCodec;
 import org.junit.jupiter.api.Test;
 
 class FleetLeaderTest {
@@ -21,15 +23,24 @@
 
     private final ThreadMXBean threads = ManagementFactory.getThreadMXBean();
 
-    private static FleetLeader leader() {
+    private static FleetLeader leader(int gateways) {
         final BackendRegistry registry = BackendRegistry.of(HEARTBEAT_MILLIS);
         for (int backend = 0; backend < BACKENDS; backend++) {
             registry.accept(announcement(backend), System.nanoTime());
         }
+        final FleetState state = FleetState.create();
+        state.apply(
+                1,
+                MessageCodec.encodeValue(
+                        FleetCommand.gateways(
+                                IntStream.range(0, gateways)
+                                        .mapToObj(FleetLeaderTest::nameOf)
+                                        .toList(),
+                                List.of())));
         return new FleetLeader(
                 new EngineOrderContext(null, null, null, "leader", 1, () -> true),
                 registry,
-                FleetState.create(),
+                state,
                 SystemNanoClock.INSTANCE,
                 0,
                 0,
@@ -51,13 +62,17 @@
                 List.of());
     }
 
+    private static String nameOf(int gateway) {
+        return "gateway-" + gateway;
+    }
+
     private static GatewayReport report(int gateway, GatewayUpdate last) {
         final List<BackendLoad> loads = new ArrayList<>();
         for (int backend = 0; backend < BACKENDS; backend += 4) {
             loads.add(new BackendLoad("backend-" + (backend + gateway) % BACKENDS, 2, 800));
         }
         return new GatewayReport(
-                "gateway-" + gateway,
+                nameOf(gateway),
                 last == null ? 0 : last.epoch(),
                 last == null ? 0 : last.revision(),
                 0,
@@ -69,7 +84,7 @@
 
     /** Returns the least processor time of a report over several rounds, in microseconds. */
     private double microsPerReport(int gateways) {
-        final FleetLeader leader = leader();
+        final FleetLeader leader = leader(gateways);
         final List<GatewayReport> reports = new ArrayList<>();
         for (int gateway = 0; gateway < gateways; gateway++) {
             reports.add(report(gateway, leader.report(report(gateway, null), List.of())));
