Remove gateways that fell silent, and propose their removal again after a failure

Cause: the removal of absent gateways was proposed once in a term, whatever became of it, and a gateway that reported once was never removed in that term; so the next leaders waited the whole 3 s for gateways that are gone. A gateway is now removed when it has not reported for 30 s, and the proposal is repeated each second while it is registered.

--- a/daemon/src/main/java/org/crocushaven/fleet/ShareLending.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/ShareLending.java
@@ -25,7 +25,7 @@
     /** Time after which a failed registration is retried. */
     private static final long REGISTRATION_RETRY_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-    /** Time after which a gateway that never reported to this leader holds no shares. */
+    /** Time after which a gateway that has not reported to this leader is no longer registered. */
     private static final long ABSENT_GATEWAY_NANOS = TimeUnit.SECONDS.toNanos(30);
 
     /**
@@ -39,13 +39,14 @@
     private final ShareAllocator shares;
     private final long startNanos;
     private final Map<String, Long> lastProposalNanos = new HashMap<>();
-    private final Set<String> reportedGateways = new HashSet<>();
+    private final Map<String, Long> lastReportNanos = new HashMap<>();
     private final Set<Organisation> limits = new HashSet<>();
 
     /** Shortest time, over the gateways that reported, for which one has held no shares. */
     private long shortestEmptyNanos = Long.MAX_VALUE;
 
     private boolean allReported;
+    private long removalProposedNanos;
 
     /**
      * Creates the lending of a leader.
@@ -70,6 +71,7 @@
                         List.of(),
                         nowNanos);
         this.startNanos = nowNanos;
+        this.removalProposedNanos = nowNanos;
     }
 
     /** Applies the organisations of a configuration. */
@@ -121,15 +123,15 @@
             }
             return Optional.empty();
         }
-        if (reportedGateways.add(report.gateway())) {
+        if (lastReportNanos.put(report.gateway(), nowNanos) == null) {
             shortestEmptyNanos = Math.min(shortestEmptyNanos, report.shares().emptyNanos());
         }
         final ShareGrant grant = shares.handle(report.gateway(), report.shares(), nowNanos);
-        if (!allReported && reportedGateways.containsAll(registered)) {
+        if (!allReported && lastReportNanos.keySet().containsAll(registered)) {
             allReported = true;
             shares.endWithholding(shortestEmptyNanos, nowNanos);
             EventLine.of("share-holders-known")
-                    .with("gateways", reportedGateways.size())
+                    .with("gateways", lastReportNanos.size())
                     .with("empty_ms", TimeUnit.NANOSECONDS.toMillis(shortestEmptyNanos))
                     .with("after_ms", TimeUnit.NANOSECONDS.toMillis(nowNanos - startNanos))
                     .info();
@@ -138,17 +140,22 @@
     }
 
     /**
-     * Removes gateways that have not reported to this leader; the shares that they held have
-     * expired.
+     * Removes gateways that have not reported for a long time, so that the next leader need not
+     * wait for them; the shares that they held have expired.
      */
     private void removeAbsentGateways(long nowNanos) {
-        if (nowNanos - startNanos < ABSENT_GATEWAY_NANOS || allReported) {
+        if (nowNanos - removalProposedNanos < REGISTRATION_RETRY_NANOS) {
             return;
         }
-        allReported = true;
         final List<String> absent =
-                state.gateways().stream().filter(name -> !reportedGateways.contains(name)).toList();
+                state.gateways().stream()
+                        .filter(
+                                name ->
+                                        nowNanos - lastReportNanos.getOrDefault(name, startNanos)
+                                                >= ABSENT_GATEWAY_NANOS)
+                        .toList();
         if (!absent.isEmpty()) {
+            removalProposedNanos = nowNanos;
             registration.accept(FleetCommand.gateways(List.of(), absent));
         }
     }
