Move the intake of announcements out of ControlInstance

AnnouncementIntake takes them now, and DepartureLog finds its own obsolete entries. ControlInstanceTest, ShareLendingTest, FleetLeaderTest pass.

--- a/daemon/src/main/java/org/crocushaven/fleet/ControlInstance.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/ControlInstance.java
@@ -55,6 +55,7 @@
     private final ElectionWatch electionWatch;
     private final DepartureLog departures;
     private final UpdateNotices notices;
+    private final AnnouncementIntake announcements;
     private FleetLeader leader;
     private long distrustedUntilNanos;
     private long ticks;
@@ -88,6 +89,18 @@
         this.notices = new UpdateNotices(loop, clock, this::notifyGateways);
         this.departures =
                 new DepartureLog(state, change -> commit(MessageCodec.encodeValue(change)));
+        this.announcements =
+                new AnnouncementIntake(
+                        settings.instance(),
+                        transport,
+                        membership,
+                        registry,
+                        departures,
+                        notices,
+                        this::currentLeader,
+                        this::askLeader,
+                        clock,
+                        epochClock);
         final GroupRouter router = GroupRouter.create(transport);
         attach();
         this.supervisor = ReplicaSupervisor.open(() -> openGroup(router, seed));
@@ -142,46 +155,8 @@
     }
 
     /** Applies an announcement; completes when it may be acknowledged. */
-    public CompletableFuture<Void> announce(BackendAnnouncement received) {
-        final BackendAnnouncement announcement =
-                received.isDeregistration() ? received.withStart(epochClock.time()) : received;
-        apply(announcement);
-        if (announcement.state() == BackendState.READY) {
-            forwardToOthers(announcement, "");
-            return CompletableFuture.completedFuture(null);
-        }
-        final long receivedNanos = clock.nanoTime();
-        return announceDeparture(announcement)
-                .thenRun(() -> logDeparture(announcement, receivedNanos));
-    }
-
-    private CompletableFuture<Void> announceDeparture(BackendAnnouncement announcement) {
-        if (currentLeader() != null) {
-            forwardToOthers(announcement, "");
-            return commitDeparture(announcement);
-        }
-        forwardToOthers(announcement, membership.leader().orElse(""));
-        return askLeader(announcement).thenApply(answer -> null);
-    }
-
-    /** Commits that a backend server leaves, with its start if that is known. */
-    private CompletableFuture<Void> commitDeparture(BackendAnnouncement announcement) {
-        final BackendAnnouncement known =
-                registry.find(announcement.backend())
-                        .filter(found -> found.state() != BackendState.READY)
-                        .orElse(announcement);
-        return departures.commit(known.withoutHeld());
-    }
-
-    private void logDeparture(BackendAnnouncement announcement, long receivedNanos) {
-        EventLine.of("departure-acknowledged")
-                .with("backend", announcement.backend())
-                .with("state", announcement.state())
-                .with("sequence", announcement.sequence())
-                .with("leading", leader != null)
-                .with("term", group().term())
-                .with("after_ms", TimeUnit.NANOSECONDS.toMillis(clock.nanoTime() - receivedNanos))
-                .info();
+    public CompletableFuture<Void> announce(BackendAnnouncement announcement) {
+        return announcements.announce(announcement);
     }
 
     /** Puts a configuration in force; completes when it is committed. */
@@ -232,15 +207,13 @@
     }
 
     private CompletableFuture<Message> announced(BackendAnnouncement announcement) {
-        apply(announcement);
         if (currentLeader() == null) {
+            announcements.apply(announcement);
             return CompletableFuture.failedFuture(notLeader());
         }
-        final CompletableFuture<Void> recorded =
-                announcement.state() == BackendState.READY
-                        ? CompletableFuture.completedFuture(null)
-                        : commitDeparture(announcement);
-        return recorded.thenApply(done -> new AnnouncementAcknowledged(announcement.backend()));
+        return announcements
+                .announcedToLeader(announcement)
+                .thenApply(done -> new AnnouncementAcknowledged(announcement.backend()));
     }
 
     private CompletableFuture<Message> reported(GatewayReport report) {
@@ -279,34 +252,6 @@
         return new FleetDocument(view.configurationVersion(), view.document());
     }
 
-    private void apply(BackendAnnouncement announcement) {
-        final BackendState before =
-                registry.find(announcement.backend())
-                        .map(BackendAnnouncement::state)
-                        .orElse(BackendState.GONE);
-        if (!registry.accept(announcement, clock.nanoTime())) {
-            return;
-        }
-        final FleetLeader activeLeader = currentLeader();
-        if (announcement.state() != before) {
-            EventLine.of("backend-state")
-                    .with("backend", announcement.backend())
-                    .with("service", announcement.service())
-                    .with("state", announcement.state())
-                    .with("previous", before)
-                    .with("started_ms", announcement.startedMillis())
-                    .with("sequence", announcement.sequence())
-                    .info();
-        }
-        if (activeLeader != null) {
-            activeLeader.announced(announcement);
-            if (announcement.state() != before) {
-                activeLeader.refresh();
-                notices.request();
-            }
-        }
-    }
-
     private void notifyGateways() {
         final FleetLeader activeLeader = currentLeader();
         if (activeLeader != null) {
@@ -315,14 +260,6 @@
         }
     }
 
-    private void forwardToOthers(BackendAnnouncement announcement, String except) {
-        for (final String other : membership.controlInstances()) {
-            if (!other.equals(settings.instance()) && !other.equals(except)) {
-                transport.send(other, announcement);
-            }
-        }
-    }
-
     private CompletableFuture<Message> askLeader(Message message) {
         final Optional<String> known =
                 membership.leader().filter(name -> !name.equals(settings.instance()));
@@ -478,7 +415,7 @@
         pool.closeExpired();
         if (activeLeader != null) {
             activeLeader.tick();
-            departures.forget(obsoleteDepartures());
+            departures.forgetObsolete(registry);
             membership.maintainVoters(clock.nanoTime());
         }
         if (ticks++ % JOIN_TICKS == 0 && activeLeader == null) {
@@ -486,20 +423,6 @@
         }
     }
 
-    /** Returns the departures of backend servers that are forgotten or have started again. */
-    private List<BackendAnnouncement> obsoleteDepartures() {
-        return state.departures().stream()
-                .filter(
-                        departure ->
-                                registry.find(departure.backend())
-                                        .filter(
-                                                known ->
-                                                        known.startedMillis()
-                                                                <= departure.startedMillis())
-                                        .isEmpty())
-                .toList();
-    }
-
     private ResultException notLeader() {
         return ResultException.of(ResultCode.NOT_LEADER, GROUP);
     }
--- a/daemon/src/main/java/org/crocushaven/fleet/DepartureLog.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/DepartureLog.java
@@ -44,13 +44,27 @@
         return committed;
     }
 
-    /** Removes departures that need no longer be remembered. */
-    void forget(List<BackendAnnouncement> departures) {
-        if (!proposing && !departures.isEmpty()) {
-            propose(FleetCommand.departures(List.of(), departures), List.of());
+    /** Removes the departures of backend servers that are forgotten or have started again. */
+    void forgetObsolete(BackendRegistry registry) {
+        if (proposing) {
+            return;
+        }
+        final List<BackendAnnouncement> obsolete =
+                state.departures().stream()
+                        .filter(departure -> isObsolete(departure, registry))
+                        .limit(MAXIMUM_BATCH)
+                        .toList();
+        if (!obsolete.isEmpty()) {
+            propose(FleetCommand.departures(List.of(), obsolete), List.of());
         }
     }
 
+    private static boolean isObsolete(BackendAnnouncement departure, BackendRegistry registry) {
+        return registry.find(departure.backend())
+                .filter(known -> known.startedMillis() <= departure.startedMillis())
+                .isEmpty();
+    }
+
     private void proposeNext() {
         if (proposing || waiting.isEmpty()) {
             return;
