Fuzz departures of backend servers against lost, cut-off and restarted control instances

Three real control instances on a network that loses messages; backend servers beat, leave by draining or deregistration, and start again; late heartbeats come after the departure. No leader may offer a start whose departure was acknowledged.

--- /dev/null
+++ b/daemon/src/test/java/org/crocushaven/fleet/ControlFleet.java
@@ -0,0 +1,158 @@
+package org.crocushaven.fleet;
+
+import io.netty.channel.DefaultEventLoop;
+import io.netty.handler.codec.http.FullHttpRequest;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.agrona.concurrent.SystemEpochClock;
+import org.agrona.concurrent.SystemNanoClock;
+import org.crocushaven.admission.ShareHolder;
+import org.crocushaven.ingress.IngressConfiguration;
+import org.crocushaven.protocol.Message;
+
+/** Runs control instances in one process on a {@link ControlNetwork}. */
+final class ControlFleet implements AutoCloseable {
+    static final List<String> VOTERS = List.of("one", "two", "three");
+    private static final long HEARTBEAT_MILLIS = 10_000;
+    private static final long CALL_TIMEOUT_MILLIS = 1_000;
+
+    private final Path folder;
+    private final ControlNetwork network = new ControlNetwork();
+    private final Map<String, DefaultEventLoop> loops = new TreeMap<>();
+    private final Map<String, ControlInstance> instances = new TreeMap<>();
+
+    ControlFleet(Path folder) {
+        this.folder = folder;
+    }
+
+    ControlNetwork network() {
+        return network;
+    }
+
+    /** Starts an instance; a voter of the first group if it is one of {@link #VOTERS}. */
+    void start(String name) {
+        final DefaultEventLoop loop = new DefaultEventLoop();
+        final ControlInstance instance =
+                ControlInstance.open(
+                        new ControlSettings(
+                                name,
+                                folder.resolve(name),
+                                VOTERS.contains(name) ? VOTERS : List.of(),
+                                1,
+                                HEARTBEAT_MILLIS,
+                                0,
+                                0),
+                        network.endpoint(name, loop),
+                        loop,
+                        new NoDialect(),
+                        SystemNanoClock.INSTANCE,
+                        SystemEpochClock.INSTANCE,
+                        name.hashCode());
+        loops.put(name, loop);
+        instances.put(name, instance);
+        instance.start(VOTERS);
+    }
+
+    /** Stops an instance, which forgets what it has not stored. */
+    void stop(String name) {
+        instances.remove(name).close();
+        loops.remove(name).shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+    }
+
+    /** Returns whether an instance acknowledges an announcement within the time of a call. */
+    boolean announce(String instance, BackendAnnouncement announcement) {
+        final CompletableFuture<Void> acknowledged = new CompletableFuture<>();
+        loops.get(instance).execute(() -> announce(instance, announcement, acknowledged));
+        return isAnswered(acknowledged);
+    }
+
+    private void announce(
+            String instance,
+            BackendAnnouncement announcement,
+            CompletableFuture<Void> acknowledged) {
+        instances
+                .get(instance)
+                .announce(announcement)
+                .whenComplete(
+                        (done, failure) -> {
+                            if (failure == null) {
+                                acknowledged.complete(null);
+                            } else {
+                                acknowledged.completeExceptionally(failure);
+                            }
+                        });
+    }
+
+    /** Returns an instance's answer to a gateway that knows nothing; null if it gives none. */
+    Message report(String instance) {
+        final CompletableFuture<Message> answer = network.ask(instance, emptyReport());
+        return isAnswered(answer) ? answer.join() : null;
+    }
+
+    private static boolean isAnswered(CompletableFuture<?> future) {
+        try {
+            future.get(CALL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+            return true;
+        } catch (ExecutionException | TimeoutException failure) {
+            return false;
+        } catch (InterruptedException interrupted) {
+            throw new IllegalStateException(interrupted);
+        }
+    }
+
+    private static GatewayReport emptyReport() {
+        return new GatewayReport(
+                "gateway",
+                0,
+                0,
+                0,
+                0,
+                List.of(),
+                List.of(),
+                ShareHolder.create(1).report(System.nanoTime()));
+    }
+
+    @Override
+    public void close() {
+        List.copyOf(instances.keySet()).forEach(this::stop);
+    }
+
+    /** Stands in for the platform's calls, of which these tests make none. */
+    private static final class NoDialect implements ControlDialect {
+        @Override
+        public ControlCall decode(FullHttpRequest request) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public IngressConfiguration decodeConfiguration(byte[] document) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public FullHttpRequest encodeOrder(String backend, EngineOrder order, OrderFence fence) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public OrderOutcome decodeOrderAnswer(int status) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public FullHttpRequest encodeReportRequest(String backend) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public EngineReport decodeReport(byte[] body) {
+            throw new UnsupportedOperationException();
+        }
+    }
+}
--- a/daemon/src/test/java/org/crocushaven/fleet/ControlNetwork.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/ControlNetwork.java
@@ -29,11 +29,21 @@
         isolated.add(name);
     }
 
+    /** Ends the isolation of an instance. */
+    void reconnect(String name) {
+        isolated.remove(name);
+    }
+
     /** Loses all messages of a type that have no answer. */
     void loseOneWay(Class<? extends Message> type) {
         lostTypes.add(type);
     }
 
+    /** Delivers the messages of all types again. */
+    void loseNothing() {
+        lostTypes.clear();
+    }
+
     /** Sends a request from outside of the group, such as a gateway's. */
     CompletableFuture<Message> ask(String instance, Message message) {
         return endpoints.get(instance).receive("outside", message);
