Let a deregistration end starts that the leader did not hear of

If a later start was known to other instances only, the departure was acknowledged for the earlier one, and the next leader offered the later one. A deregistration now ends every start up to the time of its receipt, in the registry and in the replicated log.

ControlInstanceTest.ofDeregisteredBackendServersEndStartsThatTheLeaderDidNotHearOf failed before (READY), passes now.

--- a/daemon/src/main/java/org/crocushaven/fleet/AnnouncementIntake.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/AnnouncementIntake.java
@@ -109,7 +109,7 @@
         return leaderCall.apply(announcement).thenApply(answer -> null);
     }
 
-    /** Commits that a backend server leaves, with its start if that is known. */
+    /** Commits that a backend server leaves, as it is known now. */
     private CompletableFuture<Void> commitDeparture(BackendAnnouncement announcement) {
         final BackendAnnouncement known =
                 registry.find(announcement.backend())
--- a/daemon/src/main/java/org/crocushaven/fleet/BackendAnnouncement.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/BackendAnnouncement.java
@@ -60,6 +60,15 @@
                 && (state == BackendState.GONE || sequence > known.sequence);
     }
 
+    /**
+     * Returns this announcement after a deregistration, which also ends a later start that is not
+     * known here.
+     */
+    BackendAnnouncement deregisteredBy(BackendAnnouncement deregistration) {
+        return withState(BackendState.GONE)
+                .withStart(Math.max(startedMillis, deregistration.startedMillis));
+    }
+
     /** Returns the same announcement with another start. */
     BackendAnnouncement withStart(long newStartedMillis) {
         return new BackendAnnouncement(
--- a/daemon/src/main/java/org/crocushaven/fleet/BackendRegistry.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/BackendRegistry.java
@@ -51,15 +51,15 @@
             entries.put(announcement.backend(), new Entry(announcement, nowNanos));
             return true;
         }
-        final boolean isDeregistration = announcement.isDeregistration();
         final boolean accepted =
-                isDeregistration
+                announcement.isDeregistration()
                         ? known.announcement.state() != BackendState.GONE
+                                || announcement.startedMillis() > known.announcement.startedMillis()
                         : announcement.isNewerThan(known.announcement);
         if (accepted) {
             known.announcement =
-                    isDeregistration
-                            ? known.announcement.withState(BackendState.GONE)
+                    announcement.isDeregistration()
+                            ? known.announcement.deregisteredBy(announcement)
                             : announcement;
             known.receivedNanos = nowNanos;
         }
--- a/daemon/src/test/java/org/crocushaven/fleet/ControlInstanceTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/ControlInstanceTest.java
@@ -102,6 +102,24 @@
             assertEquals(Optional.empty(), stateOf(awaitLeader(leader).update()));
         }
 
+        @Test
+        void ofDeregisteredBackendServersEndStartsThatTheLeaderDidNotHearOf() {
+            final String leader = leaderThatKnowsBackend();
+            fleet.network().loseOneWay(BackendAnnouncement.class);
+            ControlFleet.VOTERS.stream()
+                    .filter(name -> !name.equals(leader))
+                    .forEach(name -> fleet.announce(name, secondStart()));
+            announceUntilAcknowledged(leader, BackendAnnouncement.deregistration(BACKEND));
+
+            fleet.network().isolate(leader);
+
+            assertEquals(Optional.empty(), stateOf(awaitLeader(leader).update()));
+        }
+
+        private BackendAnnouncement secondStart() {
+            return announcement(1, BackendState.READY).withStart(2);
+        }
+
         @Test
         void areNotGivenByLeaderThatReachesNoOtherInstance() {
             final String leader = leaderThatKnowsBackend();
