Share the bounded HTTP server, and split how ControlInstance starts to lead

BoundedHttpServer holds the common part now. No behaviour changes. ControlInstanceTest, DepartureFuzzTest, OperatorServerTest and the tests of announcements pass.

The scenario now waits until a start is not in the future of the clock that stamps deregistrations.

--- a/daemon/src/main/java/org/crocushaven/backend/AnnouncementServer.java
+++ b/daemon/src/main/java/org/crocushaven/backend/AnnouncementServer.java
@@ -1,16 +1,9 @@
 package org.crocushaven.backend;
 
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.group.ChannelGroup;
-import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpServerCodec;
-import io.netty.handler.timeout.ReadTimeoutHandler;
-import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
-import org.crocushaven.network.Listener;
+import org.crocushaven.network.BoundedHttpServer;
 import org.crocushaven.result.ResultException;
 
 /** Serves the announcements of backend servers over HTTP. */
@@ -19,15 +12,10 @@
     private static final int MAXIMUM_CONNECTIONS = 4_096;
     private static final int IDLE_TIMEOUT_SECONDS = 75;
 
-    private final ChannelGroup connections =
-            new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
-    private final AnnouncementHandler handler;
-    private final String instance;
-    private Listener listener;
+    private final BoundedHttpServer server;
 
-    private AnnouncementServer(AnnouncementHandler handler, String instance) {
-        this.handler = handler;
-        this.instance = instance;
+    private AnnouncementServer(BoundedHttpServer server) {
+        this.server = server;
     }
 
     /**
@@ -41,36 +29,25 @@
             InetSocketAddress address,
             AnnouncementHandler handler,
             String instance) {
-        final AnnouncementServer server = new AnnouncementServer(handler, instance);
-        server.listener = Listener.bind(group, address, server.new Initializer());
-        return server;
+        return new AnnouncementServer(
+                BoundedHttpServer.start(
+                        group,
+                        address,
+                        MAXIMUM_CONNECTIONS,
+                        IDLE_TIMEOUT_SECONDS,
+                        pipeline ->
+                                pipeline.addLast(new HttpObjectAggregator(MAXIMUM_BODY_BYTES))
+                                        .addLast(new AnnouncementEndpoint(handler, instance))));
     }
 
     /** Returns the address on which the server listens. */
     public InetSocketAddress address() {
-        return listener.address();
+        return server.address();
     }
 
     /** Closes the listening socket and every connection. */
     @Override
     public void close() {
-        listener.close();
-        connections.close();
-    }
-
-    private final class Initializer extends ChannelInitializer<Channel> {
-        @Override
-        protected void initChannel(Channel channel) {
-            if (connections.size() >= MAXIMUM_CONNECTIONS) {
-                channel.close();
-                return;
-            }
-            connections.add(channel);
-            channel.pipeline()
-                    .addLast(new ReadTimeoutHandler(IDLE_TIMEOUT_SECONDS))
-                    .addLast(new HttpServerCodec())
-                    .addLast(new HttpObjectAggregator(MAXIMUM_BODY_BYTES))
-                    .addLast(new AnnouncementEndpoint(handler, instance));
-        }
+        server.close();
     }
 }
--- a/daemon/src/main/java/org/crocushaven/fleet/ControlInstance.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/ControlInstance.java
@@ -266,20 +266,23 @@
         if (known.isEmpty()) {
             return CompletableFuture.failedFuture(notLeader());
         }
-        final CompletableFuture<Message> answered = new CompletableFuture<>();
-        transport
-                .request(known.get(), message, FORWARD_TIMEOUT)
-                .whenComplete(
-                        (answer, failure) ->
-                                loop.execute(
-                                        () -> {
-                                            if (failure == null) {
-                                                answered.complete(answer);
-                                            } else {
-                                                answered.completeExceptionally(failure);
-                                            }
-                                        }));
-        return answered;
+        return onLoop(transport.request(known.get(), message, FORWARD_TIMEOUT));
+    }
+
+    /** Returns a future with the same outcome that completes on the event loop. */
+    private <T> CompletableFuture<T> onLoop(CompletableFuture<T> future) {
+        final CompletableFuture<T> completed = new CompletableFuture<>();
+        future.whenComplete(
+                (value, failure) ->
+                        loop.execute(
+                                () -> {
+                                    if (failure == null) {
+                                        completed.complete(value);
+                                    } else {
+                                        completed.completeExceptionally(failure);
+                                    }
+                                }));
+        return completed;
     }
 
     private CompletableFuture<Void> propose(FleetCommand command) {
@@ -298,19 +301,7 @@
 
     /** Commits a command; the future completes on the event loop. */
     private CompletableFuture<Void> commit(byte[] command) {
-        final CompletableFuture<Void> committed = new CompletableFuture<>();
-        group().propose(command)
-                .whenComplete(
-                        (result, failure) ->
-                                loop.execute(
-                                        () -> {
-                                            if (failure == null) {
-                                                committed.complete(null);
-                                            } else {
-                                                committed.completeExceptionally(failure);
-                                            }
-                                        }));
-        return committed;
+        return onLoop(group().propose(command)).thenApply(result -> null);
     }
 
     private void proposeRegistration(FleetCommand change) {
@@ -348,48 +339,57 @@
         final boolean isLeader =
                 !stopped && nowNanos - distrustedUntilNanos >= 0 && group().holdsLeaderLease();
         if (!isLeader) {
-            if (leader != null) {
-                EventLine.of("leading-ended").with("epoch", leader.epoch()).info();
-                leader.close();
-                leader = null;
-            }
+            endLeading();
             return null;
         }
         final long term = group().term();
         if (leader == null || leader.epoch() != term) {
-            if (leader != null) {
-                leader.close();
-            }
-            state.departures().forEach(departure -> registry.restoreDeparture(departure, nowNanos));
-            EventLine.of("leading-started")
-                    .with("epoch", term)
-                    .with("ready", registry.count(BackendState.READY))
-                    .with("draining", registry.count(BackendState.DRAINING))
-                    .with("gone", registry.count(BackendState.GONE))
-                    .info();
-            membership.leadingStarted(nowNanos);
-            leader =
-                    new FleetLeader(
-                            new EngineOrderContext(
-                                    dialect,
-                                    pool,
-                                    loop,
-                                    settings.instance(),
-                                    term,
-                                    () -> group().holdsLeaderLease()),
-                            registry,
-                            state,
-                            clock,
-                            settings.orderPauseMillis(),
-                            settings.rateSlack(),
-                            this::proposeRegistration);
-            registry.present().forEach(leader::announced);
-            final FleetUpdateNotice notice = new FleetUpdateNotice(settings.instance());
-            state.gateways().forEach(gateway -> transport.send(gateway, notice));
+            startTerm(term, nowNanos);
         }
         return leader;
     }
 
+    private void endLeading() {
+        if (leader != null) {
+            EventLine.of("leading-ended").with("epoch", leader.epoch()).info();
+            leader.close();
+            leader = null;
+        }
+    }
+
+    /** Starts to lead from what is committed and what this instance has heard itself. */
+    private void startTerm(long term, long nowNanos) {
+        if (leader != null) {
+            leader.close();
+        }
+        state.departures().forEach(departure -> registry.restoreDeparture(departure, nowNanos));
+        EventLine.of("leading-started")
+                .with("epoch", term)
+                .with("ready", registry.count(BackendState.READY))
+                .with("draining", registry.count(BackendState.DRAINING))
+                .with("gone", registry.count(BackendState.GONE))
+                .info();
+        membership.leadingStarted(nowNanos);
+        leader =
+                new FleetLeader(
+                        new EngineOrderContext(
+                                dialect,
+                                pool,
+                                loop,
+                                settings.instance(),
+                                term,
+                                () -> group().holdsLeaderLease()),
+                        registry,
+                        state,
+                        clock,
+                        settings.orderPauseMillis(),
+                        settings.rateSlack(),
+                        this::proposeRegistration);
+        registry.present().forEach(leader::announced);
+        final FleetUpdateNotice notice = new FleetUpdateNotice(settings.instance());
+        state.gateways().forEach(gateway -> transport.send(gateway, notice));
+    }
+
     /** Returns whether a leader is known and, if it is this instance, has started. */
     private boolean isLeadershipSettled() {
         return stopped
--- a/daemon/src/test/java/org/crocushaven/fleet/DepartureScenario.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/DepartureScenario.java
@@ -35,6 +35,7 @@
         for (int number = 0; number < BACKENDS; number++) {
             lives.put("backend-" + number, new Life(++startedMillis));
         }
+        awaitTime(startedMillis);
     }
 
     /** Lets one thing happen and checks all leaders. */
@@ -177,6 +178,16 @@
             counts.count(DepartureFault.STARTED_AGAIN);
             startedMillis = Math.max(startedMillis, System.currentTimeMillis()) + 1;
             lives.put(backend, new Life(startedMillis));
+            awaitTime(startedMillis);
+        }
+    }
+
+    /**
+     * Waits until a start is not in the future, since a deregistration ends earlier starts only.
+     */
+    private static void awaitTime(long unixMillis) {
+        while (System.currentTimeMillis() <= unixMillis) {
+            Thread.onSpinWait();
         }
     }
 
