--- a/daemon/src/test/java/org/crocushaven/fleet/ControlFleet.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/ControlFleet.java
@@ -56,11 +56,13 @@
                         name.hashCode());
         loops.put(name, loop);
         instances.put(name, instance);
+        network.setRunning(name, true);
         instance.start(VOTERS);
     }
 
     /** Stops an instance, which forgets what it has not stored. */
     void stop(String name) {
+        network.setRunning(name, false);
         instances.remove(name).close();
         loops.remove(name).shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
     }
--- a/daemon/src/test/java/org/crocushaven/fleet/ControlNetwork.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/ControlNetwork.java
@@ -15,6 +15,7 @@
 /** Connects control instances in one process and loses messages as a test demands. */
 final class ControlNetwork {
     private final Map<String, Endpoint> endpoints = new ConcurrentHashMap<>();
+    private final Set<String> running = ConcurrentHashMap.newKeySet();
     private final Set<String> isolated = ConcurrentHashMap.newKeySet();
     private final Set<Class<?>> lostTypes = ConcurrentHashMap.newKeySet();
 
@@ -24,6 +25,15 @@
         return endpoint;
     }
 
+    /** Delivers messages to an instance, from now on or no longer. */
+    void setRunning(String name, boolean isRunning) {
+        if (isRunning) {
+            running.add(name);
+        } else {
+            running.remove(name);
+        }
+    }
+
     /** Loses all messages from and to an instance. */
     void isolate(String name) {
         isolated.add(name);
@@ -90,7 +100,9 @@
             final Message decoded =
                     MessageCodec.decode(MessageType.of(message), MessageCodec.encode(message));
             final CompletableFuture<Message> answered = new CompletableFuture<>();
-            loop.execute(() -> handle(sender, decoded, answered));
+            if (running.contains(name)) {
+                loop.execute(() -> handle(sender, decoded, answered));
+            }
             return answered;
         }
 
