Let the fuzz of departures begin with a leader

Traced with a dump of the state: the case cuts an instance off before the first election, which needs the votes of all voters of a new group by design (VoterConfiguration), so that a voter that lost its disk is known. The scenario is wrong, not the group: it now waits for the first leader before the first fault.

--- a/daemon/src/test/java/org/crocushaven/fleet/DepartureScenario.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/DepartureScenario.java
@@ -32,6 +32,7 @@
         this.random = new SplittableRandom(seed);
         this.counts = counts;
         ControlFleet.VOTERS.forEach(fleet::start);
+        awaitLeader(); // The first election needs all voters.
         for (int number = 0; number < BACKENDS; number++) {
             lives.put("backend-" + number, new Life(++startedMillis));
         }
