--- a/daemon/src/main/java/org/crocushaven/forwarding/ForwardingObserver.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/ForwardingObserver.java
@@ -30,6 +30,13 @@
     void attemptFailed(
             IngressRequest request, String backend, int attempt, boolean mayHaveRun, String reason);
 
+    /**
+     * Called when a request whose attempt failed or is silent cannot be sent once more.
+     *
+     * @param missing what a further send lacks: "attempts", "time", "budget" or "target"
+     */
+    void retryUnavailable(IngressRequest request, String missing);
+
     /**
      * Called when a backend server's answer carries the identifier of another request and is
      * dropped.
@@ -39,6 +46,17 @@
     /** Called when a request ends. */
     void ended(ForwardingSummary summary);
 
-    /** Called when a request is refused before it is decoded. */
-    void refusedBeforeDecoding(ResultCode code, String detail);
+    /**
+     * Called when a request is refused before it is decoded.
+     *
+     * @param answerUnderWay whether an earlier request of the same connection is being answered
+     */
+    void refusedBeforeDecoding(ResultCode code, String detail, boolean answerUnderWay);
+
+    /**
+     * Called when an unexpected exception ends a client's connection or request.
+     *
+     * @param answerUnderWay whether a request of the connection was unanswered
+     */
+    void faulted(Throwable fault, boolean answerUnderWay);
 }
--- a/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
@@ -224,10 +224,12 @@
         if (update.configurationVersion() <= known || update.document().length == 0) {
             return;
         }
+        final long startNanos = clock.nanoTime();
         configuration = Optional.of(decoder.apply(Documents.decompress(update.document())));
         EventLine.of("configuration-applied")
                 .with("version", configuration.get().version())
                 .with("previous", known)
+                .with("decode_ms", TimeUnit.NANOSECONDS.toMillis(clock.nanoTime() - startNanos))
                 .info();
     }
 
--- a/daemon/src/main/java/org/crocushaven/forwarding/InactivityTimer.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/InactivityTimer.java
@@ -5,15 +5,20 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
 import org.agrona.concurrent.NanoClock;
+import org.crocushaven.observability.EventLine;
 
 /** Notifies a listener when a backend server has been silent for longer than a limit. */
 final class InactivityTimer {
+    /** Lateness above which the event loop was busy rather than the timer imprecise. */
+    private static final long LATE_MILLIS = 50;
+
     private final EventLoop loop;
     private final NanoClock clock;
     private final LongConsumer onSilence;
     private ScheduledFuture<?> timer;
     private long limitMillis;
     private long progressNanos;
+    private long dueNanos;
 
     /**
      * Creates a watch that is not running.
@@ -53,13 +58,24 @@
         if (silentMillis < limitMillis) {
             schedule(limitMillis - silentMillis);
         } else {
+            reportLateness();
             progressNanos = clock.nanoTime();
             schedule(limitMillis);
             onSilence.accept(silentMillis);
         }
     }
 
+    /** Reports a check that ran late, which means that the event loop read nothing meanwhile. */
+    private void reportLateness() {
+        final long lateMillis = TimeUnit.NANOSECONDS.toMillis(clock.nanoTime() - dueNanos);
+        if (lateMillis >= LATE_MILLIS) {
+            EventLine.of("silence-timer-late").with("late_ms", lateMillis).info();
+        }
+    }
+
     private void schedule(long delayMillis) {
-        timer = loop.schedule(this::check, Math.max(1, delayMillis), TimeUnit.MILLISECONDS);
+        final long delay = Math.max(1, delayMillis);
+        dueNanos = clock.nanoTime() + TimeUnit.MILLISECONDS.toNanos(delay);
+        timer = loop.schedule(this::check, delay, TimeUnit.MILLISECONDS);
     }
 }
--- a/daemon/src/main/java/org/crocushaven/forwarding/IngressConnection.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/IngressConnection.java
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -131,6 +132,11 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        if (cause instanceof IOException) {
+            context.close();
+            return;
+        }
+        server.environment().observer().faulted(cause, current != null);
         context.close();
     }
 
@@ -207,7 +213,7 @@
                     ResultException.of(ResultCode.STOPPING).withRetryAfter(STOPPING_RETRY_DELAY);
             server.environment()
                     .observer()
-                    .refusedBeforeDecoding(refusal.code(), refusal.getMessage());
+                    .refusedBeforeDecoding(refusal.code(), refusal.getMessage(), false);
             exchange.refuse(refusal);
             return;
         }
@@ -218,7 +224,7 @@
             received.body.release();
             server.environment()
                     .observer()
-                    .refusedBeforeDecoding(refusal.code(), refusal.getMessage());
+                    .refusedBeforeDecoding(refusal.code(), refusal.getMessage(), false);
             exchange.refuse(refusal);
             return;
         }
@@ -231,7 +237,9 @@
 
     private void refuseAndClose(ResultException refusal) {
         closing = true;
-        server.environment().observer().refusedBeforeDecoding(refusal.code(), refusal.getMessage());
+        server.environment()
+                .observer()
+                .refusedBeforeDecoding(refusal.code(), refusal.getMessage(), current != null);
         if (current != null) {
             channel.close();
             return;
--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
@@ -287,6 +287,9 @@
                             }
                             if (failure instanceof ResultException refusal) {
                                 lastRefusal = refusal;
+                                if (retries.sends() > 0) {
+                                    environment.observer().retryUnavailable(request, "target");
+                                }
                                 giveUp();
                             } else if (target.delayMillis() > 0) {
                                 sendLater(target, target.delayMillis());
@@ -447,20 +450,29 @@
      * retry.
      */
     private void tryAnother() {
-        if (remainingMillis() > 0 && mayTryAnother()) {
+        if (remainingMillis() <= 0) {
+            giveUpRetry("time");
+        } else if (!mayTryAnother()) {
+            giveUpRetry("attempts");
+        } else {
             splitter.discardPartialEvent();
             findTarget();
-        } else {
-            giveUp();
         }
     }
 
+    private void giveUpRetry(String missing) {
+        environment.observer().retryUnavailable(request, missing);
+        giveUp();
+    }
+
     private void retryOrGiveUp(BackendAttempt failed) {
         retries.exclude(failed.target().backend().backend());
-        if (mayTryAnother() && environment.retryBudget().tryRetry(admission.service())) {
-            tryAnother();
+        if (!mayTryAnother()) {
+            giveUpRetry("attempts");
+        } else if (!environment.retryBudget().tryRetry(admission.service())) {
+            giveUpRetry("budget");
         } else {
-            giveUp();
+            tryAnother();
         }
     }
 
--- a/daemon/src/main/java/org/crocushaven/instance/ForwardingLog.java
+++ b/daemon/src/main/java/org/crocushaven/instance/ForwardingLog.java
@@ -41,6 +41,18 @@
                     .name("crocushaven_gateway_repeats")
                     .help("Requests sent to a backend server once more.")
                     .register(registry);
+    private final Counter unavailableRetries =
+            Counter.builder()
+                    .name("crocushaven_gateway_retries_unavailable")
+                    .help("Requests that could not be sent once more, by what was missing.")
+                    .labelNames("missing")
+                    .register(registry);
+    private final Counter faults =
+            Counter.builder()
+                    .name("crocushaven_gateway_faults")
+                    .help("Unexpected exceptions, by whether a request was unanswered.")
+                    .labelNames("answer_under_way")
+                    .register(registry);
     private final Counter leavingSends =
             Counter.builder()
                     .name("crocushaven_gateway_sends_to_leaving")
@@ -138,6 +150,15 @@
                 .info();
     }
 
+    @Override
+    public void retryUnavailable(IngressRequest request, String missing) {
+        unavailableRetries.labelValues(missing).inc();
+        EventLine.of("retry-unavailable")
+                .with("request", request.requestId())
+                .with("missing", missing)
+                .info();
+    }
+
     @Override
     public void foreignAnswer(IngressRequest request, String backend, int attempt) {
         foreignAnswers.inc();
@@ -178,11 +199,18 @@
     }
 
     @Override
-    public void refusedBeforeDecoding(ResultCode code, String detail) {
+    public void refusedBeforeDecoding(ResultCode code, String detail, boolean answerUnderWay) {
         requests.labelValues(Integer.toString(code.number())).inc();
         EventLine.of("request-unreadable")
                 .with("code", code.number())
                 .with("detail", detail)
+                .with("answer_under_way", answerUnderWay)
                 .info();
     }
+
+    @Override
+    public void faulted(Throwable fault, boolean answerUnderWay) {
+        faults.labelValues(Boolean.toString(answerUnderWay)).inc();
+        EventLine.fault(fault).with("answer_under_way", answerUnderWay).error();
+    }
 }
--- a/daemon/src/test/java/org/crocushaven/forwarding/RequestForwardingTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/RequestForwardingTest.java
@@ -246,6 +246,9 @@
                 boolean mayHaveRun,
                 String reason) {}
 
+        @Override
+        public void retryUnavailable(IngressRequest request, String missing) {}
+
         @Override
         public void foreignAnswer(IngressRequest request, String backend, int attempt) {}
 
@@ -253,7 +256,10 @@
         public void ended(ForwardingSummary summary) {}
 
         @Override
-        public void refusedBeforeDecoding(ResultCode code, String detail) {}
+        public void refusedBeforeDecoding(ResultCode code, String detail, boolean answerUnderWay) {}
+
+        @Override
+        public void faulted(Throwable fault, boolean answerUnderWay) {}
     }
 
     /** Records refusals. */
