--- /dev/null
+++ b/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
@@ -0,0 +1,371 @@
+package org.crocushaven.forwarding;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+
+import org.agrona.concurrent.SystemEpochClock;
+import org.agrona.concurrent.SystemNanoClock;
+import org.crocushaven.fleet.AdapterGrant;
+import org.crocushaven.fleet.AdapterRequest;
+import org.crocushaven.fleet.BackendRecord;
+import org.crocushaven.fleet.BackendState;
+import org.crocushaven.fleet.GatewayUpdate;
+import org.crocushaven.ingress.IngressConfiguration;
+import org.crocushaven.ingress.IngressLimits;
+import org.crocushaven.ingress.IngressRequest;
+import org.crocushaven.ingress.IngressRoute;
+import org.crocushaven.ingress.RouteKind;
+import org.crocushaven.ingress.WeightedService;
+import org.crocushaven.outbound.BackendPool;
+import org.crocushaven.result.ResultCode;
+import org.crocushaven.result.ResultException;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/** Serves requests of one route at stand-in backend servers, and records what clients receive. */
+final class ForwardingFixture implements AutoCloseable {
+    static final long TIMEOUT_MILLIS = 8_000;
+    static final long AWAIT_MILLIS = 10_000;
+    private static final String SERVICE = "engines";
+    private static final int OBJECTIVE_MILLIS = 40;
+    private static final int PAUSE_MILLIS = 20;
+    private static final int MAXIMUM_ATTEMPTS = 2;
+    private static final String NOT_RUN = "Not-Run";
+    private static final String LAST_EVENT_ID = "Last-Event-Id";
+
+    private final EventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = (EventLoop) group.next();
+    private final GatewayBackends view = new GatewayBackends();
+    private final BlockingQueue<String> sent = new LinkedBlockingQueue<>();
+    private final BlockingQueue<String> missing = new LinkedBlockingQueue<>();
+    private final RouteKind kind;
+    private final long timeoutMillis;
+    private final double extraRetries;
+    private final List<BackendRecord> records = new ArrayList<>();
+    private ForwardingEnvironment environment;
+
+    private ForwardingFixture(RouteKind kind, long timeoutMillis, double extraRetries) {
+        this.kind = kind;
+        this.timeoutMillis = timeoutMillis;
+        this.extraRetries = extraRetries;
+    }
+
+    /** Returns a fixture whose requests may be sent again. */
+    static ForwardingFixture withRetries(RouteKind kind, long timeoutMillis) {
+        return new ForwardingFixture(kind, timeoutMillis, 100);
+    }
+
+    /** Returns a fixture whose retry budget is spent by the first retry. */
+    static ForwardingFixture withOneRetry(RouteKind kind, long timeoutMillis) {
+        return new ForwardingFixture(kind, timeoutMillis, 0);
+    }
+
+    /** Announces a backend server. */
+    void announce(StandInServer server, int requestSlots) {
+        records.add(
+                new BackendRecord(
+                        server.name(),
+                        SERVICE,
+                        "127.0.0.1",
+                        server.port(),
+                        "a",
+                        BackendState.READY,
+                        false,
+                        requestSlots,
+                        List.of()));
+    }
+
+    /** Spends the retry budget of the service. */
+    void spendRetries() throws Exception {
+        loop.submit(
+                        () -> {
+                            while (environment().retryBudget().tryRetry(SERVICE)) {
+                                continue;
+                            }
+                        })
+                .get();
+    }
+
+    /** Occupies slots of a backend server. */
+    void occupy(StandInServer server, int requests) throws Exception {
+        loop.submit(
+                        () -> {
+                            environment();
+                            for (int request = 0; request < requests; request++) {
+                                view.requestStarted(server.name(), null);
+                            }
+                        })
+                .get();
+    }
+
+    /** Returns the number of requests in flight at a backend server. */
+    int requestsAt(StandInServer server) throws Exception {
+        return loop.submit(() -> view.requestsAt(server.name())).get();
+    }
+
+    /** Starts a request and returns what its client receives. */
+    RecordedAnswer start() throws Exception {
+        final RecordedAnswer answer = new RecordedAnswer();
+        loop.submit(
+                        () ->
+                                answer.forwarding =
+                                        RequestForwarding.start(
+                                                environment(),
+                                                request(),
+                                                Unpooled.EMPTY_BUFFER,
+                                                answer))
+                .get();
+        return answer;
+    }
+
+    /** Disconnects the client of a request. */
+    void disconnect(RecordedAnswer answer) throws Exception {
+        loop.submit(() -> answer.forwarding.clientDisconnected()).get();
+    }
+
+    /** Returns the next backend server to which a request is sent. */
+    String awaitSend() throws InterruptedException {
+        return sent.poll(AWAIT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Returns what the next retry that was not possible lacked. */
+    String awaitMissing() throws InterruptedException {
+        return missing.poll(AWAIT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Returns the number of sends that {@link #awaitSend} has not returned yet. */
+    int pendingSends() {
+        return sent.size();
+    }
+
+    @Override
+    public void close() throws Exception {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).await();
+    }
+
+    private ForwardingEnvironment environment() {
+        if (environment == null) {
+            view.apply(update(), System.nanoTime());
+            environment = createEnvironment();
+        }
+        return environment;
+    }
+
+    private GatewayUpdate update() {
+        return new GatewayUpdate(
+                1,
+                1,
+                false,
+                0,
+                1,
+                new byte[0],
+                List.of(),
+                false,
+                records,
+                List.of(),
+                List.of(),
+                1,
+                List.of(),
+                Optional.empty());
+    }
+
+    private ForwardingEnvironment createEnvironment() {
+        final IngressRoute route =
+                new IngressRoute(
+                        "chat",
+                        "host",
+                        "/chat/",
+                        kind,
+                        timeoutMillis,
+                        OBJECTIVE_MILLIS,
+                        PAUSE_MILLIS,
+                        0,
+                        List.of(new WeightedService(SERVICE, 1)),
+                        MAXIMUM_ATTEMPTS,
+                        true,
+                        kind == RouteKind.STREAM);
+        final IngressConfiguration configuration =
+                IngressConfiguration.of(
+                        1, List.of(route), List.of(), List.of(), IngressLimits.DEFAULT);
+        final ControlFreshness freshness =
+                ControlFreshness.ofMillis(
+                        TIMEOUT_MILLIS, SystemEpochClock.INSTANCE, System.nanoTime());
+        freshness.confirm(System.nanoTime());
+        final Random random = new Random(1);
+        return new ForwardingEnvironment(
+                loop,
+                SystemNanoClock.INSTANCE,
+                random,
+                new TestDialect(),
+                () -> Optional.of(configuration),
+                BackendPool.create(loop, SystemNanoClock.INSTANCE),
+                view,
+                new BackendHealth(),
+                BackendSelector.of("a", random),
+                ServiceRetryBudget.of(0, extraRetries),
+                KeyedAdmission.of(freshness, 1),
+                freshness,
+                new PromptReaders(),
+                new NoLeader(),
+                new Recorder());
+    }
+
+    private static IngressRequest request() {
+        return new IngressRequest(
+                "request",
+                HttpMethod.POST,
+                "/chat/x",
+                "host",
+                "/chat/x",
+                new DefaultHttpHeaders(),
+                OptionalLong.empty(),
+                Optional.empty(),
+                Optional.empty(),
+                Optional.empty(),
+                List.of(),
+                Optional.empty());
+    }
+
+    /** What the client of one request receives. */
+    static final class RecordedAnswer implements ClientAnswer {
+        private final StringBuilder received = new StringBuilder();
+        private final CompletableFuture<String> end = new CompletableFuture<>();
+        private RequestForwarding forwarding;
+
+        /** Returns the complete answer, or "refused CODE" or "aborted" with what came before it. */
+        String awaitEnd() throws Exception {
+            return end.get(AWAIT_MILLIS, TimeUnit.MILLISECONDS);
+        }
+
+        boolean hasEnded() {
+            return end.isDone();
+        }
+
+        @Override
+        public void refuse(ResultException refusal) {
+            end.complete("refused " + refusal.code());
+        }
+
+        @Override
+        public void sendComplete(HttpResponseStatus status, HttpHeaders headers, ByteBuf body) {
+            end.complete(status.code() + " " + body.toString(StandardCharsets.UTF_8));
+            body.release();
+        }
+
+        @Override
+        public void startStream(HttpResponseStatus status, HttpHeaders headers) {}
+
+        @Override
+        public void sendEvents(ByteBuf events) {
+            received.append(events.toString(StandardCharsets.UTF_8).replace("\n\n", ";"));
+            events.release();
+        }
+
+        @Override
+        public void endStream() {
+            end.complete(received.toString());
+        }
+
+        @Override
+        public void abort() {
+            end.complete("aborted after " + received);
+        }
+
+        @Override
+        public boolean isWritable() {
+            return true;
+        }
+    }
+
+    private final class Recorder implements ForwardingObserver {
+        @Override
+        public void sent(
+                IngressRequest request, String backend, int attempt, int requestsAtBackend) {
+            sent.add(backend);
+        }
+
+        @Override
+        public void sentToLeaving(
+                IngressRequest request,
+                String backend,
+                String state,
+                long sinceArrivalMillis,
+                long adapterWaitMillis) {}
+
+        @Override
+        public void attemptFailed(
+                IngressRequest request,
+                String backend,
+                int attempt,
+                boolean mayHaveRun,
+                String reason) {}
+
+        @Override
+        public void retryUnavailable(IngressRequest request, String what) {
+            missing.add(what);
+        }
+
+        @Override
+        public void foreignAnswer(IngressRequest request, String backend, int attempt) {}
+
+        @Override
+        public void ended(ForwardingSummary summary) {}
+
+        @Override
+        public void refusedBeforeDecoding(ResultCode code, String detail, boolean answerUnderWay) {}
+
+        @Override
+        public void faulted(Throwable fault, boolean answerUnderWay) {}
+    }
+
+    private static final class NoLeader implements LeaderRequests {
+        @Override
+        public CompletableFuture<AdapterGrant> requestAdapter(AdapterRequest request) {
+            throw new AssertionError("the requests need no adapter");
+        }
+
+        @Override
+        public void afterNextReport(Runnable action) {
+            throw new AssertionError("the route needs no tokens");
+        }
+    }
+
+    /** Takes every answer as signed, and those with a header named Not-Run as not run. */
+    private static final class TestDialect implements IngressDialect {
+        @Override
+        public IngressRequest decodeRequest(HttpRequest head) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void addForwardingHeaders(HttpHeaders headers, ForwardingFields fields) {
+            fields.lastEventId().ifPresent(id -> headers.set(LAST_EVENT_ID, id));
+        }
+
+        @Override
+        public BackendAnswerHead decodeAnswer(HttpResponse head) {
+            return new BackendAnswerHead(
+                    Optional.empty(), true, head.headers().contains(NOT_RUN), Optional.empty());
+        }
+    }
+}
