Keep a silent backend server's answer until another one answers

Cause: the gateway closed the silent connection first and asked afterwards for an attempt, a token of the retry budget and a target; without one of them the answer ended, although the backend server would have gone on. Class: a working resource is released before its replacement is certain. Now the silent attempt stays open. Once an attempt, a target and a token are held, the request is sent to a second backend server beside it; the one that sends the next event, or the complete answer, is forwarded and the other connection closed. Two engines work on a request for 300 ms at most, then the silent one is left. A replacement that refuses, fails or breaks off changes nothing for the first; one that was never reached gives its token back. Without a replacement the answer is awaited until its time limit or until the client leaves. The first event's limit stays. Weighed: taking the target and token first and aborting before the send (one refusal by the second still ends the stream); a longer limit alone (a crashed backend server is then left later, and the cut stays).

--- /dev/null
+++ b/daemon/src/main/java/org/crocushaven/forwarding/AttemptSender.java
@@ -0,0 +1,103 @@
+package org.crocushaven.forwarding;
+
+import io.netty.buffer.ByteBuf;
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.crocushaven.fleet.BackendRecord;
+import org.crocushaven.ingress.IngressRequest;
+import org.crocushaven.outbound.BackendChannel;
+
+/** Sends the attempts of one request to their backend servers. Used on the event loop only. */
+final class AttemptSender {
+    private final ForwardingEnvironment environment;
+    private final IngressRequest request;
+    private final ByteBuf body;
+    private final RequestAdmission admission;
+    private final RequestForwarding forwarding;
+
+    /**
+     * Creates the sender of one request.
+     *
+     * @param forwarding is told of each attempt that was sent or cannot be sent
+     */
+    AttemptSender(
+            ForwardingEnvironment environment,
+            IngressRequest request,
+            ByteBuf body,
+            RequestAdmission admission,
+            RequestForwarding forwarding) {
+        this.environment = environment;
+        this.request = request;
+        this.body = body;
+        this.admission = admission;
+        this.forwarding = forwarding;
+    }
+
+    /** Sends an attempt on an idle connection or a new one. */
+    void send(BackendAttempt attempt) {
+        final BackendRecord backend = attempt.target().backend();
+        environment
+                .pool()
+                .acquire(
+                        new InetSocketAddress(backend.host(), backend.port()),
+                        !admission.route().isRetryable())
+                .whenComplete(
+                        (channel, failure) -> {
+                            if (failure != null) {
+                                forwarding.handleFailure(attempt, false, "no connection");
+                            } else if (forwarding.isStale(attempt)
+                                    || forwarding.remainingMillis() <= 0) {
+                                channel.close();
+                            } else {
+                                sendOn(channel, attempt);
+                            }
+                        });
+    }
+
+    private void sendOn(BackendChannel channel, BackendAttempt attempt) {
+        attempt.opened(channel);
+        final String backend = attempt.target().backend().backend();
+        final int requestsAtBackend = environment.view().requestsAt(backend);
+        environment.observer().sent(request, backend, attempt.number(), requestsAtBackend);
+        reportIfLeaving(attempt);
+        request.usage()
+                .ifPresent(
+                        usage ->
+                                environment
+                                        .view()
+                                        .recordPrompt(
+                                                backend,
+                                                usage.promptTokens(),
+                                                environment.nowNanos()));
+        channel.send(
+                new BackendRequestFactory(environment)
+                        .create(
+                                request,
+                                body,
+                                admission.route(),
+                                admission.organisation(),
+                                attempt.target(),
+                                forwarding.remainingMillis(),
+                                forwarding.lastEventId()),
+                attempt);
+        forwarding.attemptSent(attempt, requestsAtBackend);
+    }
+
+    /** Reports a send to a backend server that does not accept requests any more. */
+    private void reportIfLeaving(BackendAttempt attempt) {
+        final String backend = attempt.target().backend().backend();
+        final Optional<BackendRecord> known = environment.view().find(backend);
+        if (known.filter(BackendRecord::acceptsRequests).isEmpty()) {
+            environment
+                    .observer()
+                    .sentToLeaving(
+                            request,
+                            backend,
+                            known.map(record -> record.state().toString()).orElse("unknown"),
+                            TimeUnit.NANOSECONDS.toMillis(
+                                    environment.nowNanos() - forwarding.arrivedNanos()),
+                            forwarding.adapterWaitMillis());
+        }
+    }
+}
--- a/daemon/src/main/java/org/crocushaven/forwarding/BackendAttempt.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/BackendAttempt.java
@@ -106,7 +106,7 @@
     @Override
     public void readComplete() {
         if (answerKind == AnswerKind.EVENT_STREAM) {
-            forwarding.checkStream();
+            forwarding.checkStream(this);
         }
     }
 
--- a/daemon/src/main/java/org/crocushaven/forwarding/InactivityTimer.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/InactivityTimer.java
@@ -2,16 +2,24 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.util.concurrent.TimeUnit;
-import java.util.function.LongConsumer;
+
 import org.agrona.concurrent.NanoClock;
 import org.crocushaven.observability.EventLine;
 
-/** Notifies a listener when a backend server has been silent for longer than a limit. */
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
+
+/**
+ * Notifies a listener when a backend server has been silent for longer than a limit, and again
+ * while it stays silent.
+ */
 final class InactivityTimer {
     /** Lateness above which the event loop was busy rather than the timer imprecise. */
     private static final long LATE_MILLIS = 50;
 
+    /** Time between two notifications of the same silence. */
+    private static final long REPEAT_MILLIS = 400;
+
     private final EventLoop loop;
     private final NanoClock clock;
     private final LongConsumer onSilence;
@@ -59,8 +67,7 @@
             schedule(limitMillis - silentMillis);
         } else {
             reportLateness();
-            progressNanos = clock.nanoTime();
-            schedule(limitMillis);
+            schedule(REPEAT_MILLIS);
             onSilence.accept(silentMillis);
         }
     }
--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
@@ -2,15 +2,15 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.crocushaven.fleet.BackendRecord;
 import org.crocushaven.ingress.IngressRequest;
 import org.crocushaven.ingress.IngressRoute;
 import org.crocushaven.ingress.RouteKind;
-import org.crocushaven.outbound.BackendChannel;
 import org.crocushaven.result.Execution;
 import org.crocushaven.result.ResultCode;
 import org.crocushaven.result.ResultException;
@@ -31,16 +31,9 @@
     private static final Duration REFUSAL_RETRY_DELAY = Duration.ofMillis(300);
 
     /**
-     * Silence limit before the first event, as a multiple of the route's latency objective; a
-     * backend server that is silent for longer is abandoned for another one.
+     * Maximum time for which two engines may work on a request; then the silent one is abandoned.
      */
-    private static final double SILENCE_LIMIT_PER_OBJECTIVE = 1.5;
-
-    /**
-     * Silence limit within a stream, as a multiple of the route's maximum pause; a stream that is
-     * silent for longer is resumed at another backend server.
-     */
-    private static final double SILENCE_LIMIT_PER_PAUSE = 3;
+    private static final long MAXIMUM_OVERLAP_MILLIS = 300;
 
     private final ForwardingEnvironment environment;
     private final IngressRequest request;
@@ -52,14 +45,22 @@
     private final InactivityTimer silence;
     private final RequestAdmission admission;
     private final RetryState retries = new RetryState();
+    private final AttemptsInFlight attempts;
+    private final AttemptSender sender;
     private ScheduledFuture<?> limitTimer;
-    private BackendAttempt attempt;
     private String lastBackend = "-";
     private long adapterWaitMillis;
     private int requestsAtBackend;
     private boolean streamStarted;
     private boolean done;
     private boolean readingPaused;
+
+    /** Whether a target for a replacement is being looked for. */
+    private boolean replacementSought;
+
+    /** What a replacement of the silent backend server last lacked; empty while none is silent. */
+    private String replacementLacked = "";
+
     private long firstByteNanos;
     private ResultException lastRefusal;
     private BackendAttempt lastFailure;
@@ -75,6 +76,8 @@
         this.client = client;
         this.arrivedNanos = environment.nowNanos();
         this.admission = new RequestAdmission(environment, request);
+        this.attempts = new AttemptsInFlight(environment.view());
+        this.sender = new AttemptSender(environment, request, body, admission, this);
         this.silence =
                 new InactivityTimer(environment.loop(), environment.clock(), this::backendSilent);
     }
@@ -107,7 +110,20 @@
         return route().kind() == RouteKind.STREAM;
     }
 
-    /** Called when the client disconnects; aborts the attempt in flight. */
+    long arrivedNanos() {
+        return arrivedNanos;
+    }
+
+    long adapterWaitMillis() {
+        return adapterWaitMillis;
+    }
+
+    /** Returns the event after which a stream resumes; empty for one that begins. */
+    Optional<String> lastEventId() {
+        return splitter.lastEventId();
+    }
+
+    /** Called when the client disconnects; aborts the attempts in flight. */
     void clientDisconnected() {
         if (!done) {
             finish(ResultCode.CALLER_CANCELLED, 0, "client disconnected");
@@ -119,9 +135,9 @@
      * accordingly.
      */
     void clientWritabilityChanged(boolean writable) {
-        if (!done && attempt != null && readingPaused == writable) {
+        if (!done && !attempts.isEmpty() && readingPaused == writable) {
             readingPaused = !writable;
-            attempt.setAutoRead(writable);
+            attempts.current().setAutoRead(writable);
         }
     }
 
@@ -130,12 +146,17 @@
         if (isStale(from)) {
             return;
         }
+        if (from == attempts.replacement()) {
+            replaceSilent();
+        }
         final ByteBuf events = splitter.add(data);
         if (events == null) {
             return;
         }
+        abandonReplacement("silent backend server went on first");
+        replacementLacked = "";
         pauses.recordEvent(environment.nowNanos());
-        silence.recordProgress((long) (route().pauseMillis() * SILENCE_LIMIT_PER_PAUSE));
+        silence.recordProgress(SilenceLimits.withinStreamMillis(route(), remainingMillis()));
         if (!streamStarted) {
             streamStarted = true;
             firstByteNanos = environment.nowNanos();
@@ -150,11 +171,10 @@
     }
 
     /** Fails the current attempt when its stream has an event that is too long or missing. */
-    void checkStream() {
-        if (splitter.isBroken() && !done) {
-            final BackendAttempt failed = attempt;
-            failed.abort();
-            handleFailure(failed, true, "event missing or too long");
+    void checkStream(BackendAttempt from) {
+        if (!isStale(from) && from == attempts.current() && splitter.isBroken()) {
+            from.abort();
+            handleFailure(from, true, "event missing or too long");
         }
     }
 
@@ -163,6 +183,9 @@
         if (isStale(from)) {
             return;
         }
+        if (from == attempts.replacement()) {
+            replaceSilent();
+        }
         if (splitter.hasPartialEvent() || splitter.isBroken()) {
             handleFailure(from, true, "stream ended within an event");
             return;
@@ -188,7 +211,10 @@
             reportFailedAttempt(from, true, "status " + from.status().code());
             endAttempt(from);
             lastFailure = streamStarted ? null : from;
-            retryOrGiveUp(from);
+            retries.exclude(backend);
+            if (attempts.isEmpty()) {
+                retryOrGiveUp();
+            }
             return;
         }
         environment.health().recordSuccess(backend, nowNanos);
@@ -196,6 +222,9 @@
             handleFailure(from, true, "answer is not a stream");
             return;
         }
+        if (from == attempts.replacement()) {
+            replaceSilent();
+        }
         deliver(from, "served");
     }
 
@@ -208,7 +237,8 @@
         reportFailedAttempt(from, false, "not run, status " + from.status().code());
         endAttempt(from);
         final int status = from.status().code();
-        if (remainingMillis() > 0
+        if (attempts.isEmpty()
+                && remainingMillis() > 0
                 && retries.tryWaitForAdapter(from.target(), status)
                 && environment.retryBudget().tryRetry(admission.service())) {
             sendLater(from.target(), ADAPTER_WAIT_MILLIS);
@@ -219,7 +249,10 @@
         } else {
             environment.health().recordFailure(backend, 0.5, environment.nowNanos());
         }
-        retryOrGiveUp(from);
+        retries.exclude(backend);
+        if (attempts.isEmpty()) {
+            retryOrGiveUp();
+        }
     }
 
     /** Reports an answer that carries the identifier of another request. */
@@ -234,23 +267,60 @@
         if (isStale(from)) {
             return;
         }
+        final String backend = from.target().backend().backend();
+        final boolean wasReplacement = from == attempts.replacement();
         retries.recordMayHaveRun(mayHaveRun);
-        environment
-                .health()
-                .recordFailure(
-                        from.target().backend().backend(),
-                        mayHaveRun ? 1 : 2,
-                        environment.nowNanos());
+        environment.health().recordFailure(backend, mayHaveRun ? 1 : 2, environment.nowNanos());
         reportFailedAttempt(from, mayHaveRun, reason);
         endAttempt(from);
         if (mayHaveRun) {
-            retryOrGiveUp(from);
+            retries.exclude(backend);
+        } else {
+            retries.recordNeverReached(backend);
+            if (wasReplacement) {
+                environment.retryBudget().returnRetry(admission.service());
+            }
+        }
+        if (!attempts.isEmpty()) {
+            return;
+        }
+        if (mayHaveRun) {
+            retryOrGiveUp();
         } else {
-            retries.recordNeverReached(from.target().backend().backend());
             tryAnother();
         }
     }
 
+    /** Called when an attempt was sent. */
+    void attemptSent(BackendAttempt sent, int requestsThere) {
+        requestsAtBackend = requestsThere;
+        if (sent == attempts.current()) {
+            startSilenceTimer();
+        } else if (isStream() || request.model().isPresent()) {
+            environment
+                    .loop()
+                    .schedule(
+                            () -> {
+                                if (!isStale(sent) && sent == attempts.replacement()) {
+                                    replaceSilent();
+                                }
+                            },
+                            MAXIMUM_OVERLAP_MILLIS,
+                            TimeUnit.MILLISECONDS);
+        }
+    }
+
+    boolean isStale(BackendAttempt from) {
+        return done || !attempts.contains(from);
+    }
+
+    /** Returns the time, in milliseconds, until the deadline or the route's time limit. */
+    long remainingMillis() {
+        final long limit =
+                Math.min(request.deadlineMillis().orElse(Long.MAX_VALUE), route().timeoutMillis());
+        return limit - TimeUnit.NANOSECONDS.toMillis(environment.nowNanos() - arrivedNanos);
+    }
+
     /** Starts the time limit and charges the request. */
     private void admit() {
         admission.identify(arrivedNanos);
@@ -300,18 +370,26 @@
     }
 
     private void sendLater(Target target, long delayMillis) {
+        waitForAdapter(
+                target,
+                delayMillis,
+                () -> {
+                    if (!done) {
+                        sendAfterWait(target);
+                    }
+                });
+    }
+
+    private void waitForAdapter(Target target, long delayMillis, Runnable then) {
+        final String backend = target.backend().backend();
         adapterWaitMillis += delayMillis;
-        environment.view().requestStarted(target.backend().backend(), target.key());
+        environment.view().requestStarted(backend, target.key());
         environment
                 .loop()
                 .schedule(
                         () -> {
-                            environment
-                                    .view()
-                                    .requestEnded(target.backend().backend(), target.key());
-                            if (!done) {
-                                sendAfterWait(target);
-                            }
+                            environment.view().requestEnded(backend, target.key());
+                            then.run();
                         },
                         delayMillis,
                         TimeUnit.MILLISECONDS);
@@ -336,109 +414,112 @@
     }
 
     private void send(Target target) {
-        final BackendRecord backend = target.backend();
-        lastBackend = backend.backend();
+        final BackendAttempt next = nextAttempt(target);
+        attempts.begin(next);
+        sender.send(next);
+    }
+
+    private BackendAttempt nextAttempt(Target target) {
+        lastBackend = target.backend().backend();
         final int number = retries.recordSend(lastBackend);
-        final BackendAttempt next = new BackendAttempt(this, target, number);
-        attempt = next;
-        environment.view().requestStarted(backend.backend(), target.key());
         if (number == 1) {
             environment.retryBudget().recordSend(admission.service());
         }
-        environment
-                .pool()
-                .acquire(
-                        new InetSocketAddress(backend.host(), backend.port()),
-                        !route().isRetryable())
+        return new BackendAttempt(this, target, number);
+    }
+
+    private void startSilenceTimer() {
+        if (route().isRetryable()) {
+            silence.start(
+                    streamStarted
+                            ? SilenceLimits.withinStreamMillis(route(), remainingMillis())
+                            : SilenceLimits.beforeAnswerMillis(route()));
+        }
+    }
+
+    /** Looks for a replacement of a silent backend server, whose answer is still awaited. */
+    private void backendSilent(long silentMillis) {
+        if (done || attempts.isEmpty() || attempts.hasReplacement() || readingPaused) {
+            return;
+        }
+        final String backend = attempts.current().target().backend().backend();
+        if (replacementLacked.isEmpty()) {
+            environment.health().recordFailure(backend, 1, environment.nowNanos());
+        }
+        if (remainingMillis() <= 0) {
+            reportReplacementLacks("time");
+        } else if (!mayTryAnother()) {
+            reportReplacementLacks("attempts");
+        } else if (!replacementSought) {
+            findReplacement(attempts.current(), backend);
+        }
+    }
+
+    private void findReplacement(BackendAttempt silent, String backend) {
+        final Set<String> excluded = new HashSet<>(retries.excluded());
+        excluded.add(backend);
+        final long events = splitter.eventCount();
+        replacementSought = true;
+        new TargetFinder(environment)
+                .find(admission.service(), request, excluded)
                 .whenComplete(
-                        (channel, failure) -> {
+                        (target, failure) -> {
                             if (failure != null) {
-                                handleFailure(next, false, "no connection");
-                            } else if (isStale(next)) {
-                                channel.close();
+                                replacementSought = false;
+                                reportReplacementLacks("target");
+                            } else if (target.delayMillis() > 0) {
+                                waitForAdapter(
+                                        target,
+                                        target.delayMillis(),
+                                        () -> sendReplacement(silent, events, target));
                             } else {
-                                sendOn(channel, next);
+                                sendReplacement(silent, events, target);
                             }
                         });
     }
 
-    private void sendOn(BackendChannel channel, BackendAttempt next) {
-        final long remainingMillis = remainingMillis();
-        if (remainingMillis <= 0) {
-            channel.close();
+    /** Sends the replacement unless the silent backend server has gone on meanwhile. */
+    private void sendReplacement(BackendAttempt silent, long eventsBefore, Target target) {
+        replacementSought = false;
+        if (isStale(silent) || splitter.eventCount() != eventsBefore) {
             return;
         }
-        next.opened(channel);
-        final String backend = next.target().backend().backend();
-        requestsAtBackend = environment.view().requestsAt(backend);
-        environment.observer().sent(request, backend, next.number(), requestsAtBackend);
-        reportIfLeaving(backend);
-        request.usage()
-                .ifPresent(
-                        usage ->
-                                environment
-                                        .view()
-                                        .recordPrompt(
-                                                backend,
-                                                usage.promptTokens(),
-                                                environment.nowNanos()));
-        channel.send(
-                new BackendRequestFactory(environment)
-                        .create(
-                                request,
-                                body,
-                                route(),
-                                admission.organisation(),
-                                next.target(),
-                                remainingMillis,
-                                splitter.lastEventId()),
-                next);
-        if (route().isRetryable()) {
-            silence.start(silenceLimitMillis());
-        }
-    }
-
-    /** Reports a send to a backend server that does not accept requests any more. */
-    private void reportIfLeaving(String backend) {
-        final Optional<BackendRecord> known = environment.view().find(backend);
-        if (known.filter(BackendRecord::acceptsRequests).isEmpty()) {
-            environment
-                    .observer()
-                    .sentToLeaving(
-                            request,
-                            backend,
-                            known.map(record -> record.state().toString()).orElse("unknown"),
-                            TimeUnit.NANOSECONDS.toMillis(environment.nowNanos() - arrivedNanos),
-                            adapterWaitMillis);
+        if (!acceptsRequests(target)) {
+            reportReplacementLacks("target");
+        } else if (!environment.retryBudget().tryRetry(admission.service())) {
+            reportReplacementLacks("budget");
+        } else {
+            final BackendAttempt next = nextAttempt(target);
+            attempts.beginReplacement(next);
+            sender.send(next);
         }
     }
 
-    /** Abandons a silent backend server if another one may serve the request. */
-    private void backendSilent(long silentMillis) {
-        final BackendAttempt watched = attempt;
-        if (done || watched == null || readingPaused) {
-            return;
-        }
-        if (mayTryAnother() && remainingMillis() > 0 && hasOtherBackend(watched)) {
-            watched.abort();
-            handleFailure(watched, true, "silent for " + silentMillis + " ms");
+    private void reportReplacementLacks(String missing) {
+        if (!done && !replacementLacked.equals(missing)) {
+            replacementLacked = missing;
+            environment.observer().retryUnavailable(request, missing);
         }
     }
 
-    private long silenceLimitMillis() {
-        return (long)
-                (streamStarted
-                        ? route().pauseMillis() * SILENCE_LIMIT_PER_PAUSE
-                        : route().objectiveMillis() * SILENCE_LIMIT_PER_OBJECTIVE);
+    /** Abandons the silent backend server for the replacement, whose answer is forwarded now. */
+    private void replaceSilent() {
+        final BackendAttempt silent = attempts.current();
+        retries.recordMayHaveRun(true);
+        retries.exclude(silent.target().backend().backend());
+        reportFailedAttempt(silent, true, "silent, replaced");
+        silent.abort();
+        endAttempt(silent);
     }
 
-    private boolean hasOtherBackend(BackendAttempt watched) {
-        return environment.view().ofService(admission.service()).stream()
-                .map(BackendRecord::backend)
-                .anyMatch(
-                        other ->
-                                !other.equals(watched.target().backend().backend())
-                                        && !retries.excluded().contains(other));
+    private void abandonReplacement(String reason) {
+        if (attempts.hasReplacement()) {
+            final BackendAttempt unneeded = attempts.replacement();
+            retries.recordMayHaveRun(true);
+            reportFailedAttempt(unneeded, true, reason);
+            unneeded.abort();
+            endAttempt(unneeded);
+        }
     }
 
     private boolean mayTryAnother() {
@@ -465,8 +546,7 @@
         giveUp();
     }
 
-    private void retryOrGiveUp(BackendAttempt failed) {
-        retries.exclude(failed.target().backend().backend());
+    private void retryOrGiveUp() {
         if (!mayTryAnother()) {
             giveUpRetry("attempts");
         } else if (!environment.retryBudget().tryRetry(admission.service())) {
@@ -497,7 +577,7 @@
         if (done) {
             return;
         }
-        final BackendAttempt current = attempt;
+        final BackendAttempt current = attempts.current();
         if (current != null) {
             reportFailedAttempt(current, true, "time limit reached");
         }
@@ -536,7 +616,7 @@
         finish(refusal.code(), refusal.code().httpStatus(), refusal.getMessage());
     }
 
-    /** Ends the request and aborts the attempt in flight, if any. */
+    /** Ends the request and aborts the attempts in flight, if any. */
     private void finish(ResultCode code, int status, String reason) {
         done = true;
         if (limitTimer != null) {
@@ -544,15 +624,16 @@
         }
         silence.stop();
         final String backend = lastBackend();
-        if (attempt != null) {
-            final BackendAttempt last = attempt;
+        abandonReplacement("request ended");
+        if (!attempts.isEmpty()) {
+            final BackendAttempt last = attempts.current();
             endAttempt(last);
             if (code != ResultCode.OK) {
                 last.abort();
             }
         }
         admission.abandon();
-        if (code != ResultCode.OK && !retries.mayHaveRun() && attempt == null) {
+        if (code != ResultCode.OK && !retries.mayHaveRun() && attempts.isEmpty()) {
             admission.refund();
         }
         body.release();
@@ -585,14 +666,19 @@
                                 pauses.longestMillis()));
     }
 
+    /** Ends an attempt; a replacement goes on in its place. */
     private void endAttempt(BackendAttempt ended) {
-        if (attempt == ended) {
-            attempt = null;
-            silence.stop();
-            readingPaused = false;
-            environment
-                    .view()
-                    .requestEnded(ended.target().backend().backend(), ended.target().key());
+        final boolean wasCurrent = ended == attempts.current();
+        attempts.end(ended);
+        if (!wasCurrent) {
+            return;
+        }
+        silence.stop();
+        readingPaused = false;
+        replacementLacked = "";
+        if (!attempts.isEmpty()) {
+            splitter.discardPartialEvent();
+            startSilenceTimer();
         }
     }
 
@@ -606,14 +692,4 @@
                         mayHaveRun,
                         reason);
     }
-
-    private boolean isStale(BackendAttempt from) {
-        return done || attempt != from;
-    }
-
-    private long remainingMillis() {
-        final long limit =
-                Math.min(request.deadlineMillis().orElse(Long.MAX_VALUE), route().timeoutMillis());
-        return limit - TimeUnit.NANOSECONDS.toMillis(environment.nowNanos() - arrivedNanos);
-    }
 }
--- a/daemon/src/main/java/org/crocushaven/forwarding/ServiceRetryBudget.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/ServiceRetryBudget.java
@@ -57,6 +57,11 @@
         return true;
     }
 
+    /** Returns a retry that was taken but reached no backend server. */
+    void returnRetry(String service) {
+        budgets.put(service, Math.min(capacity(), budget(service) + 1));
+    }
+
     private double budget(String service) {
         return budgets.getOrDefault(service, capacity());
     }
--- a/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
@@ -12,7 +12,16 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import org.agrona.concurrent.SystemEpochClock;
 import org.agrona.concurrent.SystemNanoClock;
 import org.crocushaven.fleet.AdapterGrant;
@@ -30,17 +39,6 @@
 import org.crocushaven.result.ResultCode;
 import org.crocushaven.result.ResultException;
 
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Optional;
-import java.util.OptionalLong;
-import java.util.Random;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.TimeUnit;
-
 /** Serves requests of one route at stand-in backend servers, and records what clients receive. */
 final class ForwardingFixture implements AutoCloseable {
     static final long TIMEOUT_MILLIS = 8_000;
