Count no silence while the event loop is busy

Callers of sound backend servers would see their streams sent to a second backend server after a turn of the event loop that lasts as long as the silence limit, for example while a large configuration is decoded. Cause: scheduled tasks run before the bytes that arrived during the turn are read, so that every backend server counts as silent. A check that runs 50 ms late or later now adds its lateness to the last progress and waits for the next reads first.

--- a/daemon/src/main/java/org/crocushaven/forwarding/InactivityTimer.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/InactivityTimer.java
@@ -2,21 +2,23 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.ScheduledFuture;
-
-import org.agrona.concurrent.NanoClock;
-import org.crocushaven.observability.EventLine;
-
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
+import org.agrona.concurrent.NanoClock;
+import org.crocushaven.observability.EventLine;
 
 /**
  * Notifies a listener when a backend server has been silent for longer than a limit, and again
- * while it stays silent.
+ * while it stays silent. Time in which the event loop was busy does not count, since bytes that
+ * arrived meanwhile are not read yet.
  */
 final class InactivityTimer {
     /** Lateness above which the event loop was busy rather than the timer imprecise. */
     private static final long LATE_MILLIS = 50;
 
+    /** Time for the event loop to read the bytes that arrived while it was busy. */
+    private static final long READ_MILLIS = 10;
+
     /** Time between two notifications of the same silence. */
     private static final long REPEAT_MILLIS = 400;
 
@@ -62,22 +64,25 @@
     }
 
     private void check() {
-        final long silentMillis = TimeUnit.NANOSECONDS.toMillis(clock.nanoTime() - progressNanos);
+        final long nowNanos = clock.nanoTime();
+        final long lateMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - dueNanos);
+        if (lateMillis >= LATE_MILLIS) {
+            EventLine.of("silence-timer-late").with("late_ms", lateMillis).info();
+            progressNanos += TimeUnit.MILLISECONDS.toNanos(lateMillis);
+            schedule(Math.max(READ_MILLIS, limitMillis - silentMillis(nowNanos)));
+            return;
+        }
+        final long silentMillis = silentMillis(nowNanos);
         if (silentMillis < limitMillis) {
             schedule(limitMillis - silentMillis);
         } else {
-            reportLateness();
             schedule(REPEAT_MILLIS);
             onSilence.accept(silentMillis);
         }
     }
 
-    /** Reports a check that ran late, which means that the event loop read nothing meanwhile. */
-    private void reportLateness() {
-        final long lateMillis = TimeUnit.NANOSECONDS.toMillis(clock.nanoTime() - dueNanos);
-        if (lateMillis >= LATE_MILLIS) {
-            EventLine.of("silence-timer-late").with("late_ms", lateMillis).info();
-        }
+    private long silentMillis(long nowNanos) {
+        return TimeUnit.NANOSECONDS.toMillis(nowNanos - progressNanos);
     }
 
     private void schedule(long delayMillis) {
--- a/daemon/src/test/java/org/crocushaven/forwarding/InactivityTimerTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/InactivityTimerTest.java
@@ -48,6 +48,41 @@
         assertEquals(1, silences.size());
     }
 
+    @Test
+    void reportsAgainWhileSilenceLasts() {
+        channel.freezeTime();
+        watch.start(LIMIT_MILLIS);
+        pass(100);
+        pass(400);
+
+        assertEquals(List.of(100L, 500L), silences);
+    }
+
+    @Test
+    void bytesThatWaitWhileTheLoopIsBusyAreNoSilence() {
+        channel.freezeTime();
+        watch.start(LIMIT_MILLIS);
+        pass(60);
+        nowNanos += TimeUnit.MILLISECONDS.toNanos(300);
+        pass(40);
+        assertTrue(silences.isEmpty());
+
+        watch.recordProgress(LIMIT_MILLIS);
+        pass(99);
+        assertTrue(silences.isEmpty());
+    }
+
+    @Test
+    void silenceThatLastsAfterTheLoopWasBusyIsReported() {
+        channel.freezeTime();
+        watch.start(LIMIT_MILLIS);
+        nowNanos += TimeUnit.MILLISECONDS.toNanos(300);
+        pass(100);
+        pass(10);
+
+        assertEquals(1, silences.size());
+    }
+
     @Test
     void reportsNothingWhenStopped() {
         channel.freezeTime();
