Answer the request under way before a connection is closed for an unreadable one

Callers that pipeline would see a running answer, and whole requests that wait behind it, end with a closed connection and no answer, when their next request is malformed, too large, or its head is not complete in time. Cause: refuseAndClose closed the connection at once if an answer was under way. Class: the connection is released while an answer is due on it. Now the refusal follows the answers that are due, then the connection closes; nothing more is read meanwhile.

--- a/daemon/src/main/java/org/crocushaven/forwarding/IngressConnection.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/IngressConnection.java
@@ -47,6 +47,9 @@
     private RequestForwarding forwarding;
     private boolean closing;
 
+    /** Refusal of an unreadable request, which follows the answers that are still due. */
+    private ResultException finalRefusal;
+
     IngressConnection(IngressServer server, ReadActivityHandler activity, IngressLimits limits) {
         this.server = server;
         this.activity = activity;
@@ -73,6 +76,8 @@
         if (next != null) {
             channel.config().setAutoRead(true);
             serve(next);
+        } else if (finalRefusal != null) {
+            writeFinalRefusal();
         }
     }
 
@@ -240,11 +245,14 @@
         server.environment()
                 .observer()
                 .refusedBeforeDecoding(refusal.code(), refusal.getMessage(), current != null);
-        if (current != null) {
-            channel.close();
-            return;
+        finalRefusal = refusal;
+        if (current == null) {
+            writeFinalRefusal();
         }
-        final FullHttpResponse response = ClientExchange.refusal(refusal);
+    }
+
+    private void writeFinalRefusal() {
+        final FullHttpResponse response = ClientExchange.refusal(finalRefusal);
         HttpUtil.setKeepAlive(response, false);
         channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
     }
