Answer a request that meets an unexpected exception instead of closing its connection

Callers would see a whole request end with a closed connection and neither an answer nor a refusal when decoding or admitting it throws, and a request held to its time limit when a callback does: the exception went to exceptionCaught, which closed the connection without a line, or into a future that nobody reads; a failure of the charge that is no refusal counted as consent, one of the search gave a null target. Class: a failure without an owner ends work in silence. Now each of these steps ends its request with INTERNAL, as not run where nothing was sent, a line and a counter; the connection stays. IngressConnectionTest.AfterAnUnexpectedException: three tests failed before (closed, closed, held to the time limit), all pass.

--- a/daemon/src/main/java/org/crocushaven/forwarding/IngressConnection.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/IngressConnection.java
@@ -25,6 +25,7 @@
 import java.util.concurrent.TimeUnit;
 import org.crocushaven.ingress.IngressLimits;
 import org.crocushaven.ingress.IngressRequest;
+import org.crocushaven.result.Execution;
 import org.crocushaven.result.ResultCode;
 import org.crocushaven.result.ResultException;
 
@@ -232,6 +233,13 @@
                     .refusedBeforeDecoding(refusal.code(), refusal.getMessage(), false);
             exchange.refuse(refusal);
             return;
+        } catch (RuntimeException fault) {
+            received.body.release();
+            server.environment().observer().faulted(fault, true);
+            exchange.refuse(
+                    ResultException.of(ResultCode.INTERNAL, fault.getClass().getSimpleName())
+                            .withExecution(Execution.NOT_RUN));
+            return;
         }
         final RequestForwarding started =
                 RequestForwarding.start(server.environment(), request, received.body, exchange);
--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
@@ -94,6 +94,8 @@
             forwarding.admit();
         } catch (ResultException refusal) {
             forwarding.refuse(refusal);
+        } catch (RuntimeException fault) {
+            forwarding.endAfterFault(fault);
         }
         return forwarding;
     }
@@ -338,8 +340,38 @@
         }
         if (failure instanceof ResultException refusal) {
             refuse(refusal);
+        } else if (failure != null) {
+            endAfterFault(failure);
         } else {
-            findTarget();
+            orEnd(this::findTarget);
+        }
+    }
+
+    /** Runs a step of this request, which ends if the step throws. */
+    private void orEnd(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException fault) {
+            endAfterFault(fault);
+        }
+    }
+
+    /** Ends the request after an unexpected exception, rather than hold it to its time limit. */
+    private void endAfterFault(Throwable fault) {
+        environment.observer().faulted(fault, !done);
+        if (done) {
+            return;
+        }
+        if (streamStarted) {
+            client.abort();
+            finish(ResultCode.ANSWER_INCOMPLETE, 0, "unexpected exception");
+        } else {
+            refuse(
+                    ResultException.of(ResultCode.INTERNAL, fault.getClass().getSimpleName())
+                            .withExecution(
+                                    attempts.isEmpty() && !retries.mayHaveRun()
+                                            ? Execution.NOT_RUN
+                                            : Execution.UNKNOWN));
         }
     }
 
@@ -352,30 +384,35 @@
                 .find(admission.service(), request, retries.excluded())
                 .whenComplete(
                         (target, failure) -> {
-                            if (done) {
-                                return;
-                            }
-                            if (failure instanceof ResultException refusal) {
-                                lastRefusal = refusal;
-                                if (retries.sends() > 0) {
-                                    environment.observer().retryUnavailable(request, "target");
-                                }
-                                giveUp();
-                            } else if (target.delayMillis() > 0) {
-                                sendLater(target, target.delayMillis());
-                            } else {
-                                send(target);
+                            if (!done) {
+                                orEnd(() -> targetFound(target, failure));
                             }
                         });
     }
 
+    private void targetFound(Target target, Throwable failure) {
+        if (failure instanceof ResultException refusal) {
+            lastRefusal = refusal;
+            if (retries.sends() > 0) {
+                environment.observer().retryUnavailable(request, "target");
+            }
+            giveUp();
+        } else if (failure != null) {
+            endAfterFault(failure);
+        } else if (target.delayMillis() > 0) {
+            sendLater(target, target.delayMillis());
+        } else {
+            send(target);
+        }
+    }
+
     private void sendLater(Target target, long delayMillis) {
         waitForAdapter(
                 target,
                 delayMillis,
                 () -> {
                     if (!done) {
-                        sendAfterWait(target);
+                        orEnd(() -> sendAfterWait(target));
                     }
                 });
     }
--- a/daemon/src/main/java/org/crocushaven/forwarding/TargetFinder.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/TargetFinder.java
@@ -90,7 +90,13 @@
                 .leader()
                 .requestAdapter(ask)
                 .whenComplete(
-                        (grant, failure) -> completeWithGrant(found, service, key, holder, grant));
+                        (grant, failure) -> {
+                            try {
+                                completeWithGrant(found, service, key, holder, grant);
+                            } catch (RuntimeException fault) {
+                                found.completeExceptionally(fault);
+                            }
+                        });
         return found;
     }
 
--- a/daemon/src/test/java/org/crocushaven/forwarding/IngressConnectionTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/IngressConnectionTest.java
@@ -49,6 +49,7 @@
     private final Deque<ResultCode> unreadable = new ArrayDeque<>();
     private int faults;
     private RuntimeException decodingFault;
+    private RuntimeException configurationFault;
     private long nowNanos = System.nanoTime();
     private final EmbeddedChannel channel = new EmbeddedChannel();
     private final IngressServer server = new IngressServer(environment(channel.eventLoop()));
@@ -114,7 +115,12 @@
                 () -> nowNanos,
                 random,
                 new OneRequestDialect(),
-                () -> Optional.of(configuration),
+                () -> {
+                    if (configurationFault != null) {
+                        throw configurationFault;
+                    }
+                    return Optional.of(configuration);
+                },
                 BackendPool.create(loop, () -> nowNanos),
                 new GatewayBackends(),
                 new BackendHealth(),
@@ -172,6 +178,36 @@
         }
     }
 
+    @Nested
+    class AfterAnUnexpectedException {
+        @Test
+        void requestThatCannotBeDecodedIsAnsweredAndTheConnectionStays() {
+            decodingFault = new IllegalStateException("injected");
+            send(REQUEST);
+
+            assertTrue(received().startsWith("HTTP/1.1 500 "));
+            assertEquals(1, faults);
+            assertTrue(channel.isOpen());
+        }
+
+        @Test
+        void requestThatCannotBeAdmittedIsAnswered() {
+            configurationFault = new IllegalStateException("injected");
+            send(REQUEST);
+
+            assertTrue(received().startsWith("HTTP/1.1 500 "));
+            assertEquals(1, faults);
+        }
+
+        @Test
+        void requestWhoseTargetCannotBeFoundIsAnsweredAtOnce() {
+            send(REQUEST);
+            grants.poll().complete(new AdapterGrant(null, 0, 1));
+
+            assertTrue(received().startsWith("HTTP/1.1 500 "), "held to its time limit");
+        }
+    }
+
     /** Leaves each request for an adapter to the test. */
     private final class HeldGrants implements LeaderRequests {
         @Override
