Take test ports below the range of outgoing connections

Cause: tests took ports that the system gives to outgoing connections (32768 to 60999) and released them before their servers listened, so that any connection on the machine, of the same test or of another process, could take one. Now they come from 16384 to 32767, where outgoing connections take none; one copy of the search goes. DrainTest passes; the same race between two test runs at once stays possible, with one chance in about 1,400 for 12 ports each.

--- a/bench/src/test/java/org/crocushaven/bench/path/SmallFleet.java
+++ b/bench/src/test/java/org/crocushaven/bench/path/SmallFleet.java
@@ -4,7 +4,6 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -19,6 +18,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.IntFunction;
 import java.util.function.UnaryOperator;
+import org.crocushaven.bench.process.FreePorts;
 import org.crocushaven.bench.standin.Engine;
 import org.crocushaven.bench.standin.EngineSettings;
 import org.crocushaven.bench.standin.PlainService;
@@ -93,7 +93,7 @@
     }
 
     private void startAll(IntFunction<UnaryOperator<PeerAddresses>> links) throws Exception {
-        final List<Integer> ports = freePorts(12);
+        final List<Integer> ports = FreePorts.find(12);
         for (int position = 0; position < 3; position++) {
             settings.add(settingsOf(position, ports));
         }
@@ -236,16 +236,4 @@
             LockSupport.parkNanos(20_000_000);
         }
     }
-
-    private static List<Integer> freePorts(int count) throws Exception {
-        final List<ServerSocket> sockets = new ArrayList<>();
-        for (int opened = 0; opened < count; opened++) {
-            sockets.add(new ServerSocket(0));
-        }
-        final List<Integer> ports = sockets.stream().map(ServerSocket::getLocalPort).toList();
-        for (final ServerSocket socket : sockets) {
-            socket.close();
-        }
-        return ports;
-    }
 }
