Give the queue, the takeover and the refusals of a dispatcher their own classes

Hard to read: BackendDispatcher (630 lines) kept the permit queue, the wait after a takeover and the reckoning of refusals among its own inputs, so that each could be understood only with all the others. Moved: PermitQueue holds the waiting requests and chooses the next one, TakeoverGuard decides what is allowed while earlier orders are in flight, PermitRefusals decides which requests are refused on arrival, and LoadDemand is a file of its own. Tests: BackendDispatcherTest, DispatchFuzzTest and DispatcherHostTest pass; the counts that DispatchFuzzTest prints for are those of before.

--- a/daemon/src/main/java/org/crocushaven/placement/BackendDispatcher.java
+++ b/daemon/src/main/java/org/crocushaven/placement/BackendDispatcher.java
@@ -1,20 +1,17 @@
 package org.crocushaven.placement;
 
 import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
+import java.util.Collection;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import org.crocushaven.admission.FairQueue;
-import org.crocushaven.admission.LoadPriority;
-import org.crocushaven.admission.QueueEntry;
+import java.util.function.Predicate;
 import org.crocushaven.backend.BackendServer;
 import org.crocushaven.backend.LoadReport;
 import org.crocushaven.configuration.AdapterVersion;
 import org.crocushaven.placement.AdapterSlot.Status;
-import org.crocushaven.placement.LoadPlanner.LoadDemand;
+import org.crocushaven.placement.PermitQueue.ServedRequest;
+import org.crocushaven.placement.PermitRefusals.Refusal;
 import org.crocushaven.result.ResultCode;
 
 /**
@@ -24,39 +21,33 @@
  * that nothing runs on the version. After a takeover every reported version counts as pinned until
  * the re-declaration window has passed and a later report shows it idle.
  *
- * <p>An order of an earlier dispatcher that is still in flight could unload a version. Therefore no
- * permit for a version is granted until the backend server has confirmed an order with the new
- * fencing number or, if it ignores fencing numbers, until the lifetime of an order has passed.
- * Resident versions are exempt because no dispatcher unloads them.
+ * <p>No permit for a version is granted until {@link TakeoverGuard} excludes that an order of an
+ * earlier dispatcher unloads it. Resident versions are exempt because no dispatcher unloads them.
  *
  * <p>Method calls are the inputs; {@link #takeActions} returns the resulting actions. Not
  * thread-safe.
  */
 public final class BackendDispatcher {
-    private static final long MINIMUM_RETRY_NANOS = 10_000_000;
     private static final long POPULARITY_HALF_LIFE_NANOS = 60_000_000_000L;
     private static final int POPULARITY_VERSIONS = 4096;
 
     private final long fencingNumber;
     private final DispatcherSettings settings;
     private final EvictionPolicy eviction;
-    private final long takeoverNanos;
+    private final TakeoverGuard takeover;
     private final AdapterSlots slots;
     private final PermitTable permits = new PermitTable();
     private final ServiceTimes times;
     private final LoadPlanner planner;
     private final PopularityTracker popularity;
-    private final FairQueue<PermitRequest> queue;
-    private final Set<String> requestsAwaitingLoad = new HashSet<>();
+    private final PermitQueue queue;
+    private final PermitRefusals refusals;
     private final SummaryTracker summaries;
     private List<DispatcherAction> actions = new ArrayList<>();
     private BackendServer server;
     private long reportSequence = -1;
     private int reportedRunning;
     private boolean reportReceived;
-    private boolean fencingNumberConfirmed;
-    private AdapterVersion fencingOrderVersion;
-    private boolean superseded;
     private boolean draining;
     private boolean drainingReported;
 
@@ -70,16 +61,17 @@
         this.fencingNumber = fencingNumber;
         this.settings = settings;
         this.eviction = eviction;
-        this.takeoverNanos = nowNanos;
+        this.takeover = TakeoverGuard.create(settings, nowNanos);
         this.slots = new AdapterSlots(server.adapterSlots(), settings, nowNanos);
         this.times = new ServiceTimes(settings);
         this.popularity =
                 PopularityTracker.create(POPULARITY_HALF_LIFE_NANOS, POPULARITY_VERSIONS, nowNanos);
-        this.queue = FairQueue.create(settings.maximumQueueLength());
+        this.queue = PermitQueue.create(settings);
         this.summaries = new SummaryTracker(fencingNumber);
         this.planner =
                 new LoadPlanner(
                         settings, slots, permits, eviction, times, fencingNumber, this::emit);
+        this.refusals = new PermitRefusals(slots, planner, queue, times);
     }
 
     /** Returns a dispatcher for a backend server whose takeover happens now. */
@@ -105,9 +97,9 @@
         if (queue.contains(request.requestId())) {
             return;
         }
-        final Optional<ResultCode> refusal = findRefusal(request, nowNanos);
+        final Optional<Refusal> refusal = findRefusal(request, nowNanos);
         if (refusal.isPresent()) {
-            refuse(request, refusal.get(), retryAfterNanos(request, refusal.get(), nowNanos));
+            refuse(request, refusal.get());
             return;
         }
         request.version()
@@ -115,24 +107,21 @@
                         version -> {
                             eviction.recordUse(version, nowNanos);
                             popularity.recordUse(version, nowNanos);
-                            if (!slots.isServable(version)) {
-                                requestsAwaitingLoad.add(request.requestId());
-                            }
                         });
-        queue.offer(toQueueEntry(request))
+        final boolean awaitsLoad =
+                request.version().filter(version -> !slots.isServable(version)).isPresent();
+        queue.offer(request, awaitsLoad)
                 .forEach(
                         dropped ->
                                 refuse(
-                                        dropped.payload(),
-                                        ResultCode.QUEUE_FULL,
-                                        times.serviceNanos()));
+                                        dropped,
+                                        new Refusal(ResultCode.QUEUE_FULL, times.serviceNanos())));
         dispatch(nowNanos);
     }
 
     /** Cancels a queued or granted request that was not sent and will not be sent. */
     public void cancelPermitRequest(String requestId, long nowNanos) {
-        if (queue.remove(requestId).isPresent()) {
-            requestsAwaitingLoad.remove(requestId);
+        if (queue.remove(requestId)) {
             dispatch(nowNanos);
         } else {
             returnPermit(requestId, PermitOutcome.NOT_SENT, nowNanos);
@@ -172,10 +161,8 @@
         }
         final boolean notServable =
                 version.isPresent() && reportReceived && !slots.isServable(version.get());
-        if (notServable || superseded) {
-            emit(
-                    new DispatcherAction.RefusePermit(
-                            requestId, holder, ResultCode.PERMIT_STALE, MINIMUM_RETRY_NANOS));
+        if (notServable || takeover.isSuperseded()) {
+            refuse(requestId, holder, Refusal.of(ResultCode.PERMIT_STALE));
             return;
         }
         permits.add(new Permit(requestId, holder, version, nowNanos, deadlineNanos));
@@ -230,15 +217,14 @@
         reportSequence = -1;
         reportedRunning = 0;
         reportReceived = false;
-        fencingNumberConfirmed = false;
-        fencingOrderVersion = null;
+        takeover.handleServerRestart();
         slots.handleServerRestart();
         dispatch(nowNanos);
     }
 
     /** Handles a load granted by the load budget. */
     public void handleLoadGrant(AdapterVersion version, long nowNanos) {
-        planner.handleGrant(version, queuedVersions(), ordersAllowed(nowNanos), nowNanos);
+        planner.handleGrant(version, queue.versions(), ordersAllowed(nowNanos), nowNanos);
         dispatch(nowNanos);
     }
 
@@ -249,20 +235,18 @@
 
     /** Handles the end of a load order with {@link ResultCode#OK} or the reason for its failure. */
     public void loadFinished(AdapterVersion version, ResultCode code, long nowNanos) {
-        recordOrderResult(code);
-        if (version.equals(fencingOrderVersion)) {
-            fencingOrderVersion = null;
+        takeover.recordOrderResult(code);
+        if (takeover.endConfirmation(version)) {
             dispatch(nowNanos);
             return;
         }
         if (planner.loadFinished(version, code, nowNanos)) {
-            queue.removeIf(entry -> entry.payload().version().equals(Optional.of(version)))
-                    .forEach(
-                            entry ->
-                                    refuse(
-                                            entry.payload(),
-                                            ResultCode.ADAPTER_LOAD_FAILED,
-                                            planner.backoffNanos(version, nowNanos)));
+            final Refusal refusal =
+                    new Refusal(
+                            ResultCode.ADAPTER_LOAD_FAILED,
+                            planner.backoffNanos(version, nowNanos));
+            queue.removeIf(request -> request.version().equals(Optional.of(version)))
+                    .forEach(request -> refuse(request, refusal));
         }
         dispatch(nowNanos);
     }
@@ -271,8 +255,8 @@
      * Handles the end of an unload order with {@link ResultCode#OK} or the reason for its failure.
      */
     public void unloadFinished(AdapterVersion version, ResultCode code, long nowNanos) {
-        recordOrderResult(code);
-        planner.unloadFinished(version, code, queuedVersions(), nowNanos);
+        takeover.recordOrderResult(code);
+        planner.unloadFinished(version, code, queue.versions(), nowNanos);
         dispatch(nowNanos);
     }
 
@@ -280,8 +264,7 @@
      * Handles the loss of an instance whose session lease has expired, so that it sends no more.
      */
     public void handleHolderExpired(String instance, long nowNanos) {
-        queue.removeIf(entry -> entry.payload().holder().equals(instance))
-                .forEach(entry -> requestsAwaitingLoad.remove(entry.identifier()));
+        queue.removeIf(request -> request.holder().equals(instance));
         permits.matching(permit -> permit.holder().equals(instance))
                 .forEach(permit -> handleLostPermit(permits.remove(permit.requestId()), nowNanos));
         dispatch(nowNanos);
@@ -320,7 +303,7 @@
                 server,
                 slots.versions(slot -> slot.hasStatus(Status.LOADED) && !slot.isDraining()),
                 slots.versions(slot -> slot.hasStatus(Status.LOADING)),
-                freeRequestSlots(takeoverNanos + settings.redeclareWindowNanos()),
+                unusedRequestSlots(permits.occupiedSlots()),
                 queue.size(),
                 permits.size(),
                 isDraining());
@@ -337,12 +320,12 @@
     }
 
     private void dispatch(long nowNanos) {
-        queue.expire(nowNanos).forEach(entry -> refuse(entry, ResultCode.DEADLINE_PASSED));
+        queue.expire(nowNanos)
+                .forEach(request -> refuse(request, Refusal.of(ResultCode.DEADLINE_PASSED)));
         permits.expireLost(nowNanos);
-        if (superseded || isDraining()) {
-            final ResultCode code =
-                    superseded ? ResultCode.NOT_DISPATCHER : ResultCode.NO_BACKEND_SERVER;
-            queue.removeIf(entry -> true).forEach(entry -> refuse(entry, code));
+        final Optional<Refusal> closed = refusalOfAllWork();
+        if (closed.isPresent()) {
+            queue.removeIf(request -> true).forEach(request -> refuse(request, closed.get()));
             planner.cancelAll();
             return;
         }
@@ -355,12 +338,13 @@
 
     private void grantPermits(long nowNanos) {
         while (queue.size() > 0 && freeRequestSlots(nowNanos) > 0) {
-            final Optional<QueueEntry<PermitRequest>> next = nextEntry(nowNanos);
+            final Optional<ServedRequest> next =
+                    queue.takeNext(
+                            request -> isServable(request, nowNanos), permits::isPinned, nowNanos);
             if (next.isEmpty()) {
                 return;
             }
-            queue.removeServed(next.get());
-            final PermitRequest request = next.get().payload();
+            final PermitRequest request = next.get().request();
             final Permit permit =
                     new Permit(
                             request.requestId(),
@@ -369,52 +353,18 @@
                             nowNanos,
                             request.deadlineNanos());
             permits.add(permit);
-            final boolean waited = requestsAwaitingLoad.remove(request.requestId());
-            emit(grantAction(permit, nowNanos - request.arrivalNanos(), waited));
+            emit(grantAction(permit, nowNanos - request.arrivalNanos(), next.get().awaitedLoad()));
         }
     }
 
-    /**
-     * Returns the next request in fair order. Until that one has waited for the batching time, a
-     * request of the same organisation that is at least as urgent and has a pinned version is
-     * preferred, because it joins a running batch.
-     */
-    private Optional<QueueEntry<PermitRequest>> nextEntry(long nowNanos) {
-        final Optional<QueueEntry<PermitRequest>> first =
-                queue.peek(entry -> isServable(entry.payload(), nowNanos));
-        if (first.isEmpty()
-                || nowNanos - first.get().arrivalNanos() >= settings.batchingWaitNanos()) {
-            return first;
-        }
-        final String organisation = first.get().organisation();
-        final Optional<QueueEntry<PermitRequest>> batched =
-                queue.peek(
-                        entry ->
-                                entry.organisation().equals(organisation)
-                                        && entry.urgency() <= first.get().urgency()
-                                        && entry.payload()
-                                                .version()
-                                                .filter(permits::isPinned)
-                                                .isPresent()
-                                        && isServable(entry.payload(), nowNanos));
-        return batched.isPresent() ? batched : first;
-    }
-
     private void planLoads(long nowNanos) {
-        final Map<AdapterVersion, LoadDemand> demands = new HashMap<>();
-        boolean starving = false;
-        for (final QueueEntry<PermitRequest> entry : queue.entries()) {
-            final PermitRequest request = entry.payload();
-            if (request.version().isEmpty() || slots.isOccupied(request.version().get())) {
-                continue;
-            }
-            demands.merge(
-                    request.version().get(), toDemand(request), BackendDispatcher::mergeDemands);
-            starving |= nowNanos - entry.arrivalNanos() >= settings.starvationNanos();
-        }
-        planner.plan(demands.values(), prefetchCandidates(nowNanos), nowNanos);
-        if (starving && !planner.canFreeSlot(queuedVersions())) {
-            planner.drainOneVersion(queuedVersions(), nowNanos);
+        final Predicate<AdapterVersion> needsLoad = version -> !slots.isOccupied(version);
+        final Collection<LoadDemand> demands = queue.demands(needsLoad);
+        final boolean starving =
+                queue.hasWaitedFor(needsLoad, settings.starvationNanos(), nowNanos);
+        planner.plan(demands, prefetchCandidates(nowNanos), nowNanos);
+        if (starving && !planner.canFreeSlot(queue.versions())) {
+            planner.drainOneVersion(queue.versions(), nowNanos);
         } else if (demands.isEmpty()) {
             planner.cancelDraining();
         }
@@ -431,31 +381,18 @@
      * fencing number.
      */
     private void requestFencingConfirmation(long nowNanos) {
-        if (!server.checksFencing()
-                || fencingNumberConfirmed
-                || fencingOrderVersion != null
-                || !reportReceived) {
+        if (!reportReceived || !takeover.needsConfirmation(server, nowNanos)) {
             return;
         }
         final List<AdapterVersion> loaded = slots.versions(slot -> slot.hasStatus(Status.LOADED));
-        if (!loaded.isEmpty() && nowNanos - takeoverNanos < settings.orderLifetimeNanos()) {
-            fencingOrderVersion = loaded.get(0);
-            emit(new DispatcherAction.OrderLoad(fencingOrderVersion, fencingNumber));
-        }
-    }
-
-    private void recordOrderResult(ResultCode code) {
-        if (code == ResultCode.STALE_FENCING_NUMBER) {
-            superseded = true;
-        } else if (code == ResultCode.OK) {
-            fencingNumberConfirmed = true;
+        if (!loaded.isEmpty()) {
+            takeover.startConfirmation(loaded.get(0));
+            emit(new DispatcherAction.OrderLoad(loaded.get(0), fencingNumber));
         }
     }
 
     private boolean ordersAllowed(long nowNanos) {
-        return reportReceived
-                && (server.checksFencing()
-                        || nowNanos - takeoverNanos >= settings.orderLifetimeNanos());
+        return reportReceived && takeover.allowsOrders(server, nowNanos);
     }
 
     private boolean isServable(PermitRequest request, long nowNanos) {
@@ -463,75 +400,37 @@
             return true;
         }
         final AdapterVersion version = request.version().get();
-        final boolean earlierOrdersExcluded =
-                (server.checksFencing() && fencingNumberConfirmed)
-                        || nowNanos - takeoverNanos >= settings.orderLifetimeNanos()
-                        || planner.isResident(version);
-        return earlierOrdersExcluded && slots.isServable(version);
-    }
-
-    private Optional<ResultCode> findRefusal(PermitRequest request, long nowNanos) {
-        if (superseded) {
-            return Optional.of(ResultCode.NOT_DISPATCHER);
-        }
-        if (isDraining() || (request.version().isPresent() && slots.capacity() == 0)) {
-            return Optional.of(ResultCode.NO_BACKEND_SERVER);
-        }
-        if (nowNanos - request.deadlineNanos() >= 0) {
-            return Optional.of(ResultCode.DEADLINE_PASSED);
-        }
-        final boolean failing =
-                request.version().isPresent()
-                        && !slots.isOccupied(request.version().get())
-                        && planner.backoffNanos(request.version().get(), nowNanos) > 0;
-        if (failing) {
-            return Optional.of(ResultCode.ADAPTER_LOAD_FAILED);
-        }
-        return nowNanos + expectedWaitNanos(request, nowNanos) - request.deadlineNanos() > 0
-                ? Optional.of(ResultCode.DEADLINE_UNREACHABLE)
-                : Optional.empty();
+        return (takeover.excludesEarlierOrders(server, nowNanos) || planner.isResident(version))
+                && slots.isServable(version);
     }
 
-    private long retryAfterNanos(PermitRequest request, ResultCode code, long nowNanos) {
-        return switch (code) {
-            case ADAPTER_LOAD_FAILED ->
-                    planner.backoffNanos(request.version().orElseThrow(), nowNanos);
-            case DEADLINE_UNREACHABLE ->
-                    Math.max(
-                            MINIMUM_RETRY_NANOS,
-                            nowNanos
-                                    + expectedWaitNanos(request, nowNanos)
-                                    - request.deadlineNanos());
-            default -> MINIMUM_RETRY_NANOS;
-        };
+    private Optional<Refusal> findRefusal(PermitRequest request, long nowNanos) {
+        final Optional<Refusal> closed = refusalOfAllWork();
+        return closed.isPresent()
+                ? closed
+                : refusals.find(
+                        request, freeRequestSlots(nowNanos), server.concurrentRequests(), nowNanos);
     }
 
-    /**
-     * Estimates the time until the request gets a permit: the load of its version or the requests
-     * ahead of it in fair order, whichever takes longer.
-     */
-    private long expectedWaitNanos(PermitRequest request, long nowNanos) {
-        final boolean loadNeeded =
-                request.version().isPresent() && !slots.isServable(request.version().get());
-        final long load = loadNeeded ? times.loadWaitNanos() : 0;
-        if (freeRequestSlots(nowNanos) > queue.size()) {
-            return load;
+    /** Returns the refusal of every request while this dispatcher grants no permits. */
+    private Optional<Refusal> refusalOfAllWork() {
+        if (takeover.isSuperseded()) {
+            return Optional.of(Refusal.of(ResultCode.NOT_DISPATCHER));
         }
-        final int ownQueued = queue.size(request.organisation());
-        final int competingOrganisations = queue.organisationCount() + (ownQueued == 0 ? 1 : 0);
-        final long queuedAhead =
-                Math.min(queue.size(), (long) (ownQueued + 1) * competingOrganisations - 1);
-        final long perSlot = times.serviceNanos() / Math.max(1, server.concurrentRequests());
-        return Math.max(load, (queuedAhead + 1) * perSlot);
+        return isDraining()
+                ? Optional.of(Refusal.of(ResultCode.NO_BACKEND_SERVER))
+                : Optional.empty();
     }
 
     private int freeRequestSlots(long nowNanos) {
-        final boolean redeclareWindowOpen =
-                nowNanos - takeoverNanos < settings.redeclareWindowNanos();
-        final int usedSlots =
-                redeclareWindowOpen
-                        ? Math.max(permits.occupiedSlots(), reportedRunning)
-                        : permits.occupiedSlots();
+        final int occupied = permits.occupiedSlots();
+        return unusedRequestSlots(
+                takeover.isRedeclareWindowOpen(nowNanos)
+                        ? Math.max(occupied, reportedRunning)
+                        : occupied);
+    }
+
+    private int unusedRequestSlots(int usedSlots) {
         return Math.max(0, server.concurrentRequests() - usedSlots);
     }
 
@@ -547,12 +446,6 @@
                 Math.max(permit.deadlineNanos(), nowNanos) + settings.permitGraceNanos());
     }
 
-    private Set<AdapterVersion> queuedVersions() {
-        final Set<AdapterVersion> versions = new HashSet<>();
-        queue.entries().forEach(entry -> entry.payload().version().ifPresent(versions::add));
-        return versions;
-    }
-
     private boolean isDraining() {
         return draining || drainingReported;
     }
@@ -580,51 +473,17 @@
                 waited);
     }
 
-    private void refuse(QueueEntry<PermitRequest> entry, ResultCode code) {
-        refuse(entry.payload(), code, MINIMUM_RETRY_NANOS);
+    private void refuse(PermitRequest request, Refusal refusal) {
+        refuse(request.requestId(), request.holder(), refusal);
     }
 
-    private void refuse(PermitRequest request, ResultCode code, long retryAfterNanos) {
-        requestsAwaitingLoad.remove(request.requestId());
+    private void refuse(String requestId, String holder, Refusal refusal) {
         emit(
                 new DispatcherAction.RefusePermit(
-                        request.requestId(), request.holder(), code, retryAfterNanos));
+                        requestId, holder, refusal.code(), refusal.retryAfterNanos()));
     }
 
     private void emit(DispatcherAction action) {
         actions.add(action);
     }
-
-    private static QueueEntry<PermitRequest> toQueueEntry(PermitRequest request) {
-        return new QueueEntry<>(
-                request.requestId(),
-                request.organisation(),
-                Math.max(1, request.weight()),
-                Math.max(0, request.tokens()),
-                request.urgency(),
-                request.deadlineNanos(),
-                request.arrivalNanos(),
-                request);
-    }
-
-    private static LoadDemand toDemand(PermitRequest request) {
-        return new LoadDemand(
-                request.version().orElseThrow(),
-                request.organisation(),
-                Math.max(1, request.weight()),
-                request.isInteractive() ? LoadPriority.INTERACTIVE : LoadPriority.BATCH,
-                1,
-                request.arrivalNanos());
-    }
-
-    private static LoadDemand mergeDemands(LoadDemand one, LoadDemand other) {
-        final LoadDemand older = one.oldestNanos() <= other.oldestNanos() ? one : other;
-        return new LoadDemand(
-                one.version(),
-                older.organisation(),
-                older.weight(),
-                one.priority().compareTo(other.priority()) <= 0 ? one.priority() : other.priority(),
-                one.waiting() + other.waiting(),
-                older.oldestNanos());
-    }
 }
--- a/daemon/src/main/java/org/crocushaven/placement/LoadPlanner.java
+++ b/daemon/src/main/java/org/crocushaven/placement/LoadPlanner.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -330,33 +329,4 @@
     }
 
     private record PendingRequest(LoadPriority priority, long firstSentNanos, long lastSentNanos) {}
-
-    /**
-     * The queued requests for a version that is not loaded.
-     *
-     * @param version the version
-     * @param organisation the organisation of the oldest request
-     * @param weight the organisation's weight
-     * @param priority highest priority among the requests
-     * @param waiting number of queued requests
-     * @param oldestNanos arrival time of the oldest request
-     */
-    record LoadDemand(
-            AdapterVersion version,
-            String organisation,
-            int weight,
-            LoadPriority priority,
-            int waiting,
-            long oldestNanos) {
-        static final Comparator<LoadDemand> ORDER =
-                Comparator.comparing(LoadDemand::priority)
-                        .thenComparingLong(LoadDemand::oldestNanos)
-                        .thenComparing(LoadDemand::version);
-
-        /** Returns the demand for a version without queued requests. */
-        static LoadDemand withoutRequests(
-                AdapterVersion version, LoadPriority priority, long nowNanos) {
-            return new LoadDemand(version, "", 1, priority, 0, nowNanos);
-        }
-    }
 }
