Give the charge and the choice of a route of a request their own classes

Hard to read: RequestExecution (473 lines) mixed the order of a request's stages with the bookkeeping of its charge (two fields under its lock) and with the choice, recording and reporting of the backend server of each attempt. Moved: RequestCharge charges the tokens and settles the charge once; RouteStage chooses the backend server, holds the excluded ones and reports the decision, beside the existing PermitStage. RequestExecution has 424 lines; the rest is one state machine under one lock.

--- a/daemon/src/main/java/org/crocushaven/serving/RequestExecution.java
+++ b/daemon/src/main/java/org/crocushaven/serving/RequestExecution.java
@@ -1,24 +1,19 @@
 package org.crocushaven.serving;
 
 import java.time.Duration;
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import org.crocushaven.admission.Charge;
 import org.crocushaven.backend.BackendServer;
 import org.crocushaven.caller.CallerRequest;
 import org.crocushaven.caller.CallerResponse;
-import org.crocushaven.configuration.AdapterVersion;
 import org.crocushaven.configuration.FleetConfiguration;
 import org.crocushaven.configuration.Organisation;
 import org.crocushaven.protocol.Failures;
 import org.crocushaven.result.Execution;
 import org.crocushaven.result.ResultCode;
 import org.crocushaven.result.ResultException;
-import org.crocushaven.routing.RouteQuery;
-import org.crocushaven.routing.RoutingDecision;
 import org.crocushaven.security.ActiveRequests;
+import org.crocushaven.serving.RouteStage.Route;
 
 /**
  * Executes one request through its stages: target, key, charge, claim, permit and backend server.
@@ -37,15 +32,14 @@
     private final Runnable ended;
     private final RequestProgress progress;
     private final RetryRules retries;
-    private final Set<String> excluded = new HashSet<>();
+    private final RequestCharge charge;
     private ResolvedTarget target;
     private Optional<Organisation> organisation = Optional.empty();
-    private Optional<Charge> charge = Optional.empty();
+    private RouteStage routes;
     private AtMostOnceGate.Claim claim;
     private ActiveRequests.Registration registration = () -> {};
     private BackendAttempt attempt;
     private long deadlineNanos;
-    private long chargedTokens;
     private boolean callerGone;
     private boolean cancelled;
     private boolean finished;
@@ -61,6 +55,7 @@
         this.response = response;
         this.permitId = permitId;
         this.ended = ended;
+        this.charge = new RequestCharge(environment.shares());
         this.progress = new RequestProgress(environment.clock());
         this.retries =
                 new RetryRules(
@@ -83,6 +78,7 @@
             }
             target = TargetResolver.resolve(configuration, request);
             organisation = checkKey(configuration);
+            routes = new RouteStage(environment, progress, request, target, organisationName());
             deadlineNanos = deadline();
             charge();
         } catch (ResultException refusal) {
@@ -159,7 +155,7 @@
      * @param usedTokens tokens to charge; negative when unknown, so that the charge is kept
      */
     void answered(long usedTokens) {
-        settleCharge(usedTokens < 0 ? chargedTokens : usedTokens);
+        charge.settle(usedTokens < 0 ? charge.tokens() : usedTokens);
         if (finish()) {
             environment.listener().answered(summary());
             ended.run();
@@ -173,8 +169,8 @@
     void attemptFailed(ResultException failure) {
         synchronized (this) {
             attempt = null;
-            excluded.add(progress.backendServer());
         }
+        routes.excludeLast();
         retries.failed(failure);
         if (!isOver() && remainingNanos() > 0 && retries.mayRetry(target.idempotent())) {
             nextAttempt();
@@ -207,18 +203,14 @@
             claimThenAttempt();
             return;
         }
-        environment
-                .shares()
-                .charge(organisation.get(), target.tokens())
+        charge.charge(organisation.get(), target.tokens())
                 .whenComplete(
-                        (granted, failure) -> {
-                            if (failure != null) {
+                        (charged, failure) -> {
+                            if (failure == null) {
+                                claimThenAttempt();
+                            } else {
                                 refuse(Failures.toResultException(failure));
-                                return;
                             }
-                            charge = Optional.of(granted);
-                            chargedTokens = granted.tokens();
-                            claimThenAttempt();
                         });
     }
 
@@ -245,7 +237,7 @@
     }
 
     private void replay(AtMostOnceGate.Claim outcome) {
-        settleCharge(0);
+        charge.settle(0);
         if (!isFinished() && !isCallerGone()) {
             AnswerHeaders.replay(response, outcome);
         }
@@ -267,24 +259,14 @@
             refuse(refusal);
             return;
         }
-        final RoutingDecision decision = environment.fleet().choose(query());
-        final Optional<BackendServer> server =
-                decision.candidates().stream()
-                        .findFirst()
-                        .flatMap(
-                                candidate -> environment.fleet().server(candidate.backendServer()));
-        if (server.isEmpty()) {
-            waitForDispatcherOrRefuse();
-            return;
-        }
-        final String dispatcher = decision.candidates().get(0).dispatcher();
-        final int number = progress.startAttempt(server.get().name());
-        environment.fleet().sent(server.get().name());
-        environment.listener().routed(routeDecisionEvent(dispatcher, decision, number));
+        routes.startAttempt().ifPresentOrElse(this::attempt, this::waitForDispatcherOrRefuse);
+    }
+
+    private void attempt(Route route) {
         if (target.isEngine()) {
-            askPermit(server.get(), dispatcher);
+            askPermit(route);
         } else {
-            send(server.get(), false);
+            send(route.server(), false);
         }
     }
 
@@ -296,7 +278,7 @@
         final boolean expected = environment.fleet().awaitsDispatcher(target.service().name());
         if (remainingNanos() > DISPATCHER_WAIT_INTERVAL.toNanos()
                 && retries.mayWaitForDispatcher(expected)) {
-            excluded.clear();
+            routes.clearExcluded();
             environment.scheduler().schedule(this::nextAttempt, DISPATCHER_WAIT_INTERVAL);
         } else {
             refuse(
@@ -307,24 +289,18 @@
         }
     }
 
-    private RouteQuery query() {
-        return new RouteQuery(
-                request.requestId(),
-                target.service().name(),
-                target.version(),
-                environment.failureDomain(),
-                Optional.empty(),
-                excluded,
-                environment.clock().nanoTime());
-    }
-
-    private void askPermit(BackendServer server, String dispatcher) {
+    private void askPermit(Route route) {
         new PermitStage(environment, progress, target, organisation)
-                .requestPermit(server, dispatcher, permitId, request.urgency(), remainingNanos())
+                .requestPermit(
+                        route.server(),
+                        route.dispatcher(),
+                        permitId,
+                        request.urgency(),
+                        remainingNanos())
                 .whenComplete(
                         (hasPermit, failure) -> {
                             if (failure == null) {
-                                send(server, hasPermit);
+                                send(route.server(), hasPermit);
                             } else {
                                 attemptFailed(Failures.toResultException(failure));
                             }
@@ -369,7 +345,7 @@
     private void refuse(ResultException reason) {
         final ResultException refusal = retries.withOverallExecution(reason);
         if (refusal.execution() == Execution.NOT_RUN) {
-            settleCharge(0);
+            charge.settle(0);
         }
         endClaim(refusal.execution());
         if (finish()) {
@@ -393,22 +369,10 @@
     }
 
     private void releaseUnsent() {
-        settleCharge(0);
+        charge.settle(0);
         endClaim(Execution.NOT_RUN);
     }
 
-    private void settleCharge(long usedTokens) {
-        final Optional<Charge> unsettled;
-        synchronized (this) {
-            unsettled = charge;
-            charge = Optional.empty();
-            if (unsettled.isPresent()) {
-                chargedTokens = usedTokens;
-            }
-        }
-        environment.shares().settle(unsettled, usedTokens);
-    }
-
     private void callerGone() {
         synchronized (this) {
             callerGone = true;
@@ -454,20 +418,7 @@
         return first;
     }
 
-    private ServingListener.RouteDecisionEvent routeDecisionEvent(
-            String dispatcher, RoutingDecision decision, int number) {
-        return new ServingListener.RouteDecisionEvent(
-                request.requestId(),
-                organisationName(),
-                target.service().name(),
-                target.version().map(AdapterVersion::toString).orElse(""),
-                progress.backendServer(),
-                dispatcher,
-                decision.reason().name(),
-                number);
-    }
-
     private ServingListener.RequestSummary summary() {
-        return progress.summary(request.requestId(), organisationName(), target, chargedTokens);
+        return progress.summary(request.requestId(), organisationName(), target, charge.tokens());
     }
 }
