Give the threads, the ports and the claims of a daemon their own classes

Moved: DaemonThreads holds event loops and timers, DaemonPorts opens and closes the three ports in one step, ClaimComponents builds the claim gate and starts the expiry of claims.

--- a/daemon/src/main/java/org/crocushaven/daemon/Daemon.java
+++ b/daemon/src/main/java/org/crocushaven/daemon/Daemon.java
@@ -1,28 +1,20 @@
 package org.crocushaven.daemon;
 
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
-import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.UnaryOperator;
 import org.agrona.concurrent.NanoClock;
 import org.agrona.concurrent.SystemEpochClock;
 import org.agrona.concurrent.SystemNanoClock;
-import org.crocushaven.backend.AnnouncementServer;
 import org.crocushaven.backend.BackendClientLimits;
 import org.crocushaven.backend.BackendDirectory;
 import org.crocushaven.backend.HttpBackendClient;
 import org.crocushaven.caller.CallerEnvironment;
-import org.crocushaven.caller.CallerServer;
 import org.crocushaven.caller.FixedBytesPerToken;
 import org.crocushaven.configuration.ChangeAnswer;
 import org.crocushaven.configuration.FleetConfiguration;
@@ -40,13 +32,10 @@
 import org.crocushaven.membership.MembershipSettings;
 import org.crocushaven.observability.DecisionLog;
 import org.crocushaven.observability.EventLine;
-import org.crocushaven.observability.GuardedTask;
 import org.crocushaven.observability.Metrics;
-import org.crocushaven.once.ClaimClient;
 import org.crocushaven.once.ClaimLimits;
 import org.crocushaven.once.ClaimTable;
 import org.crocushaven.operator.OperatorEnvironment;
-import org.crocushaven.operator.OperatorServer;
 import org.crocushaven.placement.BackendSummary;
 import org.crocushaven.protocol.PeerAddresses;
 import org.crocushaven.protocol.TcpPeerTransport;
@@ -65,25 +54,14 @@
  * Runs all components of a daemon.
  *
  * <p>Components are created first, then attached to the transport, then started; a graceful stop
- * lets requests in flight finish and closes the transport and the event loops last. Connections of
- * callers and to backend servers have separate event loops, so that a burst of requests cannot
- * delay heartbeats and announcements.
+ * lets requests in flight finish and closes the transport and the event loops last.
  */
 public final class Daemon {
     private static final Duration LEAVE_TIMEOUT = Duration.ofSeconds(1);
-    private static final Duration CLAIM_TIMEOUT = Duration.ofSeconds(2);
-    private static final long CLAIM_RETRY_MILLIS = 500;
-    private static final long CLAIM_EXPIRY_INTERVAL_MILLIS = 1_000;
-    private static final int WORKER_THREADS = 4;
-    private static final int CONTROL_WORKER_THREADS = 2;
 
     private final DaemonSettings settings;
     private final NanoClock clock = SystemNanoClock.INSTANCE;
-    private final EventLoopGroup workers =
-            new MultiThreadIoEventLoopGroup(WORKER_THREADS, NioIoHandler.newFactory());
-    private final EventLoopGroup controlWorkers =
-            new MultiThreadIoEventLoopGroup(CONTROL_WORKER_THREADS, NioIoHandler.newFactory());
-    private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(2);
+    private final DaemonThreads threads = new DaemonThreads();
     private final Metrics metrics = Metrics.create();
     private final DecisionLog decisions =
             DecisionLog.of(SystemEpochClock.INSTANCE, DecisionLog.DEFAULT_CAPACITY);
@@ -99,7 +77,8 @@
     private final LeaderClient leaderClient;
     private final ProposalClient proposals;
     private final ConfigurationClient configurationClient;
-    private final ClaimTable claims = ClaimTable.create(ClaimLimits.DEFAULT);
+    private final ClaimComponents claims;
+    private final ClaimTable claimTable = ClaimTable.create(ClaimLimits.DEFAULT);
     private final HttpBackendClient backends;
     private final FleetView fleet;
     private final ShareGate shares;
@@ -114,9 +93,7 @@
     private final FleetExplanations explanations;
     private final FleetMaintenance maintenance;
     private final Runnable stopHandler;
-    private CallerServer callerServer;
-    private AnnouncementServer announcementServer;
-    private OperatorServer operatorServer;
+    private DaemonPorts ports;
     private volatile boolean stopping;
 
     private Daemon(
@@ -137,16 +114,18 @@
                 TcpPeerTransport.create(
                         settings.instance(),
                         incarnation,
-                        controlWorkers,
+                        threads.controlLoops(),
                         addressOverride.apply(membership),
                         events,
                         clock);
         this.leaders = GroupLeaders.create(membership);
         this.control = controlNode(seed);
-        this.leaderClient = LeaderClient.create(transport, leaders, timers, clock);
+        this.leaderClient = LeaderClient.create(transport, leaders, threads.timers(), clock);
         this.proposals = ProposalClient.over(leaderClient);
+        this.claims = new ClaimComponents(proposals, membership, threads.timers(), clock);
         this.configurationClient = new ConfigurationClient(proposals);
-        this.backends = HttpBackendClient.of(workers, BackendClientLimits.defaults());
+        this.backends =
+                HttpBackendClient.of(threads.requestLoops(), BackendClientLimits.defaults());
         this.fleet = FleetView.create(membership, seed, clock.nanoTime());
         this.shares = ShareGate.create(incarnation, clock);
         this.dispatchers =
@@ -189,7 +168,7 @@
                         activeRequests,
                         freshness,
                         broadcast,
-                        timers,
+                        threads.timers(),
                         clock);
         this.stopHandler = stopHandler;
     }
@@ -223,7 +202,6 @@
                         addressOverride);
         daemon.attach();
         daemon.listen();
-        daemon.listenForOperators();
         daemon.startTimers();
         EventLine.of("started")
                 .with("instance", settings.instance())
@@ -257,23 +235,20 @@
         stopping = true;
         EventLine.of("stopping").with("requests", coordinator.inFlight()).info();
         membership.announceLeaving();
-        callerServer.stopAccepting();
+        ports.stopAcceptingCallers();
         await(
-                CompletableFuture.allOf(callerServer.whenIdle(), coordinator.whenIdle()),
+                CompletableFuture.allOf(ports.whenCallersIdle(), coordinator.whenIdle()),
                 Duration.ofMillis(settings.limits().stopGraceMillis()));
         final int unfinished = coordinator.inFlight();
         await(session.leave(), LEAVE_TIMEOUT);
         session.stop();
-        callerServer.close();
-        announcementServer.close();
-        operatorServer.close();
+        ports.close();
         membership.stop();
         control.close();
-        timers.shutdownNow();
+        threads.stopTimers();
         backends.close();
         transport.close();
-        controlWorkers.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
-        workers.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+        threads.stopEventLoops();
         EventLine.of("stopped").with("cut", unfinished).info();
     }
 
@@ -300,7 +275,7 @@
                                         folder,
                                         transport,
                                         configuration,
-                                        claims,
+                                        claimTable,
                                         clock,
                                         seed))
                 .orElseGet(
@@ -315,29 +290,17 @@
                 KeyCheck.of(freshness),
                 activeRequests,
                 shares,
-                claimGate(),
+                claims.gate(membership.self()),
                 fleet,
                 permits,
                 backends,
                 this::isSessionValid,
                 events,
-                (task, delay) -> timers.schedule(task, delay.toMillis(), TimeUnit.MILLISECONDS),
+                (task, delay) ->
+                        threads.timers().schedule(task, delay.toMillis(), TimeUnit.MILLISECONDS),
                 clock);
     }
 
-    private ClaimGate claimGate() {
-        return new ClaimGate(
-                settings.instance(),
-                membership.self().incarnation(),
-                ClaimClient.over(this::proposeClaim),
-                SystemEpochClock.INSTANCE,
-                task -> timers.schedule(task, CLAIM_RETRY_MILLIS, TimeUnit.MILLISECONDS));
-    }
-
-    private CompletableFuture<byte[]> proposeClaim(byte[] command) {
-        return proposals.propose(ControlGroups.CLAIMS, command, CLAIM_TIMEOUT);
-    }
-
     private boolean isSessionValid() {
         return session.isValid();
     }
@@ -364,7 +327,7 @@
         transport.registerHandler(
                 StopOrder.class,
                 (sender, order) -> {
-                    timers.execute(stopHandler);
+                    threads.timers().execute(stopHandler);
                     return CompletableFuture.completedFuture(order);
                 });
         directory.addListener(watcher);
@@ -374,28 +337,24 @@
 
     private void listen() {
         transport.listen(settings.host(), settings.innerPort());
-        announcementServer =
-                AnnouncementServer.start(
-                        controlWorkers,
-                        new InetSocketAddress(settings.host(), settings.announcementPort()),
-                        directory,
-                        settings.instance());
-        callerServer =
-                CallerServer.start(
-                        workers,
-                        new InetSocketAddress(settings.host(), settings.callerPort()),
-                        new CallerEnvironment(
-                                settings.instance(),
-                                settings.limits(),
-                                clock,
-                                SystemEpochClock.INSTANCE,
-                                coordinator,
-                                key -> Models.permitted(configuration.configuration(), key),
-                                FixedBytesPerToken.defaults(),
-                                events));
+        ports =
+                DaemonPorts.open(
+                        settings, threads, directory, callerEnvironment(), operatorEnvironment());
     }
 
-    private void listenForOperators() {
+    private CallerEnvironment callerEnvironment() {
+        return new CallerEnvironment(
+                settings.instance(),
+                settings.limits(),
+                clock,
+                SystemEpochClock.INSTANCE,
+                coordinator,
+                key -> Models.permitted(configuration.configuration(), key),
+                FixedBytesPerToken.defaults(),
+                events);
+    }
+
+    private OperatorEnvironment operatorEnvironment() {
         final FleetControlPlane controlPlane =
                 new FleetControlPlane(
                         configurationClient,
@@ -406,18 +365,13 @@
                         fleet,
                         transport,
                         freshness::ageMillis);
-        operatorServer =
-                OperatorServer.start(
-                        controlWorkers,
-                        new InetSocketAddress(settings.host(), settings.operatorPort()),
-                        new OperatorEnvironment(
-                                settings.instance(),
-                                settings.operatorKeyHash(),
-                                controlPlane,
-                                explanations,
-                                this::notReadyReason,
-                                new DaemonMetrics(
-                                        metrics, transport, control, coordinator, permits)));
+        return new OperatorEnvironment(
+                settings.instance(),
+                settings.operatorKeyHash(),
+                controlPlane,
+                explanations,
+                this::notReadyReason,
+                new DaemonMetrics(metrics, transport, control, coordinator, permits));
     }
 
     private Optional<String> notReadyReason() {
@@ -428,22 +382,11 @@
     }
 
     private void startTimers() {
-        membership.start(timers);
-        control.start(timers);
-        session.start(timers);
+        membership.start(threads.timers());
+        control.start(threads.timers());
+        session.start(threads.timers());
         maintenance.start();
-        final ClaimExpiry claimExpiry =
-                new ClaimExpiry(
-                        membership,
-                        () -> control.isLeader(ControlGroups.CLAIMS),
-                        this::proposeClaim,
-                        clock,
-                        SystemEpochClock.INSTANCE);
-        timers.scheduleWithFixedDelay(
-                GuardedTask.of(claimExpiry::check),
-                CLAIM_EXPIRY_INTERVAL_MILLIS,
-                CLAIM_EXPIRY_INTERVAL_MILLIS,
-                TimeUnit.MILLISECONDS);
+        claims.startExpiry(control);
     }
 
     private void configurationApplied(FleetConfiguration current) {
