Give the body, the back-pressure and the write progress of an answer their own classes

Moved: AnswerBody knows how the body is framed and how much is missing, AnswerBackpressure pauses the source, WriteProgress detects the stalled caller.

--- a/daemon/src/main/java/org/crocushaven/caller/CallerExchange.java
+++ b/daemon/src/main/java/org/crocushaven/caller/CallerExchange.java
@@ -3,7 +3,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -18,10 +17,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import org.crocushaven.result.Execution;
 import org.crocushaven.result.Problem;
@@ -37,13 +33,6 @@
  * that are neither final nor volatile are used only on the event loop.
  */
 final class CallerExchange implements CallerResponse {
-    private static final long HIGH_WATER_BYTES = 64 << 10;
-    private static final long LOW_WATER_BYTES = 16 << 10;
-    private static final long UNKNOWN_LENGTH = -1;
-    private static final int NO_CONTENT = 204;
-    private static final int NOT_MODIFIED = 304;
-    private static final String EVENT_STREAM = "text/event-stream";
-
     private final CallerServer server;
     private final CallerConnection connection;
     private final Channel channel;
@@ -52,25 +41,16 @@
     private final boolean headRequest;
     private final long startNanos;
     private final AtomicInteger queuedOperations = new AtomicInteger();
-    private final AtomicLong pendingBytes = new AtomicLong();
-    private final AtomicBoolean blocked = new AtomicBoolean();
+    private final AnswerBackpressure backpressure = new AnswerBackpressure();
+    private final WriteProgress writes;
     private final AtomicReference<Runnable> callerGoneAction = new AtomicReference<>();
-    private volatile Runnable writableAction = () -> {};
     private volatile boolean callerGone;
-    private volatile int pendingWrites;
     private String allowedMethods;
     private boolean keepAlive;
     private boolean begun;
     private boolean finished;
     private boolean flushScheduled;
-    private boolean withoutBody;
-    private boolean eventStream;
-    private long remainingBytes = UNKNOWN_LENGTH;
-    private byte lastByte = '\n';
-    private byte byteBeforeLast = '\n';
-    private long completedWriteProgress;
-    private long lastProgress;
-    private long lastProgressNanos;
+    private AnswerBody body;
 
     CallerExchange(
             CallerServer server,
@@ -87,6 +67,8 @@
         this.requestId = requestId;
         this.headRequest = headRequest;
         this.keepAlive = keepAlive;
+        this.writes =
+                new WriteProgress(channel, server.environment().limits().writeTimeoutMillis());
         this.startNanos = now();
     }
 
@@ -98,9 +80,7 @@
     @Override
     public void write(byte[] bytes) {
         if (bytes.length > 0) {
-            if (pendingBytes.addAndGet(bytes.length) >= HIGH_WATER_BYTES) {
-                blocked.set(true);
-            }
+            backpressure.add(bytes.length);
             run(() -> writeNow(bytes));
         }
     }
@@ -117,12 +97,12 @@
 
     @Override
     public boolean isWritable() {
-        return !blocked.get();
+        return backpressure.isWritable();
     }
 
     @Override
     public void onWritable(Runnable action) {
-        writableAction = action;
+        backpressure.onWritable(action);
     }
 
     @Override
@@ -150,27 +130,12 @@
 
     /** Returns whether bytes passed to the channel are not yet written to the socket. */
     boolean hasPendingWrites() {
-        return pendingWrites > 0;
+        return writes.hasPendingWrites();
     }
 
-    /**
-     * Records the progress of pending writes and returns whether they have made none for the write
-     * timeout.
-     */
+    /** Returns whether pending writes have made no progress for the write timeout. */
     boolean isStalled(long nowNanos) {
-        if (pendingWrites == 0) {
-            return false;
-        }
-        final ChannelOutboundBuffer outbound = channel.unsafe().outboundBuffer();
-        final long progress =
-                completedWriteProgress + (outbound == null ? 0 : outbound.currentProgress());
-        if (progress != lastProgress) {
-            lastProgress = progress;
-            lastProgressNanos = nowNanos;
-            return false;
-        }
-        final long timeout = server.environment().limits().writeTimeoutMillis();
-        return nowNanos - lastProgressNanos >= TimeUnit.MILLISECONDS.toNanos(timeout);
+        return writes.isStalled(nowNanos);
     }
 
     /** Aborts the answer because the caller does not read it. */
@@ -206,7 +171,6 @@
         }
         begun = true;
         keepAlive = keepAlive && !server.isStopping();
-        withoutBody = headRequest || status == NO_CONTENT || status == NOT_MODIFIED;
         final HttpResponse head =
                 new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
         for (final Map.Entry<String, List<String>> header : headers.entrySet()) {
@@ -214,43 +178,22 @@
                 head.headers().set(header.getKey(), header.getValue());
             }
         }
-        final String type = head.headers().get(HttpHeaderNames.CONTENT_TYPE);
-        eventStream = type != null && type.startsWith(EVENT_STREAM);
-        setBodyFraming(head);
+        body = AnswerBody.after(head, headRequest);
         addExchangeHeaders(head.headers(), Execution.RAN);
         encoder.setHeadRequest(headRequest);
         send(head, 0);
     }
 
-    private void setBodyFraming(HttpResponse head) {
-        if (withoutBody) {
-            return;
-        }
-        remainingBytes = HttpUtil.getContentLength(head, UNKNOWN_LENGTH);
-        if (remainingBytes == UNKNOWN_LENGTH) {
-            HttpUtil.setTransferEncodingChunked(head, true);
-        }
-    }
-
     private void writeNow(byte[] bytes) {
-        if (finished || !begun || withoutBody) {
-            releasePendingBytes(bytes.length);
+        if (finished || !begun || body.isAbsent()) {
+            backpressure.release(bytes.length);
             return;
         }
-        if (remainingBytes != UNKNOWN_LENGTH) {
-            remainingBytes -= bytes.length;
-            if (remainingBytes < 0) {
-                abort(ResultCode.ANSWER_INCOMPLETE);
-                runCallerGoneAction();
-                return;
-            }
-        }
-        if (bytes.length > 1) {
-            byteBeforeLast = bytes[bytes.length - 2];
-        } else {
-            byteBeforeLast = lastByte;
+        if (!body.add(bytes)) {
+            abort(ResultCode.ANSWER_INCOMPLETE);
+            runCallerGoneAction();
+            return;
         }
-        lastByte = bytes[bytes.length - 1];
         send(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)), bytes.length);
     }
 
@@ -258,7 +201,7 @@
         if (finished || !begun) {
             return;
         }
-        if (remainingBytes > 0) {
+        if (body.isIncomplete()) {
             abort(ResultCode.ANSWER_INCOMPLETE);
             return;
         }
@@ -275,7 +218,7 @@
         if (!begun) {
             finish(refusal.code());
             sendRefusal(refusal);
-        } else if (eventStream && remainingBytes == UNKNOWN_LENGTH && !withoutBody) {
+        } else if (body.mayEndWithErrorEvent()) {
             finish(refusal.code());
             sendErrorEvent(refusal);
         } else {
@@ -302,9 +245,8 @@
     }
 
     private void sendErrorEvent(ResultException refusal) {
-        final boolean betweenEvents = lastByte == '\n' && byteBeforeLast == '\n';
         final String event =
-                (betweenEvents ? "" : "\n\n")
+                (body.endsBetweenEvents() ? "" : "\n\n")
                         + "event: error\ndata: "
                         + new String(Problem.encode(refusal, requestId), StandardCharsets.UTF_8)
                         + "\n\n";
@@ -339,10 +281,7 @@
     }
 
     private void send(Object message, int bytes) {
-        if (pendingWrites == 0) {
-            lastProgressNanos = now();
-        }
-        pendingWrites++;
+        writes.start(now());
         channel.write(message).addListener(done -> handleWritten(bytes));
         if (!flushScheduled) {
             flushScheduled = true;
@@ -352,11 +291,11 @@
 
     private void sendLast(Object message) {
         final ChannelFuture written = channel.write(message);
-        pendingWrites++;
+        writes.startLast();
         channel.flush();
         written.addListener(
                 done -> {
-                    pendingWrites--;
+                    writes.completeLast();
                     if (done.isSuccess()) {
                         connection.handleAnswerWritten(keepAlive);
                     } else {
@@ -371,18 +310,8 @@
     }
 
     private void handleWritten(int bytes) {
-        pendingWrites--;
-        // currentProgress() restarts with each write. Adding a constant for each completed write
-        // makes isStalled() count the completion as progress.
-        completedWriteProgress += HIGH_WATER_BYTES;
-        releasePendingBytes(bytes);
-    }
-
-    private void releasePendingBytes(int bytes) {
-        if (pendingBytes.addAndGet(-bytes) <= LOW_WATER_BYTES
-                && blocked.compareAndSet(true, false)) {
-            writableAction.run();
-        }
+        writes.complete();
+        backpressure.release(bytes);
     }
 
     private void runCallerGoneAction() {
