Give the input behind the current request a class of its own

Hard to read: CallerConnection counted and limited the messages that wait behind the current request among its states of receiving and answering, in three methods and two fields. Moved: PendingInput holds these messages and stops reading when they are too many; the connection only asks it.

--- a/daemon/src/main/java/org/crocushaven/caller/CallerConnection.java
+++ b/daemon/src/main/java/org/crocushaven/caller/CallerConnection.java
@@ -14,7 +14,6 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import java.util.ArrayDeque;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.crocushaven.observability.EventLine;
@@ -35,14 +34,11 @@
     private static final long STOP_GRACE_NANOS = TimeUnit.SECONDS.toNanos(1);
     private static final long LINGER_MILLIS = 1_000;
     private static final int MAXIMUM_DISCARDED_BODY_BYTES = 64 << 10;
-    private static final int MAXIMUM_PENDING_BYTES = 64 << 10;
-    private static final int MAXIMUM_PENDING_OBJECTS = 128;
 
     private final CallerServer server;
     private final Channel channel;
     private final CallerEncoder encoder;
-    private final ArrayDeque<HttpObject> pendingObjects = new ArrayDeque<>();
-    private int pendingBytes;
+    private final PendingInput pendingInput;
     private boolean receivingHead;
     private boolean receivingBody;
     private boolean mayLeaveInputUnread;
@@ -59,6 +55,7 @@
         this.server = server;
         this.channel = channel;
         this.encoder = encoder;
+        this.pendingInput = new PendingInput(channel.config());
         this.receiveDeadlineNanos = now() + IDLE_TIMEOUT_NANOS;
     }
 
@@ -77,8 +74,7 @@
     public void channelInactive(ChannelHandlerContext context) {
         closing = true;
         receiveDeadlineNanos = NO_DEADLINE;
-        pendingObjects.forEach(ReferenceCountUtil::release);
-        pendingObjects.clear();
+        pendingInput.clear();
         releaseIncoming();
         if (exchange != null) {
             exchange.handleCallerGone();
@@ -152,10 +148,10 @@
         if (closing) {
             return;
         }
-        if (pendingObjects.isEmpty() && !isAnswering()) {
+        if (pendingInput.isEmpty() && !isAnswering()) {
             process(message);
         } else {
-            enqueue(message);
+            pendingInput.add(message);
         }
     }
 
@@ -163,32 +159,16 @@
         return exchange != null && !receivingBody;
     }
 
-    private void enqueue(HttpObject message) {
-        pendingObjects.add(ReferenceCountUtil.retain(message));
-        if (message instanceof HttpContent content) {
-            pendingBytes += content.content().readableBytes();
-        }
-        if (pendingObjects.size() >= MAXIMUM_PENDING_OBJECTS
-                || pendingBytes >= MAXIMUM_PENDING_BYTES) {
-            channel.config().setAutoRead(false);
-        }
-    }
-
     private void processPending() {
-        while (!pendingObjects.isEmpty() && !isAnswering() && !closing) {
-            final HttpObject message = pendingObjects.poll();
+        while (!pendingInput.isEmpty() && !isAnswering() && !closing) {
+            final HttpObject message = pendingInput.remove();
             try {
-                if (message instanceof HttpContent content) {
-                    pendingBytes -= content.content().readableBytes();
-                }
                 process(message);
             } finally {
                 ReferenceCountUtil.release(message);
             }
         }
-        if (pendingObjects.isEmpty()) {
-            channel.config().setAutoRead(true);
-        }
+        pendingInput.continueReadingIfEmpty();
     }
 
     private void process(HttpObject message) {
@@ -297,7 +277,7 @@
     private void closeAfterAnswer() {
         closing = true;
         receiveDeadlineNanos = NO_DEADLINE;
-        final boolean unread = mayLeaveInputUnread || receivingBody || !pendingObjects.isEmpty();
+        final boolean unread = mayLeaveInputUnread || receivingBody || !pendingInput.isEmpty();
         if (!unread || !(channel instanceof SocketChannel socket)) {
             channel.close();
             return;
