Encode requests to backend servers in a class of their own

Moved: BackendRequestEncoder builds the HTTP request; the exchange only says whether the connection should close afterwards.

--- a/daemon/src/main/java/org/crocushaven/backend/BackendExchange.java
+++ b/daemon/src/main/java/org/crocushaven/backend/BackendExchange.java
@@ -1,20 +1,12 @@
 package org.crocushaven.backend;
 
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.ByteArrayOutputStream;
-import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.crocushaven.result.Execution;
@@ -31,7 +23,6 @@
 final class BackendExchange implements BackendCall {
     private static final String EVENT_STREAM = "text/event-stream";
     private static final String IDEMPOTENCY_KEY = "idempotency-key";
-    private static final String TIMEOUT_MILLIS = "Crocushaven-Timeout-Millis";
 
     private final BackendServer server;
     private final BackendRequest request;
@@ -143,7 +134,9 @@
         if (limits.firstByteTimeoutMillis() < request.timeoutMillis()) {
             firstByteTimer = schedule(channel, limits.firstByteTimeoutMillis());
         }
-        written = channel.writeAndFlush(encode());
+        written =
+                channel.writeAndFlush(
+                        BackendRequestEncoder.encode(server, request, needsNewConnection()));
         return true;
     }
 
@@ -288,36 +281,6 @@
                 .schedule(this::handleTimeout, delayMillis, TimeUnit.MILLISECONDS);
     }
 
-    private FullHttpRequest encode() {
-        final FullHttpRequest message =
-                new DefaultFullHttpRequest(
-                        HttpVersion.HTTP_1_1,
-                        HttpMethod.valueOf(request.method()),
-                        request.path(),
-                        Unpooled.wrappedBuffer(request.body()));
-        final HttpHeaders headers = message.headers();
-        for (final Map.Entry<String, List<String>> header : request.headers().entrySet()) {
-            if (ForwardableHeaders.maySendToBackendServer(header.getKey())) {
-                headers.set(header.getKey(), header.getValue());
-            }
-        }
-        headers.set(HttpHeaderNames.HOST, server.host() + ":" + server.port());
-        if (needsNewConnection()) {
-            headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        }
-        headers.set(AnswerHeaders.REQUEST_ID, request.requestId());
-        headers.set(TIMEOUT_MILLIS, Long.toString(request.timeoutMillis()));
-        headers.set("Priority", "u=" + request.urgency());
-        if (request.body().length > 0 || !isMethodWithoutBody()) {
-            headers.set(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(request.body().length));
-        }
-        return message;
-    }
-
-    private boolean isMethodWithoutBody() {
-        return HttpMethod.GET.name().equals(request.method()) || isHeadRequest();
-    }
-
     private static void execute(BackendConnection target, Runnable action) {
         if (target.channel().eventLoop().inEventLoop()) {
             action.run();
