Give the reconciliation of permits and the sent summaries their own classes

Moved: PermitReconciliation asks and corrects, SentSummaries decides which summaries are due. Tests: DispatcherHostTest and the tests of placement, coordination, once, admission, caller and backend pass, 123 in all.

--- a/daemon/src/main/java/org/crocushaven/dispatch/DispatcherHost.java
+++ b/daemon/src/main/java/org/crocushaven/dispatch/DispatcherHost.java
@@ -1,8 +1,5 @@
 package org.crocushaven.dispatch;
 
-import java.time.Duration;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -40,8 +37,6 @@
  */
 public final class DispatcherHost {
     private static final long REPORT_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(2);
-    private static final long MAXIMUM_SUMMARY_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(2);
-    private static final Duration QUERY_TIMEOUT = Duration.ofMillis(800);
 
     private final PeerTransport transport;
     private final DispatcherActions actions;
@@ -50,7 +45,8 @@
     private final DispatchListener listener;
     private final NanoClock clock;
     private final Map<String, HostedDispatcher> dispatchers = new ConcurrentHashMap<>();
-    private final Map<String, SentSummary> sentSummaries = new HashMap<>();
+    private final SentSummaries sentSummaries = new SentSummaries();
+    private final PermitReconciliation reconciliation;
 
     private DispatcherHost(
             PeerTransport transport,
@@ -65,6 +61,7 @@
         this.sessionIsValid = sessionIsValid;
         this.actions =
                 new DispatcherActions(transport, backends, sessionIsValid, leader, listener, clock);
+        this.reconciliation = new PermitReconciliation(transport, clock);
         this.listener = listener;
         this.clock = clock;
     }
@@ -220,26 +217,26 @@
     /** Asks instances which permits they still hold; to be called about once a second. */
     public void queryPermitHolders(List<String> reachableInstances) {
         final long nowNanos = clock.nanoTime();
-        for (final HostedDispatcher hosted : dispatchers.values()) {
-            final boolean recentlyAssigned =
-                    nowNanos - hosted.createdNanos()
-                            < DispatcherSettings.defaults().redeclareWindowNanos();
-            reachableInstances.stream()
-                    .filter(instance -> recentlyAssigned || hosted.mayHoldPermits(instance))
-                    .forEach(instance -> query(hosted, instance));
-        }
+        dispatchers
+                .values()
+                .forEach(
+                        hosted ->
+                                reconciliation.queryHolders(hosted, reachableInstances, nowNanos));
     }
 
     /**
-     * Advances the dispatchers to the current time and broadcasts changed summaries; to be called
-     * about ten times a second.
+     * Advances the dispatchers to the current time and broadcasts the summaries that are due; to be
+     * called about ten times a second.
      */
     public void tick(Consumer<BackendSummary> broadcast) {
         final long nowNanos = clock.nanoTime();
         for (final HostedDispatcher hosted : dispatchers.values()) {
             refreshAvailability(hosted);
             hosted.run(dispatcher -> dispatcher.tick(nowNanos));
-            changedSummary(hosted, nowNanos).ifPresent(broadcast);
+            final BackendSummary summary = hosted.summary();
+            if (sentSummaries.recordIfDue(summary, nowNanos)) {
+                broadcast.accept(summary);
+            }
         }
     }
 
@@ -268,43 +265,6 @@
         return answer;
     }
 
-    private void query(HostedDispatcher hosted, String holder) {
-        final long queriedNanos = clock.nanoTime();
-        transport
-                .request(holder, new PermitQuery(hosted.server().name()), QUERY_TIMEOUT)
-                .thenAccept(
-                        answer -> reconcile(hosted, holder, (PermitsHeld) answer, queriedNanos));
-    }
-
-    /**
-     * Reconciles the permits of a holder. A permit that was granted before the query and is neither
-     * held nor pending was lost.
-     */
-    private void reconcile(
-            HostedDispatcher hosted, String holder, PermitsHeld answer, long queriedNanos) {
-        final long nowNanos = clock.nanoTime();
-        final Set<String> identifiers = new HashSet<>(answer.pending());
-        answer.permits().forEach(permit -> identifiers.add(permit.requestId()));
-        hosted.run(
-                dispatcher -> {
-                    answer.permits()
-                            .forEach(
-                                    permit ->
-                                            dispatcher.redeclarePermit(
-                                                    holder,
-                                                    permit.requestId(),
-                                                    permit.version(),
-                                                    nowNanos + permit.remainingNanos(),
-                                                    nowNanos));
-                    dispatcher.reconcilePermits(holder, identifiers, queriedNanos, nowNanos);
-                });
-        if (identifiers.isEmpty()) {
-            hosted.removePermitHolder(holder, queriedNanos);
-        } else {
-            hosted.recordPermitHolder(holder, nowNanos);
-        }
-    }
-
     private void runOn(String backendServer, Consumer<BackendDispatcher> input) {
         final HostedDispatcher hosted = dispatchers.get(backendServer);
         if (hosted != null) {
@@ -362,22 +322,6 @@
         hosted.run(dispatcher -> dispatcher.setAcceptingWork(usable, nowNanos));
     }
 
-    private Optional<BackendSummary> changedSummary(HostedDispatcher hosted, long nowNanos) {
-        final BackendSummary summary = hosted.summary();
-        final String name = summary.name();
-        final SentSummary sent = sentSummaries.get(name);
-        final boolean changed =
-                sent == null
-                        || sent.summary.fencingNumber() != summary.fencingNumber()
-                        || sent.summary.sequence() != summary.sequence()
-                        || nowNanos - sent.sentNanos > MAXIMUM_SUMMARY_INTERVAL_NANOS;
-        if (!changed) {
-            return Optional.empty();
-        }
-        sentSummaries.put(name, new SentSummary(summary, nowNanos));
-        return Optional.of(summary);
-    }
-
     private static boolean hasSameFencingNumber(
             HostedDispatcher hosted, DispatchAssignment assignment) {
         return assignment != null && assignment.fencingNumber() == hosted.fencingNumber();
@@ -386,6 +330,4 @@
     private static CompletableFuture<Message> completedRefusal(ResultCode code) {
         return CompletableFuture.completedFuture(PermitAnswer.refusal(code));
     }
-
-    private record SentSummary(BackendSummary summary, long sentNanos) {}
 }
