Say release, abandon and return in place of giving up

Hard to read: doc comments said "gives up" for three things that have names in the field, a released claim, an abandoned call and a returned lease, and DispatcherAssignments called an announced server "heard". Changed: comments in once, coordination, serving and admission, and the name of one parameter; no code else. Tests: the 123 tests of once, coordination, admission, caller, backend, dispatch and placement pass.

--- a/daemon/src/main/java/org/crocushaven/admission/ShareAllocator.java
+++ b/daemon/src/main/java/org/crocushaven/admission/ShareAllocator.java
@@ -13,7 +13,7 @@
  *
  * <p>There is one allocator for each epoch (term of the leader). Each holder has at most one
  * unacknowledged grant, which is repeated unchanged until the holder reports that it was applied.
- * What a holder gives up is reused only after that report, or after its lease has expired.
+ * What a holder returns is reused only after that report, or after its lease has expired.
  *
  * <p>Until a lease length has passed since its creation, or {@link #endWithholding} is called, a
  * new allocator withholds shares: it grants only what holders re-declare and the initial burst of
--- a/daemon/src/main/java/org/crocushaven/coordination/DispatcherAssignments.java
+++ b/daemon/src/main/java/org/crocushaven/coordination/DispatcherAssignments.java
@@ -65,7 +65,8 @@
                         expiry(nowNanos)));
         heartbeat
                 .announcedServers()
-                .forEach(heard -> recordAnnouncement(heartbeat.instance(), heard, nowNanos));
+                .forEach(
+                        announced -> recordAnnouncement(heartbeat.instance(), announced, nowNanos));
         if (heartbeat.leaving()) {
             releaseAll(heartbeat.instance());
         } else if (isInGracePeriod(nowNanos)) {
@@ -119,8 +120,8 @@
                 + TimeUnit.MILLISECONDS.toNanos(settings.leaseMillis() + settings.driftMillis());
     }
 
-    private void recordAnnouncement(String instance, AnnouncedServer heard, long nowNanos) {
-        final BackendServer server = heard.server();
+    private void recordAnnouncement(String instance, AnnouncedServer announced, long nowNanos) {
+        final BackendServer server = announced.server();
         final Backend backend =
                 backends.computeIfAbsent(server.name(), name -> new Backend(server));
         if (server.incarnation() < backend.server.incarnation()) {
@@ -131,8 +132,8 @@
         }
         backend.server = server;
         backend.announcementNanos.put(instance, nowNanos);
-        if (heard.state().compareTo(backend.state) > 0) {
-            backend.state = heard.state();
+        if (announced.state().compareTo(backend.state) > 0) {
+            backend.state = announced.state();
         }
     }
 
--- a/daemon/src/main/java/org/crocushaven/coordination/SessionClient.java
+++ b/daemon/src/main/java/org/crocushaven/coordination/SessionClient.java
@@ -163,7 +163,7 @@
     }
 
     /**
-     * Gives up all dispatcher leases and sends the leader a heartbeat that says so; completes like
+     * Returns all dispatcher leases and sends the leader a heartbeat that says so; completes like
      * {@link #heartbeatNow}.
      */
     public CompletableFuture<Void> leave() {
--- a/daemon/src/main/java/org/crocushaven/coordination/SessionHeartbeat.java
+++ b/daemon/src/main/java/org/crocushaven/coordination/SessionHeartbeat.java
@@ -13,7 +13,7 @@
  * @param failureDomain its failure domain
  * @param incarnation its incarnation
  * @param fleetRevision revision of the fleet table that it applied last
- * @param leaving whether it has given up its dispatcher leases and is about to stop
+ * @param leaving whether it has returned its dispatcher leases and is about to stop
  * @param announcedServers the backend servers that announced themselves to it recently
  * @param heldLeases the dispatcher leases that it holds
  * @param shares its report on organisations' shares
--- a/daemon/src/main/java/org/crocushaven/once/AtMostOnceExecution.java
+++ b/daemon/src/main/java/org/crocushaven/once/AtMostOnceExecution.java
@@ -86,7 +86,7 @@
         return endClaim(now -> ClaimCommand.complete(key, claimId, answer, now));
     }
 
-    /** Gives up a call for which it is certain that no byte was sent. */
+    /** Releases the claim of a call for which it is certain that no byte was sent. */
     public CompletableFuture<Void> release() {
         final Phase before = phase.getAndSet(Phase.ENDED);
         return before == Phase.NEW || before == Phase.ENDED
@@ -94,7 +94,7 @@
                 : endClaim(now -> ClaimCommand.release(key, claimId, now));
     }
 
-    /** Gives up a call that may have run; it is not repeated. */
+    /** Abandons a call that may have run; it is not repeated. */
     public CompletableFuture<Void> abandon() {
         advance(Phase.SENDING, Phase.ENDED);
         return endClaim(now -> ClaimCommand.abandon(key, claimId, now));
--- a/daemon/src/main/java/org/crocushaven/once/ClaimCommand.java
+++ b/daemon/src/main/java/org/crocushaven/once/ClaimCommand.java
@@ -35,19 +35,19 @@
         return new ClaimCommand(Kind.COMPLETE, key, claimId, nowMillis, NONE, answer);
     }
 
-    /** Returns a command that gives up an attempt for which no byte was sent. */
+    /** Returns a command that releases the claim of an attempt for which no byte was sent. */
     public static ClaimCommand release(ClaimKey key, ClaimId claimId, long nowMillis) {
         return new ClaimCommand(Kind.RELEASE, key, claimId, nowMillis, NONE, NONE);
     }
 
-    /** Returns a command that gives up an attempt for which bytes may have been sent. */
+    /** Returns a command that abandons an attempt for which bytes may have been sent. */
     public static ClaimCommand abandon(ClaimKey key, ClaimId claimId, long nowMillis) {
         return new ClaimCommand(Kind.ABANDON, key, claimId, nowMillis, NONE, NONE);
     }
 
     /**
-     * Returns a command that gives up all attempts of an instance in the given session and all
-     * earlier ones.
+     * Returns a command that ends all attempts of an instance in the given session and all earlier
+     * ones.
      */
     public static ClaimCommand expireClaimer(String instance, long session, long nowMillis) {
         final ClaimId last = new ClaimId(instance, session, Long.MAX_VALUE);
@@ -72,11 +72,11 @@
         SEND,
         /** Stores the answer. */
         COMPLETE,
-        /** Gives up an attempt for which no byte was sent. */
+        /** Releases the claim of an attempt for which no byte was sent. */
         RELEASE,
-        /** Gives up an attempt for which bytes may have been sent. */
+        /** Abandons an attempt for which bytes may have been sent. */
         ABANDON,
-        /** Gives up the attempts of an instance whose session has ended. */
+        /** Ends the attempts of an instance whose session has ended. */
         EXPIRE_CLAIMER
     }
 }
--- a/daemon/src/main/java/org/crocushaven/serving/AtMostOnceGate.java
+++ b/daemon/src/main/java/org/crocushaven/serving/AtMostOnceGate.java
@@ -30,7 +30,7 @@
         /** Stores the answer; completes within a bounded time, also when storing fails. */
         CompletableFuture<Void> complete(StoredAnswer answer);
 
-        /** Gives up the claim of a call for which no byte was sent, so that a resend may run. */
+        /** Releases the claim of a call for which no byte was sent, so that a resend may run. */
         void release();
 
         /** Records that the call may have run and that its outcome is unknown. */
--- a/daemon/src/main/java/org/crocushaven/serving/FleetView.java
+++ b/daemon/src/main/java/org/crocushaven/serving/FleetView.java
@@ -113,7 +113,7 @@
 
     /**
      * Returns whether a service has a backend server whose dispatcher is not alive: it does not
-     * answer, or it is leaving and has given up its lease. The leader is then expected to assign
+     * answer, or it is leaving and has returned its lease. The leader is then expected to assign
      * another one.
      */
     public synchronized boolean awaitsDispatcher(String service) {
