Read and check settings files in one place

Hard to read: InstanceSettingsLoader and SettingsLoader each read the file, ran the checks and joined the faults to one refusal, with the same lines, so that a change of one would leave the other behind. Moved: SettingsFile, beside the checks in common, reads the text and refuses it with all faults; both loaders only name their checks and build their settings.

--- a/daemon/src/main/java/org/crocushaven/instance/InstanceSettingsLoader.java
+++ b/daemon/src/main/java/org/crocushaven/instance/InstanceSettingsLoader.java
@@ -6,16 +6,12 @@
 import static org.crocushaven.configuration.check.ValueType.NUMBER;
 import static org.crocushaven.configuration.check.ValueType.STRING;
 
-import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Collectors;
 import org.crocushaven.configuration.check.AddressCheck;
 import org.crocushaven.configuration.check.Check;
 import org.crocushaven.configuration.check.CheckEngine;
@@ -26,11 +22,10 @@
 import org.crocushaven.configuration.check.PatternCheck;
 import org.crocushaven.configuration.check.RangeCheck;
 import org.crocushaven.configuration.check.RequiredKeyCheck;
-import org.crocushaven.configuration.check.TomlDocument;
+import org.crocushaven.configuration.check.SettingsFile;
 import org.crocushaven.configuration.check.TomlNode;
 import org.crocushaven.configuration.check.UnknownKeyCheck;
 import org.crocushaven.configuration.check.ValueTypeCheck;
-import org.crocushaven.configuration.check.Violation;
 import org.crocushaven.result.ResultCode;
 import org.crocushaven.result.ResultException;
 
@@ -192,13 +187,7 @@
      *     {@code SETTINGS_INVALID} and the faults when its content is refused
      */
     public static InstanceSettings load(Path file) {
-        final String text;
-        try {
-            text = Files.readString(file, StandardCharsets.UTF_8);
-        } catch (IOException failure) {
-            throw ResultException.of(ResultCode.SETTINGS_UNREADABLE, file, failure);
-        }
-        return parse(file.toString(), text);
+        return parse(file.toString(), SettingsFile.read(file));
     }
 
     /**
@@ -208,12 +197,8 @@
      *     one a line, or a missing key of the role if they found none
      */
     public static InstanceSettings parse(String file, String text) {
-        final TomlDocument document = TomlDocument.parse(file, text);
-        final List<Violation> violations = ENGINE.run(document);
-        if (!violations.isEmpty()) {
-            throw ResultException.of(ResultCode.SETTINGS_INVALID, lines(violations));
-        }
-        final InstanceSettings settings = new InstanceSettingsLoader(document.root()).settings();
+        final TomlNode root = SettingsFile.parse(ENGINE, file, text);
+        final InstanceSettings settings = new InstanceSettingsLoader(root).settings();
         requireRoleKeys(settings);
         return settings;
     }
@@ -286,10 +271,4 @@
     private double number(String key, double defaultValue) {
         return root.child(key).flatMap(TomlNode::number).orElse(defaultValue);
     }
-
-    private static String lines(List<Violation> violations) {
-        return violations.stream()
-                .map(violation -> "\n  " + violation)
-                .collect(Collectors.joining());
-    }
 }
--- a/daemon/src/main/java/org/crocushaven/settings/SettingsLoader.java
+++ b/daemon/src/main/java/org/crocushaven/settings/SettingsLoader.java
@@ -1,15 +1,8 @@
 package org.crocushaven.settings;
 
-import java.io.IOException;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.List;
-import java.util.stream.Collectors;
 import org.crocushaven.configuration.check.CheckEngine;
-import org.crocushaven.configuration.check.TomlDocument;
-import org.crocushaven.configuration.check.Violation;
-import org.crocushaven.result.ResultCode;
+import org.crocushaven.configuration.check.SettingsFile;
 import org.crocushaven.result.ResultException;
 
 /**
@@ -27,13 +20,7 @@
      *     UTF-8, with {@code SETTINGS_INVALID} and all faults when its content is refused
      */
     public static DaemonSettings load(Path file) {
-        final String text;
-        try {
-            text = Files.readString(file, StandardCharsets.UTF_8);
-        } catch (IOException failure) {
-            throw ResultException.of(ResultCode.SETTINGS_UNREADABLE, file, failure);
-        }
-        return parse(file.toString(), text);
+        return parse(file.toString(), SettingsFile.read(file));
     }
 
     /**
@@ -42,17 +29,6 @@
      * @throws ResultException with {@code SETTINGS_INVALID} and all faults, one a line
      */
     public static DaemonSettings parse(String file, String text) {
-        final TomlDocument document = TomlDocument.parse(file, text);
-        final List<Violation> violations = ENGINE.run(document);
-        if (!violations.isEmpty()) {
-            throw ResultException.of(ResultCode.SETTINGS_INVALID, lines(violations));
-        }
-        return SettingsReader.read(document.root());
-    }
-
-    private static String lines(List<Violation> violations) {
-        return violations.stream()
-                .map(violation -> "\n  " + violation)
-                .collect(Collectors.joining());
+        return SettingsReader.read(SettingsFile.parse(ENGINE, file, text));
     }
 }
