Check both kinds of address in one class

Hard to read: AddressCheck and IpAddressCheck were the same 34 lines but for the predicate and the message key, and their names did not tell which of them allows a port. Moved: IpAddressCheck into AddressCheck, with the factories ofIpAddress and ofSocketAddress. Messages are the same.

--- a/daemon/src/main/java/org/crocushaven/instance/InstanceSettingsLoader.java
+++ b/daemon/src/main/java/org/crocushaven/instance/InstanceSettingsLoader.java
@@ -16,7 +16,6 @@
 import org.crocushaven.configuration.check.Check;
 import org.crocushaven.configuration.check.CheckEngine;
 import org.crocushaven.configuration.check.IpAddress;
-import org.crocushaven.configuration.check.IpAddressCheck;
 import org.crocushaven.configuration.check.KeyDescription;
 import org.crocushaven.configuration.check.OneOfCheck;
 import org.crocushaven.configuration.check.PatternCheck;
@@ -156,13 +155,13 @@
                     RequiredKeyCheck.of(KEYS),
                     PatternCheck.name(FAILURE_DOMAIN),
                     OneOfCheck.of(ROLE, List.of("gateway", "control")),
-                    IpAddressCheck.of(HOST),
+                    AddressCheck.ofIpAddress(HOST),
                     RangeCheck.of(INNER_PORT, 1, IpAddress.MAXIMUM_PORT),
                     RangeCheck.of(METRICS_PORT, 1, IpAddress.MAXIMUM_PORT),
-                    AddressCheck.of(SEED),
-                    AddressCheck.of(INGRESS),
-                    AddressCheck.of(READINESS),
-                    AddressCheck.of(CONTROL),
+                    AddressCheck.ofSocketAddress(SEED),
+                    AddressCheck.ofSocketAddress(INGRESS),
+                    AddressCheck.ofSocketAddress(READINESS),
+                    AddressCheck.ofSocketAddress(CONTROL),
                     RangeCheck.of(TOLERATED_INSTANCES, 0, MAXIMUM_TOLERATED_INSTANCES),
                     RangeCheck.of(HEARTBEAT_MILLIS, 1, MAXIMUM_DURATION),
                     RangeCheck.of(KEY_WITHDRAWAL_MILLIS, 1, MAXIMUM_DURATION),
--- a/daemon/src/main/java/org/crocushaven/settings/SettingsChecks.java
+++ b/daemon/src/main/java/org/crocushaven/settings/SettingsChecks.java
@@ -7,7 +7,6 @@
 import org.crocushaven.configuration.check.Check;
 import org.crocushaven.configuration.check.DistinctElementsCheck;
 import org.crocushaven.configuration.check.IpAddress;
-import org.crocushaven.configuration.check.IpAddressCheck;
 import org.crocushaven.configuration.check.PatternCheck;
 import org.crocushaven.configuration.check.RangeCheck;
 import org.crocushaven.configuration.check.RequiredKeyCheck;
@@ -50,9 +49,9 @@
     private static void addTopLevelChecks(List<Check> checks) {
         checks.add(PatternCheck.name(SettingsKeys.INSTANCE));
         checks.add(PatternCheck.name(SettingsKeys.FAILURE_DOMAIN));
-        checks.add(IpAddressCheck.of(SettingsKeys.HOST));
+        checks.add(AddressCheck.ofIpAddress(SettingsKeys.HOST));
         checks.add(SizeCheck.of(SettingsKeys.SEEDS, 0, MAXIMUM_SEEDS));
-        checks.add(AddressCheck.of(SettingsKeys.SEED));
+        checks.add(AddressCheck.ofSocketAddress(SettingsKeys.SEED));
         checks.add(DistinctElementsCheck.ofTexts(SettingsKeys.SEEDS));
         checks.add(PatternCheck.of(SettingsKeys.DATA_FOLDER, NON_EMPTY_PATH, "a path"));
         checks.add(SizeCheck.of(SettingsKeys.INITIAL_VOTERS, 1, MAXIMUM_VOTERS));
