Choose the version with the lowest value in one place

Hard to read: two eviction policies repeated the same comparator, in which only the compared value differs. Moved: EvictionOrder picks the lowest value and, among equal ones, the first version; the policies name the value. Tests: BackendDispatcherTest and DispatchFuzzTest, which evict by LeastRecentlyUsedEviction, pass in a run of 77 tests.

--- a/daemon/src/main/java/org/crocushaven/placement/LeastFrequentlyUsedEviction.java
+++ b/daemon/src/main/java/org/crocushaven/placement/LeastFrequentlyUsedEviction.java
@@ -1,7 +1,6 @@
 package org.crocushaven.placement;
 
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -36,11 +35,6 @@
     @Override
     public Optional<AdapterVersion> chooseVersionToEvict(
             Collection<AdapterVersion> candidates, long nowNanos) {
-        return candidates.stream()
-                .min(
-                        Comparator.comparingLong(
-                                        (AdapterVersion version) ->
-                                                useCounts.getOrDefault(version, 0L))
-                                .thenComparing(Comparator.naturalOrder()));
+        return EvictionOrder.lowest(candidates, version -> useCounts.getOrDefault(version, 0L));
     }
 }
--- a/daemon/src/main/java/org/crocushaven/placement/LeastRecentlyUsedEviction.java
+++ b/daemon/src/main/java/org/crocushaven/placement/LeastRecentlyUsedEviction.java
@@ -1,7 +1,6 @@
 package org.crocushaven.placement;
 
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -36,11 +35,7 @@
     @Override
     public Optional<AdapterVersion> chooseVersionToEvict(
             Collection<AdapterVersion> candidates, long nowNanos) {
-        return candidates.stream()
-                .min(
-                        Comparator.comparingLong(
-                                        (AdapterVersion version) ->
-                                                lastUsedNanos.getOrDefault(version, Long.MIN_VALUE))
-                                .thenComparing(Comparator.naturalOrder()));
+        return EvictionOrder.lowest(
+                candidates, version -> lastUsedNanos.getOrDefault(version, Long.MIN_VALUE));
     }
 }
