Announce both stand-ins by one record

Hard to read: Engine and PlainService each filled a map with the same eight keys of a registration. Moved: Registration holds the values and knows the keys; the stand-ins only say what differs.

--- a/bench/src/main/java/org/crocushaven/bench/standin/AnnouncedStandIn.java
+++ b/bench/src/main/java/org/crocushaven/bench/standin/AnnouncedStandIn.java
@@ -8,8 +8,8 @@
     /** Returns the unique name of the backend server. */
     String name();
 
-    /** Returns the fields of a registration, except for the incarnation. */
-    Map<String, Object> registration();
+    /** Returns what the backend server announces about itself when it starts. */
+    Registration registration();
 
     /** Returns the fields of a heartbeat that report the load of the backend server. */
     CompletableFuture<Map<String, Object>> heartbeatLoad();
--- a/bench/src/main/java/org/crocushaven/bench/standin/Announcer.java
+++ b/bench/src/main/java/org/crocushaven/bench/standin/Announcer.java
@@ -99,7 +99,7 @@
     }
 
     private void register() {
-        final Map<String, Object> body = new HashMap<>(standIn.registration());
+        final Map<String, Object> body = new HashMap<>(standIn.registration().fields());
         body.put("incarnation", incarnation);
         registered = send("register", body, ANNOUNCEMENT_TIMEOUT) == OK_STATUS;
     }
--- a/bench/src/main/java/org/crocushaven/bench/standin/Engine.java
+++ b/bench/src/main/java/org/crocushaven/bench/standin/Engine.java
@@ -52,17 +52,16 @@
     }
 
     @Override
-    public Map<String, Object> registration() {
-        final Map<String, Object> body = new LinkedHashMap<>();
-        body.put("name", settings.name());
-        body.put("service", settings.service());
-        body.put("failure_domain", settings.failureDomain());
-        body.put("host", settings.host());
-        body.put("port", port());
-        body.put("adapter_slots", settings.adapterSlots());
-        body.put("concurrent_requests", settings.concurrentRequests());
-        body.put("checks_fencing", settings.checksFencing());
-        return body;
+    public Registration registration() {
+        return new Registration(
+                settings.name(),
+                settings.service(),
+                settings.failureDomain(),
+                settings.host(),
+                port(),
+                settings.adapterSlots(),
+                settings.concurrentRequests(),
+                settings.checksFencing());
     }
 
     @Override
--- a/bench/src/main/java/org/crocushaven/bench/standin/PlainService.java
+++ b/bench/src/main/java/org/crocushaven/bench/standin/PlainService.java
@@ -46,17 +46,16 @@
     }
 
     @Override
-    public Map<String, Object> registration() {
-        final Map<String, Object> body = new LinkedHashMap<>();
-        body.put("name", settings.name());
-        body.put("service", settings.service());
-        body.put("failure_domain", settings.failureDomain());
-        body.put("host", settings.host());
-        body.put("port", port());
-        body.put("adapter_slots", 0);
-        body.put("concurrent_requests", settings.concurrentRequests());
-        body.put("checks_fencing", false);
-        return body;
+    public Registration registration() {
+        return new Registration(
+                settings.name(),
+                settings.service(),
+                settings.failureDomain(),
+                settings.host(),
+                port(),
+                0,
+                settings.concurrentRequests(),
+                false);
     }
 
     @Override
