--- a/daemon/src/main/java/org/crocushaven/instance/InstanceSettingsLoader.java
+++ b/daemon/src/main/java/org/crocushaven/instance/InstanceSettingsLoader.java
@@ -6,31 +6,25 @@
 import static org.crocushaven.configuration.check.ValueType.NUMBER;
 import static org.crocushaven.configuration.check.ValueType.STRING;
 
-import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Collectors;
 import org.crocushaven.configuration.check.AddressCheck;
 import org.crocushaven.configuration.check.Check;
 import org.crocushaven.configuration.check.CheckEngine;
 import org.crocushaven.configuration.check.IpAddress;
-import org.crocushaven.configuration.check.IpAddressCheck;
 import org.crocushaven.configuration.check.KeyDescription;
 import org.crocushaven.configuration.check.OneOfCheck;
 import org.crocushaven.configuration.check.PatternCheck;
 import org.crocushaven.configuration.check.RangeCheck;
 import org.crocushaven.configuration.check.RequiredKeyCheck;
-import org.crocushaven.configuration.check.TomlDocument;
+import org.crocushaven.configuration.check.SettingsFile;
 import org.crocushaven.configuration.check.TomlNode;
 import org.crocushaven.configuration.check.UnknownKeyCheck;
 import org.crocushaven.configuration.check.ValueTypeCheck;
-import org.crocushaven.configuration.check.Violation;
 import org.crocushaven.result.ResultCode;
 import org.crocushaven.result.ResultException;
 
@@ -161,13 +155,13 @@
                     RequiredKeyCheck.of(KEYS),
                     PatternCheck.name(FAILURE_DOMAIN),
                     OneOfCheck.of(ROLE, List.of("gateway", "control")),
-                    IpAddressCheck.of(HOST),
+                    AddressCheck.ofIpAddress(HOST),
                     RangeCheck.of(INNER_PORT, 1, IpAddress.MAXIMUM_PORT),
                     RangeCheck.of(METRICS_PORT, 1, IpAddress.MAXIMUM_PORT),
-                    AddressCheck.of(SEED),
-                    AddressCheck.of(INGRESS),
-                    AddressCheck.of(READINESS),
-                    AddressCheck.of(CONTROL),
+                    AddressCheck.ofSocketAddress(SEED),
+                    AddressCheck.ofSocketAddress(INGRESS),
+                    AddressCheck.ofSocketAddress(READINESS),
+                    AddressCheck.ofSocketAddress(CONTROL),
                     RangeCheck.of(TOLERATED_INSTANCES, 0, MAXIMUM_TOLERATED_INSTANCES),
                     RangeCheck.of(HEARTBEAT_MILLIS, 1, MAXIMUM_DURATION),
                     RangeCheck.of(KEY_WITHDRAWAL_MILLIS, 1, MAXIMUM_DURATION),
@@ -192,13 +186,7 @@
      *     {@code SETTINGS_INVALID} and the faults when its content is refused
      */
     public static InstanceSettings load(Path file) {
-        final String text;
-        try {
-            text = Files.readString(file, StandardCharsets.UTF_8);
-        } catch (IOException failure) {
-            throw ResultException.of(ResultCode.SETTINGS_UNREADABLE, file, failure);
-        }
-        return parse(file.toString(), text);
+        return parse(file.toString(), SettingsFile.read(file));
     }
 
     /**
@@ -208,12 +196,8 @@
      *     one a line, or a missing key of the role if they found none
      */
     public static InstanceSettings parse(String file, String text) {
-        final TomlDocument document = TomlDocument.parse(file, text);
-        final List<Violation> violations = ENGINE.run(document);
-        if (!violations.isEmpty()) {
-            throw ResultException.of(ResultCode.SETTINGS_INVALID, lines(violations));
-        }
-        final InstanceSettings settings = new InstanceSettingsLoader(document.root()).settings();
+        final TomlNode root = SettingsFile.parse(ENGINE, file, text);
+        final InstanceSettings settings = new InstanceSettingsLoader(root).settings();
         requireRoleKeys(settings);
         return settings;
     }
@@ -286,10 +270,4 @@
     private double number(String key, double defaultValue) {
         return root.child(key).flatMap(TomlNode::number).orElse(defaultValue);
     }
-
-    private static String lines(List<Violation> violations) {
-        return violations.stream()
-                .map(violation -> "\n  " + violation)
-                .collect(Collectors.joining());
-    }
 }
