--- a/daemon/src/main/java/org/crocushaven/fleet/AnnouncementIntake.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/AnnouncementIntake.java
@@ -132,6 +132,7 @@
                 .with("service", announcement.service())
                 .with("state", announcement.state())
                 .with("previous", before)
+                .with("software", announcement.softwareVersion())
                 .with("started_ms", announcement.startedMillis())
                 .with("sequence", announcement.sequence())
                 .info();
--- a/daemon/src/main/java/org/crocushaven/forwarding/ForwardingObserver.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/ForwardingObserver.java
@@ -1,12 +1,13 @@
 package org.crocushaven.forwarding;
 
+import org.crocushaven.fleet.BackendRecord;
 import org.crocushaven.ingress.IngressRequest;
 import org.crocushaven.result.ResultCode;
 
 /** Observes sends, failures and results of requests. */
 public interface ForwardingObserver {
     /** Called when a request is sent to a backend server. */
-    void sent(IngressRequest request, String backend, int attempt, int requestsAtBackend);
+    void sent(IngressRequest request, BackendRecord backend, int attempt, int requestsAtBackend);
 
     /**
      * Called when a request is sent to a backend server that does not accept requests any more.
@@ -28,7 +29,11 @@
      * @param mayHaveRun whether the request may have run
      */
     void attemptFailed(
-            IngressRequest request, String backend, int attempt, boolean mayHaveRun, String reason);
+            IngressRequest request,
+            BackendRecord backend,
+            int attempt,
+            boolean mayHaveRun,
+            String reason);
 
     /**
      * Called when a backend server's answer carries the identifier of another request and is
--- a/daemon/src/main/java/org/crocushaven/forwarding/ForwardingSummary.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/ForwardingSummary.java
@@ -17,6 +17,7 @@
  * @param requestsAtBackend estimated number of requests in flight at the backend server when the
  *     request was sent
  * @param backend last backend server that was tried; "-" when there was none
+ * @param softwareVersion version of its software; "-" when there was none
  * @param attempts number of sends to backend servers
  * @param status HTTP status of the answer; 0 when the client had disconnected or the stream was
  *     aborted
@@ -37,6 +38,7 @@
         long adapterWaitMillis,
         int requestsAtBackend,
         String backend,
+        String softwareVersion,
         int attempts,
         int status,
         ResultCode code,
--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
@@ -55,6 +55,7 @@
     private ScheduledFuture<?> limitTimer;
     private BackendAttempt attempt;
     private String lastBackend = "-";
+    private String lastSoftwareVersion = "-";
     private long adapterWaitMillis;
     private int requestsAtBackend;
     private boolean streamStarted;
@@ -335,6 +336,7 @@
     private void send(Target target) {
         final BackendRecord backend = target.backend();
         lastBackend = backend.backend();
+        lastSoftwareVersion = backend.softwareVersion();
         final int number = retries.recordSend(lastBackend);
         final BackendAttempt next = new BackendAttempt(this, target, number);
         attempt = next;
@@ -368,7 +370,9 @@
         next.opened(channel);
         final String backend = next.target().backend().backend();
         requestsAtBackend = environment.view().requestsAt(backend);
-        environment.observer().sent(request, backend, next.number(), requestsAtBackend);
+        environment
+                .observer()
+                .sent(request, next.target().backend(), next.number(), requestsAtBackend);
         reportIfLeaving(backend);
         request.usage()
                 .ifPresent(
@@ -563,6 +567,7 @@
                                 adapterWaitMillis,
                                 requestsAtBackend,
                                 backend,
+                                lastSoftwareVersion,
                                 retries.sends(),
                                 status,
                                 code,
@@ -588,11 +593,7 @@
         environment
                 .observer()
                 .attemptFailed(
-                        request,
-                        failed.target().backend().backend(),
-                        failed.number(),
-                        mayHaveRun,
-                        reason);
+                        request, failed.target().backend(), failed.number(), mayHaveRun, reason);
     }
 
     private boolean isStale(BackendAttempt from) {
--- a/daemon/src/main/java/org/crocushaven/ingress/IngressRequest.java
+++ b/daemon/src/main/java/org/crocushaven/ingress/IngressRequest.java
@@ -22,6 +22,8 @@
  * @param usage declared size of the generation
  * @param promptParts parts of the prompt, in order
  * @param lastEventId event after which a stream should resume
+ * @param resumedRequestId identifier of the request that brought the first event of the stream that
+ *     this one resumes
  */
 public record IngressRequest(
         String requestId,
@@ -35,7 +37,8 @@
         Optional<ModelReference> model,
         Optional<DeclaredUsage> usage,
         List<PromptPart> promptParts,
-        Optional<String> lastEventId) {
+        Optional<String> lastEventId,
+        Optional<String> resumedRequestId) {
     public IngressRequest {
         promptParts = List.copyOf(promptParts);
     }
--- a/daemon/src/main/java/org/crocushaven/instance/ForwardingLog.java
+++ b/daemon/src/main/java/org/crocushaven/instance/ForwardingLog.java
@@ -9,6 +9,7 @@
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
+import org.crocushaven.fleet.BackendRecord;
 import org.crocushaven.forwarding.ForwardingObserver;
 import org.crocushaven.forwarding.ForwardingSummary;
 import org.crocushaven.ingress.IngressRequest;
@@ -92,12 +93,14 @@
     }
 
     @Override
-    public void sent(IngressRequest request, String backend, int attempt, int requestsAtBackend) {
+    public void sent(
+            IngressRequest request, BackendRecord backend, int attempt, int requestsAtBackend) {
         if (attempt > 1) {
             retries.inc();
             EventLine.of("sent-again")
                     .with("request", request.requestId())
-                    .with("backend", backend)
+                    .with("backend", backend.backend())
+                    .with("software", backend.softwareVersion())
                     .with("attempt", attempt)
                     .with("requests_there", requestsAtBackend)
                     .info();
@@ -124,14 +127,15 @@
     @Override
     public void attemptFailed(
             IngressRequest request,
-            String backend,
+            BackendRecord backend,
             int attempt,
             boolean mayHaveRun,
             String reason) {
         failedAttempts.labelValues(Boolean.toString(mayHaveRun)).inc();
         EventLine.of("attempt-failed")
                 .with("request", request.requestId())
-                .with("backend", backend)
+                .with("backend", backend.backend())
+                .with("software", backend.softwareVersion())
                 .with("attempt", attempt)
                 .with("may_have_run", mayHaveRun)
                 .with("reason", reason)
@@ -166,6 +170,8 @@
                 .with("adapter_wait_ms", summary.adapterWaitMillis())
                 .with("requests_there", summary.requestsAtBackend())
                 .with("backend", summary.backend())
+                .with("software", summary.softwareVersion())
+                .with("resumes", summary.request().resumedRequestId().orElse("-"))
                 .with("attempts", summary.attempts())
                 .with("status", summary.status())
                 .with("code", summary.code().number())
--- a/daemon/src/test/java/org/crocushaven/forwarding/RequestForwardingTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/RequestForwardingTest.java
@@ -171,6 +171,7 @@
                 Optional.of(new ModelReference("base", "a1")),
                 Optional.empty(),
                 List.of(),
+                Optional.empty(),
                 Optional.empty());
     }
 
@@ -236,8 +237,8 @@
     private final class SendRecorder implements ForwardingObserver {
         @Override
         public void sent(
-                IngressRequest request, String backend, int attempt, int requestsAtBackend) {
-            sent.add(backend);
+                IngressRequest request, BackendRecord backend, int attempt, int requestsAtBackend) {
+            sent.add(backend.backend());
         }
 
         @Override
@@ -251,7 +252,7 @@
         @Override
         public void attemptFailed(
                 IngressRequest request,
-                String backend,
+                BackendRecord backend,
                 int attempt,
                 boolean mayHaveRun,
                 String reason) {}
