Let a stream go on only at the software version that began it

Cause: the software version was known nowhere, and the request that began a stream was not read, so any holder of the adapter went on. Class: a choice is repeated without the property that made the first one valid. Now the first event fixes the version of a request; only backend servers of it are candidates for a resume or a replacement, those of others are excluded when the leader grants an adapter, and the target is checked again after each wait. A gateway remembers where its streams began and tells the leader with its reports, all of them after a change of leader; a gateway that is asked to take up a stream looks in its own memory, else asks the leader, twice 300 ms apart. Unknown to the leader too: the service's version if it had only one for the longest time a stream may last, else a refusal that did not run (new code 1411). No leader: refused. The service of the first request is kept where the route still leads to it. Two messages get numbers 133 and 134; GatewayReport grows at its end, which instances before skip.

--- a/daemon/src/main/java/org/crocushaven/fleet/ControlInstance.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/ControlInstance.java
@@ -201,6 +201,8 @@
         transport.registerHandler(GatewayReport.class, (sender, message) -> reported(message));
         transport.registerHandler(
                 AdapterRequest.class, (sender, message) -> placementRequested(message));
+        transport.registerHandler(
+                StreamOriginQuery.class, (sender, message) -> streamOriginRequested(message));
         transport.registerHandler(ControlJoin.class, (sender, message) -> joined(message));
         transport.registerHandler(FleetProposal.class, (sender, message) -> proposed(message));
         transport.registerHandler(FleetRead.class, (sender, message) -> read());
@@ -231,6 +233,13 @@
                 : activeLeader.place(request);
     }
 
+    private CompletableFuture<Message> streamOriginRequested(StreamOriginQuery query) {
+        final FleetLeader activeLeader = currentLeader();
+        return activeLeader == null
+                ? CompletableFuture.failedFuture(notLeader())
+                : CompletableFuture.completedFuture(activeLeader.findStreamOrigin(query));
+    }
+
     private CompletableFuture<Message> joined(ControlJoin join) {
         membership.joined(join.instance(), currentLeader() != null, clock.nanoTime());
         return CompletableFuture.completedFuture(membership.hint());
--- a/daemon/src/main/java/org/crocushaven/fleet/FleetLeader.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/FleetLeader.java
@@ -35,6 +35,7 @@
     private final GatewayReports reports = new GatewayReports();
     private final BackendChanges changes = new BackendChanges();
     private final LeaderLoad load;
+    private final StreamDirectory streams;
     private long configuredRevision = -1;
     private Optional<IngressConfiguration> configuration = Optional.empty();
     private long passedNanos;
@@ -62,6 +63,7 @@
         this.clock = clock;
         final long nowNanos = clock.nanoTime();
         this.load = new LeaderLoad(nowNanos);
+        this.streams = StreamDirectory.startingAt(nowNanos);
         this.lending = new ShareLending(epoch, state, registration, rateSlack, nowNanos);
         this.placement =
                 new EnginePlacement(
@@ -96,6 +98,7 @@
 
     /** Applies an announcement that the registry accepted. */
     void announced(BackendAnnouncement announcement) {
+        streams.observe(announcement, clock.nanoTime());
         final Optional<EngineProfile> profile = profileOf(announcement.service());
         final Optional<BackendAnnouncement> known = registry.find(announcement.backend());
         if (profile.isPresent() && known.isPresent()) {
@@ -109,6 +112,7 @@
         configure(nowNanos);
         reports.put(report, nowNanos);
         placement.addStarted(report.uses());
+        streams.add(report.streams(), nowNanos);
         if (nowNanos - passedNanos >= PASS_INTERVAL_NANOS) {
             placement.updateUse(reports.loads(), reports.uses());
             refresh();
@@ -149,6 +153,11 @@
         return placement.place(request);
     }
 
+    /** Answers where a stream began. */
+    StreamOriginAnswer findStreamOrigin(StreamOriginQuery query) {
+        return new StreamOriginAnswer(streams.find(query, clock.nanoTime()));
+    }
+
     /** Runs the periodic tasks. */
     void tick() {
         reports.removeExpired(clock.nanoTime());
@@ -177,6 +186,7 @@
             configuration =
                     Optional.of(dialect.decodeConfiguration(Documents.decompress(view.document())));
             lending.configured(configuration.get(), nowNanos);
+            streams.setLongestStreamMillis(configuration.get().longestStreamMillis());
             registry.present().forEach(this::announced);
         }
     }
@@ -195,6 +205,7 @@
 
     private void updateRecord(BackendAnnouncement announcement, long nowNanos) {
         final String backend = announcement.backend();
+        streams.observe(announcement, nowNanos);
         changes.put(
                 new BackendRecord(
                         backend,
--- a/daemon/src/main/java/org/crocushaven/fleet/GatewayReport.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/GatewayReport.java
@@ -16,6 +16,8 @@
  * @param loads its requests in flight, by backend server
  * @param uses adapters that it used since the last acknowledged report
  * @param shares its report on organisations' shares
+ * @param streams streams that began since the last acknowledged report; none if the gateway runs
+ *     software without this component
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record GatewayReport(
@@ -26,10 +28,12 @@
         long stateRevision,
         List<BackendLoad> loads,
         List<AdapterUse> uses,
-        ShareReport shares)
+        ShareReport shares,
+        List<BegunStreams> streams)
         implements Message {
     public GatewayReport {
         loads = List.copyOf(loads);
         uses = List.copyOf(uses);
+        streams = streams == null ? List.of() : List.copyOf(streams);
     }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/crocushaven/fleet/StreamDirectory.java
@@ -0,0 +1,63 @@
+package org.crocushaven.fleet;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Knows for the leader of a term where the streams of all gateways began, so that a client can take
+ * up a stream at another gateway when the first one is lost. Not thread-safe.
+ */
+final class StreamDirectory {
+    /** Time for which a stream may last while no configuration is known. */
+    private static final long DEFAULT_LONGEST_STREAM_NANOS = TimeUnit.SECONDS.toNanos(60);
+
+    /** Streams in one generation: 20 s of the 18,000 streams a second at the two-year target. */
+    private static final int CAPACITY = 400_000;
+
+    private final StreamOrigins origins = StreamOrigins.ofCapacity(CAPACITY);
+    private final SoftwareVersionHistory versions;
+    private long longestStreamNanos = DEFAULT_LONGEST_STREAM_NANOS;
+
+    private StreamDirectory(long nowNanos) {
+        this.versions = SoftwareVersionHistory.startingAt(nowNanos);
+    }
+
+    /** Returns the directory of a term that begins now. */
+    static StreamDirectory startingAt(long nowNanos) {
+        return new StreamDirectory(nowNanos);
+    }
+
+    /** Sets the time for which a stream may last. */
+    void setLongestStreamMillis(long millis) {
+        longestStreamNanos = TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+
+    /** Records the software version that a backend server announces. */
+    void observe(BackendAnnouncement announcement, long nowNanos) {
+        if (!announcement.isDeregistration()) {
+            versions.observe(announcement.service(), announcement.softwareVersion(), nowNanos);
+        }
+    }
+
+    /** Remembers the streams that a gateway reports. */
+    void add(List<BegunStreams> reported, long nowNanos) {
+        for (final BegunStreams begun : reported) {
+            for (final long stream : begun.streams()) {
+                origins.add(stream, begun.origin(), nowNanos, longestStreamNanos);
+            }
+        }
+    }
+
+    /**
+     * Returns where a stream began; empty if it is not remembered and its service has had more than
+     * one software version while the stream can have lasted.
+     */
+    Optional<StreamOrigin> find(StreamOriginQuery query, long nowNanos) {
+        return origins.find(query.stream())
+                .or(
+                        () ->
+                                versions.onlyVersion(query.service(), nowNanos, longestStreamNanos)
+                                        .map(only -> new StreamOrigin(query.service(), only)));
+    }
+}
--- a/daemon/src/main/java/org/crocushaven/forwarding/ForwardingEnvironment.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/ForwardingEnvironment.java
@@ -23,6 +23,7 @@
  * @param admission checks keys and rates
  * @param freshness age of the control state
  * @param promptReaders which backend server has recently read which prompt
+ * @param streams where the streams of this gateway began
  * @param leader requests adapter placements and tokens from the leader
  * @param observer is notified of sends, failures and results
  */
@@ -40,6 +41,7 @@
         KeyedAdmission admission,
         ControlFreshness freshness,
         PromptReaders promptReaders,
+        BegunStreamMemory streams,
         LeaderRequests leader,
         ForwardingObserver observer) {
     long nowNanos() {
--- a/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
@@ -43,6 +43,7 @@
     private final EpochClock epochClock;
     private final Function<byte[], IngressConfiguration> decoder;
     private final GatewayBackends view = new GatewayBackends();
+    private final BegunStreamMemory streams = new BegunStreamMemory();
     private final SuspensionDetector suspension = new SuspensionDetector();
     private final BackendPool pool;
     private final BackendHealth health = new BackendHealth();
@@ -101,6 +102,7 @@
                                 admission,
                                 freshness,
                                 new PromptReaders(),
+                                streams,
                                 link,
                                 observer));
         transport.registerHandler(
@@ -199,7 +201,8 @@
                 stateRevision,
                 view.ownLoads(nowNanos),
                 view.drainUses(),
-                admission.report(nowNanos));
+                admission.report(nowNanos),
+                streams.unreported());
     }
 
     private void applyUpdate(GatewayUpdate update, long sentNanos) {
@@ -209,6 +212,7 @@
             applyConfiguration(update);
         }
         view.apply(update, nowNanos);
+        streams.reportAnswered(update.epoch());
         health.retain(view.identifiers());
         retryBudget.setGateways(update.gateways());
         update.shares().ifPresent(grant -> admission.apply(grant, nowNanos));
@@ -226,6 +230,7 @@
         }
         final long startNanos = clock.nanoTime();
         configuration = Optional.of(decoder.apply(Documents.decompress(update.document())));
+        streams.setRetentionMillis(configuration.get().longestStreamMillis());
         EventLine.of("configuration-applied")
                 .with("version", configuration.get().version())
                 .with("previous", known)
--- a/daemon/src/main/java/org/crocushaven/forwarding/GatewayBackends.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/GatewayBackends.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.crocushaven.fleet.AdapterKey;
 import org.crocushaven.fleet.AdapterUse;
 import org.crocushaven.fleet.AdapterVersion;
@@ -118,12 +119,16 @@
         return found;
     }
 
-    /** Returns the backend server of a service on which an adapter is available first. */
-    Optional<ExpectedHolder> earliestHolder(String service, AdapterKey key, long nowNanos) {
+    /**
+     * Returns the backend server of a service on which an adapter is available first, among those
+     * that satisfy the condition.
+     */
+    Optional<ExpectedHolder> earliestHolder(
+            String service, AdapterKey key, Predicate<BackendRecord> condition, long nowNanos) {
         ExpectedHolder first = null;
         for (final Map.Entry<String, Holding> holder : holdings(key).entrySet()) {
             final long waitNanos = holder.getValue().waitNanos(nowNanos);
-            final Optional<BackendRecord> record = usable(holder, service, key);
+            final Optional<BackendRecord> record = usable(holder, service, key).filter(condition);
             if (record.isPresent() && (first == null || waitNanos < first.waitNanos())) {
                 first = new ExpectedHolder(record.get(), waitNanos);
             }
--- a/daemon/src/main/java/org/crocushaven/forwarding/LeaderLink.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/LeaderLink.java
@@ -17,6 +17,8 @@
 import org.crocushaven.fleet.ControlHint;
 import org.crocushaven.fleet.GatewayReport;
 import org.crocushaven.fleet.GatewayUpdate;
+import org.crocushaven.fleet.StreamOriginAnswer;
+import org.crocushaven.fleet.StreamOriginQuery;
 import org.crocushaven.observability.EventLine;
 import org.crocushaven.protocol.Message;
 import org.crocushaven.protocol.PeerTransport;
@@ -60,6 +62,8 @@
      */
     private static final Duration ADAPTER_REQUEST_TIMEOUT = Duration.ofMillis(400);
 
+    private static final Duration STREAM_ORIGIN_TIMEOUT = Duration.ofMillis(300);
+
     private final EventLoop loop;
     private final PeerTransport transport;
     private final NanoClock clock;
@@ -165,6 +169,34 @@
         return granted;
     }
 
+    @Override
+    public CompletableFuture<StreamOriginAnswer> findStreamOrigin(StreamOriginQuery query) {
+        final CompletableFuture<StreamOriginAnswer> found = new CompletableFuture<>();
+        if (leader.isEmpty()) {
+            found.completeExceptionally(noLeader(query));
+            return found;
+        }
+        transport
+                .request(leader, query, STREAM_ORIGIN_TIMEOUT)
+                .whenComplete(
+                        (answer, failure) ->
+                                loop.execute(() -> completeOrigin(found, query, answer)));
+        return found;
+    }
+
+    private static void completeOrigin(
+            CompletableFuture<StreamOriginAnswer> found, StreamOriginQuery query, Message answer) {
+        if (answer instanceof StreamOriginAnswer origin) {
+            found.complete(origin);
+        } else {
+            found.completeExceptionally(noLeader(query));
+        }
+    }
+
+    private static ResultException noLeader(StreamOriginQuery query) {
+        return ResultException.of(ResultCode.NO_DISPATCHER, query.service());
+    }
+
     @Override
     public void afterNextReport(Runnable action) {
         pendingActions.add(action);
--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestAdmission.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestAdmission.java
@@ -70,6 +70,13 @@
         return charged;
     }
 
+    /** Chooses a service if the route leads to it; the one that was found stays otherwise. */
+    void preferService(String preferred) {
+        if (route.targets().stream().anyMatch(target -> target.service().equals(preferred))) {
+            service = preferred;
+        }
+    }
+
     /** Refunds the charge of a request that did not run. */
     void refund() {
         charge.ifPresent(
--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
@@ -44,6 +44,7 @@
     private final PauseMeter pauses = new PauseMeter();
     private final InactivityTimer silence;
     private final RequestAdmission admission;
+    private final StreamContinuation continuation;
     private final RetryState retries = new RetryState();
     private final AttemptsInFlight attempts;
     private final AttemptSender sender;
@@ -77,6 +78,7 @@
         this.client = client;
         this.arrivedNanos = environment.nowNanos();
         this.admission = new RequestAdmission(environment, request);
+        this.continuation = new StreamContinuation(environment, request, admission);
         this.attempts = new AttemptsInFlight(environment.view());
         this.sender = new AttemptSender(environment, request, body, admission, this);
         this.silence =
@@ -161,6 +163,7 @@
         if (!streamStarted) {
             streamStarted = true;
             firstByteNanos = environment.nowNanos();
+            continuation.firstEventReceived(from.target().backend());
             environment.health().recordSuccess(from.target().backend().backend(), firstByteNanos);
             environment.promptReaders().recordRead(request, from.target().backend().backend());
             client.startStream(from.status(), from.headers());
@@ -334,6 +337,17 @@
     }
 
     private void admitted(Throwable failure) {
+        if (done) {
+            return;
+        }
+        if (failure instanceof ResultException refusal) {
+            refuse(refusal);
+        } else {
+            continuation.prepare().whenComplete((ready, unknown) -> prepared(unknown));
+        }
+    }
+
+    private void prepared(Throwable failure) {
         if (done) {
             return;
         }
@@ -350,7 +364,7 @@
 
     private void findTarget() {
         new TargetFinder(environment)
-                .find(admission.service(), request, retries.excluded())
+                .find(admission.service(), request, retries.excluded(), continuation)
                 .whenComplete(
                         (target, failure) -> {
                             if (done) {
@@ -398,20 +412,23 @@
 
     /** Sends a request to the target that it waited for, or looks for another if that one left. */
     private void sendAfterWait(Target target) {
-        if (acceptsRequests(target)) {
-            send(target);
+        final Optional<Target> usable = stillUsable(target);
+        if (usable.isPresent()) {
+            send(usable.get());
         } else {
             retries.exclude(target.backend().backend());
             tryAnother();
         }
     }
 
-    private boolean acceptsRequests(Target target) {
+    /** Returns the target with what is known of its backend server now, if that may be used. */
+    private Optional<Target> stillUsable(Target target) {
         return environment
                 .view()
                 .find(target.backend().backend())
                 .filter(BackendRecord::acceptsRequests)
-                .isPresent();
+                .filter(continuation::allows)
+                .map(target::with);
     }
 
     private void send(Target target) {
@@ -463,7 +480,7 @@
         final long events = splitter.eventCount();
         replacementSought = true;
         new TargetFinder(environment)
-                .find(admission.service(), request, excluded)
+                .find(admission.service(), request, excluded, continuation)
                 .whenComplete(
                         (target, failure) -> {
                             if (failure != null) {
@@ -486,12 +503,13 @@
         if (isStale(silent) || splitter.eventCount() != eventsBefore) {
             return;
         }
-        if (!acceptsRequests(target)) {
+        final Optional<Target> usable = stillUsable(target);
+        if (usable.isEmpty()) {
             reportReplacementLacks("target");
         } else if (!environment.retryBudget().tryRetry(admission.service())) {
             reportReplacementLacks("budget");
         } else {
-            final BackendAttempt next = nextAttempt(target);
+            final BackendAttempt next = nextAttempt(usable.get());
             attempts.beginReplacement(next);
             sender.send(next);
         }
--- a/daemon/src/main/java/org/crocushaven/forwarding/Target.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/Target.java
@@ -12,4 +12,9 @@
  * @param adapterPending whether the adapter is still loading or was just requested, so that it may
  *     become available later than expected
  */
-record Target(BackendRecord backend, AdapterKey key, long delayMillis, boolean adapterPending) {}
+record Target(BackendRecord backend, AdapterKey key, long delayMillis, boolean adapterPending) {
+    /** Returns the same target with a newer record of its backend server. */
+    Target with(BackendRecord current) {
+        return new Target(current, key, delayMillis, adapterPending);
+    }
+}
--- a/daemon/src/main/java/org/crocushaven/forwarding/TargetFinder.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/TargetFinder.java
@@ -47,11 +47,17 @@
     /**
      * Returns the target of a request. The future fails with a refusal that says when to retry.
      *
-     * @param excluded backend servers that were already tried
+     * @param tried backend servers that were already tried
+     * @param continuation decides which software versions may serve the request
      */
-    CompletableFuture<Target> find(String service, IngressRequest request, Set<String> excluded) {
+    CompletableFuture<Target> find(
+            String service,
+            IngressRequest request,
+            Set<String> tried,
+            StreamContinuation continuation) {
+        final Set<String> excluded = continuation.excluded(tried);
         return request.model().isPresent()
-                ? findForModel(service, request, excluded)
+                ? findForModel(service, request, excluded, continuation)
                 : findWithoutModel(service, request, excluded);
     }
 
@@ -69,7 +75,10 @@
     }
 
     private CompletableFuture<Target> findForModel(
-            String service, IngressRequest request, Set<String> excluded) {
+            String service,
+            IngressRequest request,
+            Set<String> excluded,
+            StreamContinuation continuation) {
         final AdapterKey key =
                 new AdapterKey(request.model().get().model(), request.model().get().adapter());
         final long nowNanos = environment.nowNanos();
@@ -79,7 +88,8 @@
             return CompletableFuture.completedFuture(
                     new Target(holder.get().backend(), key, 0, false));
         }
-        final Optional<Target> pending = pendingTarget(service, key, excluded, nowNanos);
+        final Optional<Target> pending =
+                pendingTarget(service, key, excluded, continuation, nowNanos);
         if (holder.isEmpty() && pending.isPresent()) {
             return CompletableFuture.completedFuture(pending.get());
         }
@@ -90,7 +100,9 @@
                 .leader()
                 .requestAdapter(ask)
                 .whenComplete(
-                        (grant, failure) -> completeWithGrant(found, service, key, holder, grant));
+                        (grant, failure) ->
+                                completeWithGrant(
+                                        found, service, key, holder, grant, continuation));
         return found;
     }
 
@@ -99,10 +111,14 @@
      * server is full, failing or was already tried.
      */
     private Optional<Target> pendingTarget(
-            String service, AdapterKey key, Set<String> excluded, long nowNanos) {
+            String service,
+            AdapterKey key,
+            Set<String> excluded,
+            StreamContinuation continuation,
+            long nowNanos) {
         return environment
                 .view()
-                .earliestHolder(service, key, nowNanos)
+                .earliestHolder(service, key, continuation::allows, nowNanos)
                 .filter(holder -> !excluded.contains(holder.backend().backend()))
                 .filter(holder -> load(holder.backend()) < FULL_LOAD)
                 .filter(holder -> failures(holder.backend(), nowNanos) < 1)
@@ -129,12 +145,15 @@
             String service,
             AdapterKey key,
             Optional<BackendSelector.Candidate> holder,
-            AdapterGrant grant) {
+            AdapterGrant grant,
+            StreamContinuation continuation) {
         final Optional<BackendRecord> backend =
                 grant == null || !grant.isGranted()
                         ? Optional.empty()
                         : environment.view().find(grant.backend());
-        if (backend.isPresent() && backend.get().acceptsRequests()) {
+        if (backend.filter(BackendRecord::acceptsRequests)
+                .filter(continuation::allows)
+                .isPresent()) {
             final long usableNanos =
                     environment.nowNanos() + TimeUnit.MILLISECONDS.toNanos(grant.readyInMillis());
             environment.view().addHolder(grant.backend(), key, grant.version(), usableNanos);
--- a/daemon/src/main/java/org/crocushaven/ingress/IngressConfiguration.java
+++ b/daemon/src/main/java/org/crocushaven/ingress/IngressConfiguration.java
@@ -87,6 +87,15 @@
         return limits;
     }
 
+    /** Returns the longest time that a stream may last, in milliseconds; 0 without such routes. */
+    public long longestStreamMillis() {
+        return routes.stream()
+                .filter(route -> route.kind() == RouteKind.STREAM)
+                .mapToLong(IngressRoute::timeoutMillis)
+                .max()
+                .orElse(0);
+    }
+
     /** Returns the route of a request, or empty when none matches. */
     public Optional<IngressRoute> route(String host, String path) {
         return table.find(host, path);
--- a/daemon/src/main/java/org/crocushaven/protocol/MessageType.java
+++ b/daemon/src/main/java/org/crocushaven/protocol/MessageType.java
@@ -44,6 +44,8 @@
 import org.crocushaven.fleet.FleetUpdateNotice;
 import org.crocushaven.fleet.GatewayReport;
 import org.crocushaven.fleet.GatewayUpdate;
+import org.crocushaven.fleet.StreamOriginAnswer;
+import org.crocushaven.fleet.StreamOriginQuery;
 import org.crocushaven.membership.Gossip;
 import org.crocushaven.observability.ExplainAnswer;
 import org.crocushaven.observability.ExplainQuery;
@@ -101,7 +103,9 @@
     FLEET_PROPOSAL(129, FleetProposal.class),
     FLEET_PROPOSAL_DONE(130, FleetProposalDone.class),
     FLEET_READ(131, FleetRead.class),
-    FLEET_DOCUMENT(132, FleetDocument.class);
+    FLEET_DOCUMENT(132, FleetDocument.class),
+    STREAM_ORIGIN_QUERY(133, StreamOriginQuery.class),
+    STREAM_ORIGIN_ANSWER(134, StreamOriginAnswer.class);
 
     private static final Map<Integer, MessageType> BY_NUMBER =
             Arrays.stream(values())
--- a/daemon/src/test/java/org/crocushaven/fleet/ControlFleet.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/ControlFleet.java
@@ -117,7 +117,8 @@
                 0,
                 List.of(),
                 List.of(),
-                ShareHolder.create(1).report(System.nanoTime()));
+                ShareHolder.create(1).report(System.nanoTime()),
+                List.of());
     }
 
     @Override
--- a/daemon/src/test/java/org/crocushaven/fleet/FleetLeaderTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/FleetLeaderTest.java
@@ -80,7 +80,8 @@
                 0,
                 loads,
                 List.of(),
-                ShareHolder.create(1).report(System.nanoTime()));
+                ShareHolder.create(1).report(System.nanoTime()),
+                List.of());
     }
 
     /** Returns the least processor time of a report over several rounds, in microseconds. */
--- a/daemon/src/test/java/org/crocushaven/fleet/GatewayReportsTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/GatewayReportsTest.java
@@ -29,7 +29,8 @@
                         1,
                         List.of(loads),
                         List.of(),
-                        ShareHolder.create(1).report(nowNanos)),
+                        ShareHolder.create(1).report(nowNanos),
+                        List.of()),
                 nowNanos);
     }
 
@@ -102,7 +103,8 @@
                         .map(load -> new BackendLoad(load.getKey(), load.getValue(), 0))
                         .toList(),
                 List.of(),
-                ShareHolder.create(1).report(nowNanos));
+                ShareHolder.create(1).report(nowNanos),
+                List.of());
     }
 
     @Test
--- a/daemon/src/test/java/org/crocushaven/fleet/ShareLendingTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/ShareLendingTest.java
@@ -31,7 +31,8 @@
                         1,
                         List.of(),
                         List.of(),
-                        ShareHolder.create(1).report(nowNanos)),
+                        ShareHolder.create(1).report(nowNanos),
+                        List.of()),
                 nowNanos);
     }
 
--- a/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
@@ -29,6 +29,8 @@
 import org.crocushaven.fleet.BackendRecord;
 import org.crocushaven.fleet.BackendState;
 import org.crocushaven.fleet.GatewayUpdate;
+import org.crocushaven.fleet.StreamOriginAnswer;
+import org.crocushaven.fleet.StreamOriginQuery;
 import org.crocushaven.ingress.IngressConfiguration;
 import org.crocushaven.ingress.IngressLimits;
 import org.crocushaven.ingress.IngressRequest;
@@ -226,6 +228,7 @@
                 KeyedAdmission.of(freshness, 1),
                 freshness,
                 new PromptReaders(),
+                new BegunStreamMemory(),
                 new NoLeader(),
                 new Recorder());
     }
@@ -345,6 +348,11 @@
             throw new AssertionError("the requests need no adapter");
         }
 
+        @Override
+        public CompletableFuture<StreamOriginAnswer> findStreamOrigin(StreamOriginQuery query) {
+            throw new AssertionError("the requests take up no streams");
+        }
+
         @Override
         public void afterNextReport(Runnable action) {
             throw new AssertionError("the route needs no tokens");
--- a/daemon/src/test/java/org/crocushaven/forwarding/GatewayBackendsTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/GatewayBackendsTest.java
@@ -113,7 +113,7 @@
             view.addHolder("two", KEY, 0, READY_NANOS / 2);
 
             final GatewayBackends.ExpectedHolder first =
-                    view.earliestHolder("engines", KEY, 10).orElseThrow();
+                    view.earliestHolder("engines", KEY, backend -> true, 10).orElseThrow();
 
             assertEquals("two", first.backend().backend());
             assertEquals(READY_NANOS / 2 - 10, first.waitNanos());
@@ -126,7 +126,7 @@
 
             update(5, engine("one"));
 
-            assertTrue(view.earliestHolder("engines", KEY, 10).isPresent());
+            assertTrue(view.earliestHolder("engines", KEY, backend -> true, 10).isPresent());
         }
 
         @Test
@@ -136,7 +136,7 @@
 
             update(5, List.of(), List.of(), List.of("one"));
 
-            assertTrue(view.earliestHolder("engines", KEY, 10).isEmpty());
+            assertTrue(view.earliestHolder("engines", KEY, backend -> true, 10).isEmpty());
         }
     }
 
--- a/daemon/src/test/java/org/crocushaven/forwarding/LeaderLinkTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/LeaderLinkTest.java
@@ -52,7 +52,8 @@
                 0,
                 List.of(),
                 List.of(),
-                ShareHolder.create(1).report(nowNanos));
+                ShareHolder.create(1).report(nowNanos),
+                List.of());
     }
 
     private static GatewayUpdate update(long epoch) {
--- a/daemon/src/test/java/org/crocushaven/forwarding/RequestForwardingTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/RequestForwardingTest.java
@@ -36,6 +36,8 @@
 import org.crocushaven.fleet.BackendRecord;
 import org.crocushaven.fleet.BackendState;
 import org.crocushaven.fleet.GatewayUpdate;
+import org.crocushaven.fleet.StreamOriginAnswer;
+import org.crocushaven.fleet.StreamOriginQuery;
 import org.crocushaven.ingress.IngressConfiguration;
 import org.crocushaven.ingress.IngressLimits;
 import org.crocushaven.ingress.IngressRequest;
@@ -154,6 +156,7 @@
                 KeyedAdmission.of(freshness, 1),
                 freshness,
                 new PromptReaders(),
+                new BegunStreamMemory(),
                 new QueuedGrants(),
                 new SendRecorder());
     }
@@ -227,6 +230,11 @@
             return CompletableFuture.completedFuture(grants.remove());
         }
 
+        @Override
+        public CompletableFuture<StreamOriginAnswer> findStreamOrigin(StreamOriginQuery query) {
+            throw new AssertionError("the requests take up no streams");
+        }
+
         @Override
         public void afterNextReport(Runnable action) {
             throw new AssertionError("the route needs no tokens");
