--- a/daemon/src/main/java/org/crocushaven/fleet/StreamDirectory.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/StreamDirectory.java
@@ -8,7 +8,7 @@
  * Knows for the leader of a term where the streams of all gateways began, so that a client can take
  * up a stream at another gateway when the first one is lost. Not thread-safe.
  */
-final class StreamDirectory {
+public final class StreamDirectory {
     /** Time for which a stream may last while no configuration is known. */
     private static final long DEFAULT_LONGEST_STREAM_NANOS = TimeUnit.SECONDS.toNanos(60);
 
@@ -24,24 +24,24 @@
     }
 
     /** Returns the directory of a term that begins now. */
-    static StreamDirectory startingAt(long nowNanos) {
+    public static StreamDirectory startingAt(long nowNanos) {
         return new StreamDirectory(nowNanos);
     }
 
     /** Sets the time for which a stream may last. */
-    void setLongestStreamMillis(long millis) {
+    public void setLongestStreamMillis(long millis) {
         longestStreamNanos = TimeUnit.MILLISECONDS.toNanos(millis);
     }
 
     /** Records the software version that a backend server announces. */
-    void observe(BackendAnnouncement announcement, long nowNanos) {
+    public void observe(BackendAnnouncement announcement, long nowNanos) {
         if (!announcement.isDeregistration()) {
             versions.observe(announcement.service(), announcement.softwareVersion(), nowNanos);
         }
     }
 
     /** Remembers the streams that a gateway reports. */
-    void add(List<BegunStreams> reported, long nowNanos) {
+    public void add(List<BegunStreams> reported, long nowNanos) {
         for (final BegunStreams begun : reported) {
             for (final long stream : begun.streams()) {
                 origins.add(stream, begun.origin(), nowNanos, longestStreamNanos);
@@ -53,7 +53,7 @@
      * Returns where a stream began; empty if it is not remembered and its service has had more than
      * one software version while the stream can have lasted.
      */
-    Optional<StreamOrigin> find(StreamOriginQuery query, long nowNanos) {
+    public Optional<StreamOrigin> find(StreamOriginQuery query, long nowNanos) {
         return origins.find(query.stream())
                 .or(
                         () ->
