--- a/daemon/src/main/java/org/crocushaven/forwarding/AttemptSender.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/AttemptSender.java
@@ -59,7 +59,9 @@
         attempt.opened(channel);
         final String backend = attempt.target().backend().backend();
         final int requestsAtBackend = environment.view().requestsAt(backend);
-        environment.observer().sent(request, backend, attempt.number(), requestsAtBackend);
+        environment
+                .observer()
+                .sent(request, attempt.target().backend(), attempt.number(), requestsAtBackend);
         reportIfLeaving(attempt);
         request.usage()
                 .ifPresent(
--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
@@ -44,11 +44,13 @@
     private final PauseMeter pauses = new PauseMeter();
     private final InactivityTimer silence;
     private final RequestAdmission admission;
+    private final StreamContinuation continuation;
     private final RetryState retries = new RetryState();
     private final AttemptsInFlight attempts;
     private final AttemptSender sender;
     private ScheduledFuture<?> limitTimer;
     private String lastBackend = "-";
+    private String lastSoftwareVersion = "-";
     private long adapterWaitMillis;
     private int requestsAtBackend;
     private boolean streamStarted;
@@ -76,6 +78,7 @@
         this.client = client;
         this.arrivedNanos = environment.nowNanos();
         this.admission = new RequestAdmission(environment, request);
+        this.continuation = new StreamContinuation(environment, request, admission);
         this.attempts = new AttemptsInFlight(environment.view());
         this.sender = new AttemptSender(environment, request, body, admission, this);
         this.silence =
@@ -162,6 +165,7 @@
         if (!streamStarted) {
             streamStarted = true;
             firstByteNanos = environment.nowNanos();
+            continuation.firstEventReceived(from.target().backend());
             environment.health().recordSuccess(from.target().backend().backend(), firstByteNanos);
             environment.promptReaders().recordRead(request, from.target().backend().backend());
             client.startStream(from.status(), from.headers());
@@ -335,6 +339,19 @@
     }
 
     private void admitted(Throwable failure) {
+        if (done) {
+            return;
+        }
+        if (failure instanceof ResultException refusal) {
+            refuse(refusal);
+        } else if (failure != null) {
+            endAfterFault(failure);
+        } else {
+            orEnd(() -> continuation.prepare().whenComplete((ready, unknown) -> prepared(unknown)));
+        }
+    }
+
+    private void prepared(Throwable failure) {
         if (done) {
             return;
         }
@@ -381,7 +398,7 @@
 
     private void findTarget() {
         new TargetFinder(environment)
-                .find(admission.service(), request, retries.excluded())
+                .find(admission.service(), request, retries.excluded(), continuation)
                 .whenComplete(
                         (target, failure) -> {
                             if (!done) {
@@ -434,20 +451,23 @@
 
     /** Sends a request to the target that it waited for, or looks for another if that one left. */
     private void sendAfterWait(Target target) {
-        if (acceptsRequests(target)) {
-            send(target);
+        final Optional<Target> usable = stillUsable(target);
+        if (usable.isPresent()) {
+            send(usable.get());
         } else {
             retries.exclude(target.backend().backend());
             tryAnother();
         }
     }
 
-    private boolean acceptsRequests(Target target) {
+    /** Returns the target with what is known of its backend server now, if that may be used. */
+    private Optional<Target> stillUsable(Target target) {
         return environment
                 .view()
                 .find(target.backend().backend())
                 .filter(BackendRecord::acceptsRequests)
-                .isPresent();
+                .filter(continuation::allows)
+                .map(target::with);
     }
 
     private void send(Target target) {
@@ -458,6 +478,7 @@
 
     private BackendAttempt nextAttempt(Target target) {
         lastBackend = target.backend().backend();
+        lastSoftwareVersion = target.backend().softwareVersion();
         final int number = retries.recordSend(lastBackend);
         if (number == 1) {
             environment.retryBudget().recordSend(admission.service());
@@ -498,7 +519,7 @@
         final long events = splitter.eventCount();
         replacementSought = true;
         new TargetFinder(environment)
-                .find(admission.service(), request, excluded)
+                .find(admission.service(), request, excluded, continuation)
                 .whenComplete(
                         (target, failure) -> {
                             if (failure != null) {
@@ -521,12 +542,13 @@
         if (isStale(silent) || splitter.eventCount() != eventsBefore) {
             return;
         }
-        if (!acceptsRequests(target)) {
+        final Optional<Target> usable = stillUsable(target);
+        if (usable.isEmpty()) {
             reportReplacementLacks("target");
         } else if (!environment.retryBudget().tryRetry(admission.service())) {
             reportReplacementLacks("budget");
         } else {
-            final BackendAttempt next = nextAttempt(target);
+            final BackendAttempt next = nextAttempt(usable.get());
             attempts.beginReplacement(next);
             sender.send(next);
         }
@@ -694,6 +716,7 @@
                                 adapterWaitMillis,
                                 requestsAtBackend,
                                 backend,
+                                lastSoftwareVersion,
                                 retries.sends(),
                                 status,
                                 code,
@@ -724,10 +747,6 @@
         environment
                 .observer()
                 .attemptFailed(
-                        request,
-                        failed.target().backend().backend(),
-                        failed.number(),
-                        mayHaveRun,
-                        reason);
+                        request, failed.target().backend(), failed.number(), mayHaveRun, reason);
     }
 }
--- a/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
@@ -32,6 +32,8 @@
 import org.crocushaven.fleet.BackendRecord;
 import org.crocushaven.fleet.BackendState;
 import org.crocushaven.fleet.GatewayUpdate;
+import org.crocushaven.fleet.StreamOriginAnswer;
+import org.crocushaven.fleet.StreamOriginQuery;
 import org.crocushaven.ingress.IngressConfiguration;
 import org.crocushaven.ingress.IngressLimits;
 import org.crocushaven.ingress.IngressRequest;
@@ -97,7 +99,9 @@
                         BackendState.READY,
                         false,
                         requestSlots,
-                        List.of()));
+                        List.of(),
+                        "",
+                        1));
     }
 
     /** Limits all requests to one, which is not refilled during a test. */
@@ -238,6 +242,7 @@
                 admission(freshness),
                 freshness,
                 new PromptReaders(),
+                new BegunStreamMemory(),
                 new NoLeader(),
                 new Recorder());
     }
@@ -268,6 +273,7 @@
                 Optional.empty(),
                 Optional.empty(),
                 List.of(),
+                Optional.empty(),
                 Optional.empty());
     }
 
@@ -325,8 +331,8 @@
     private final class Recorder implements ForwardingObserver {
         @Override
         public void sent(
-                IngressRequest request, String backend, int attempt, int requestsAtBackend) {
-            sent.add(backend);
+                IngressRequest request, BackendRecord backend, int attempt, int requestsAtBackend) {
+            sent.add(backend.backend());
         }
 
         @Override
@@ -340,7 +346,7 @@
         @Override
         public void attemptFailed(
                 IngressRequest request,
-                String backend,
+                BackendRecord backend,
                 int attempt,
                 boolean mayHaveRun,
                 String reason) {}
@@ -369,6 +375,11 @@
             throw new AssertionError("the requests need no adapter");
         }
 
+        @Override
+        public CompletableFuture<StreamOriginAnswer> findStreamOrigin(StreamOriginQuery query) {
+            throw new AssertionError("the requests take up no streams");
+        }
+
         @Override
         public void afterNextReport(Runnable action) {
             action.run();
--- a/daemon/src/test/java/org/crocushaven/forwarding/IngressConnectionTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/IngressConnectionTest.java
@@ -24,6 +24,9 @@
 import org.agrona.concurrent.SystemEpochClock;
 import org.crocushaven.fleet.AdapterGrant;
 import org.crocushaven.fleet.AdapterRequest;
+import org.crocushaven.fleet.BackendRecord;
+import org.crocushaven.fleet.StreamOriginAnswer;
+import org.crocushaven.fleet.StreamOriginQuery;
 import org.crocushaven.ingress.IngressConfiguration;
 import org.crocushaven.ingress.IngressLimits;
 import org.crocushaven.ingress.IngressRequest;
@@ -129,6 +132,7 @@
                 KeyedAdmission.of(freshness, 1),
                 freshness,
                 new PromptReaders(),
+                new BegunStreamMemory(),
                 new HeldGrants(),
                 new FaultRecorder());
     }
@@ -217,6 +221,11 @@
             return held;
         }
 
+        @Override
+        public CompletableFuture<StreamOriginAnswer> findStreamOrigin(StreamOriginQuery query) {
+            throw new AssertionError("no stream is taken up");
+        }
+
         @Override
         public void afterNextReport(Runnable action) {
             throw new AssertionError("the route needs no tokens");
@@ -226,7 +235,10 @@
     private final class FaultRecorder implements ForwardingObserver {
         @Override
         public void sent(
-                IngressRequest request, String backend, int attempt, int requestsAtBackend) {}
+                IngressRequest request,
+                BackendRecord backend,
+                int attempt,
+                int requestsAtBackend) {}
 
         @Override
         public void sentToLeaving(
@@ -239,7 +251,7 @@
         @Override
         public void attemptFailed(
                 IngressRequest request,
-                String backend,
+                BackendRecord backend,
                 int attempt,
                 boolean mayHaveRun,
                 String reason) {}
@@ -283,6 +295,7 @@
                     Optional.of(new ModelReference("base", "a1")),
                     Optional.empty(),
                     List.of(),
+                    Optional.empty(),
                     Optional.empty());
         }
 
--- a/daemon/src/test/java/org/crocushaven/forwarding/RequestForwardingTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/RequestForwardingTest.java
@@ -36,6 +36,8 @@
 import org.crocushaven.fleet.BackendRecord;
 import org.crocushaven.fleet.BackendState;
 import org.crocushaven.fleet.GatewayUpdate;
+import org.crocushaven.fleet.StreamOriginAnswer;
+import org.crocushaven.fleet.StreamOriginQuery;
 import org.crocushaven.ingress.IngressConfiguration;
 import org.crocushaven.ingress.IngressLimits;
 import org.crocushaven.ingress.IngressRequest;
@@ -80,7 +82,17 @@
 
     private BackendRecord backend(String name, BackendState state) {
         return new BackendRecord(
-                name, SERVICE, "127.0.0.1", server.getLocalPort(), "a", state, false, 4, List.of());
+                name,
+                SERVICE,
+                "127.0.0.1",
+                server.getLocalPort(),
+                "a",
+                state,
+                false,
+                4,
+                List.of(),
+                "",
+                1);
     }
 
     private void update(BackendRecord... changed) {
@@ -144,6 +156,7 @@
                 KeyedAdmission.of(freshness, 1),
                 freshness,
                 new PromptReaders(),
+                new BegunStreamMemory(),
                 new QueuedGrants(),
                 new SendRecorder());
     }
@@ -161,6 +174,7 @@
                 Optional.of(new ModelReference("base", "a1")),
                 Optional.empty(),
                 List.of(),
+                Optional.empty(),
                 Optional.empty());
     }
 
@@ -216,6 +230,11 @@
             return CompletableFuture.completedFuture(grants.remove());
         }
 
+        @Override
+        public CompletableFuture<StreamOriginAnswer> findStreamOrigin(StreamOriginQuery query) {
+            throw new AssertionError("the requests take up no streams");
+        }
+
         @Override
         public void afterNextReport(Runnable action) {
             throw new AssertionError("the route needs no tokens");
@@ -226,8 +245,8 @@
     private final class SendRecorder implements ForwardingObserver {
         @Override
         public void sent(
-                IngressRequest request, String backend, int attempt, int requestsAtBackend) {
-            sent.add(backend);
+                IngressRequest request, BackendRecord backend, int attempt, int requestsAtBackend) {
+            sent.add(backend.backend());
         }
 
         @Override
@@ -241,7 +260,7 @@
         @Override
         public void attemptFailed(
                 IngressRequest request,
-                String backend,
+                BackendRecord backend,
                 int attempt,
                 boolean mayHaveRun,
                 String reason) {}
