--- a/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
@@ -80,8 +80,13 @@
         return new ForwardingFixture(kind, timeoutMillis, 0);
     }
 
-    /** Announces a backend server. */
+    /** Announces a backend server that reports no software version. */
     void announce(StandInServer server, int requestSlots) {
+        announce(server, requestSlots, "");
+    }
+
+    /** Announces a backend server. */
+    void announce(StandInServer server, int requestSlots, String softwareVersion) {
         records.add(
                 new BackendRecord(
                         server.name(),
@@ -93,7 +98,7 @@
                         false,
                         requestSlots,
                         List.of(),
-                        "",
+                        softwareVersion,
                         1));
     }
 
