Keep where streams began over a gap in a leader's lease within one term

Gateways report a stream once to a term; a leader whose lease lapsed and came back in the same term began with an empty directory, and clients would have been refused (1411) without need. The directory lives as long as the term now; only the history of versions starts anew, since announcements of the gap may be unknown. Found by reading, not seen in a play. StreamDirectoryTest 4 (one new), FleetLeaderTest, ControlInstanceTest 5 and StreamOriginFuzzTest passed.

--- a/daemon/src/main/java/org/crocushaven/fleet/ControlInstance.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/ControlInstance.java
@@ -57,6 +57,11 @@
     private final UpdateNotices notices;
     private final AnnouncementIntake announcements;
     private FleetLeader leader;
+
+    /** Where streams began, for the last term in which this instance led. */
+    private StreamDirectory streams;
+
+    private long streamsTerm;
     private long distrustedUntilNanos;
     private long ticks;
     private boolean stopped;
@@ -379,6 +384,7 @@
                 .with("gone", registry.count(BackendState.GONE))
                 .info();
         membership.leadingStarted(nowNanos);
+        prepareStreams(term, nowNanos);
         leader =
                 new FleetLeader(
                         new EngineOrderContext(
@@ -393,12 +399,25 @@
                         clock,
                         settings.orderPauseMillis(),
                         settings.rateSlack(),
-                        this::proposeRegistration);
+                        this::proposeRegistration,
+                        streams);
         registry.present().forEach(leader::announced);
         final FleetUpdateNotice notice = new FleetUpdateNotice(settings.instance());
         state.gateways().forEach(gateway -> transport.send(gateway, notice));
     }
 
+    /**
+     * Keeps what gateways reported earlier in the same term, because they do not report it again.
+     */
+    private void prepareStreams(long term, long nowNanos) {
+        if (streams == null || streamsTerm != term) {
+            streams = StreamDirectory.startingAt(nowNanos);
+            streamsTerm = term;
+        } else {
+            streams.restartHistory(nowNanos);
+        }
+    }
+
     /** Returns whether a leader is known and, if it is this instance, has started. */
     private boolean isLeadershipSettled() {
         return stopped
--- a/daemon/src/main/java/org/crocushaven/fleet/FleetLeader.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/FleetLeader.java
@@ -47,6 +47,7 @@
      * @param orderPauseMillis time after the election in which no orders are sent, because orders
      *     of an earlier leader may still arrive
      * @param registration proposes changes of the gateways that may hold shares
+     * @param streams where the streams began that gateways reported in this term
      */
     FleetLeader(
             EngineOrderContext orders,
@@ -55,7 +56,8 @@
             NanoClock clock,
             long orderPauseMillis,
             double rateSlack,
-            Consumer<FleetCommand> registration) {
+            Consumer<FleetCommand> registration,
+            StreamDirectory streams) {
         this.epoch = orders.token();
         this.registry = registry;
         this.state = state;
@@ -63,7 +65,7 @@
         this.clock = clock;
         final long nowNanos = clock.nanoTime();
         this.load = new LeaderLoad(nowNanos);
-        this.streams = StreamDirectory.startingAt(nowNanos);
+        this.streams = streams;
         this.lending = new ShareLending(epoch, state, registration, rateSlack, nowNanos);
         this.placement =
                 new EnginePlacement(
--- a/daemon/src/main/java/org/crocushaven/fleet/StreamDirectory.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/StreamDirectory.java
@@ -16,7 +16,7 @@
     private static final int CAPACITY = 400_000;
 
     private final StreamOrigins origins = StreamOrigins.ofCapacity(CAPACITY);
-    private final SoftwareVersionHistory versions;
+    private SoftwareVersionHistory versions;
     private long longestStreamNanos = DEFAULT_LONGEST_STREAM_NANOS;
 
     private StreamDirectory(long nowNanos) {
@@ -28,6 +28,14 @@
         return new StreamDirectory(nowNanos);
     }
 
+    /**
+     * Records that the leader has not heard announcements for a while: from now on it can say anew
+     * since when it knows all versions. Streams that were reported before stay known.
+     */
+    void restartHistory(long nowNanos) {
+        versions = SoftwareVersionHistory.startingAt(nowNanos);
+    }
+
     /** Sets the time for which a stream may last. */
     public void setLongestStreamMillis(long millis) {
         longestStreamNanos = TimeUnit.MILLISECONDS.toNanos(millis);
--- a/daemon/src/test/java/org/crocushaven/fleet/FleetLeaderTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/FleetLeaderTest.java
@@ -44,7 +44,8 @@
                 SystemNanoClock.INSTANCE,
                 0,
                 0,
-                command -> {});
+                command -> {},
+                StreamDirectory.startingAt(System.nanoTime()));
     }
 
     private static BackendAnnouncement announcement(int backend) {
--- a/daemon/src/test/java/org/crocushaven/fleet/StreamDirectoryTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/StreamDirectoryTest.java
@@ -56,6 +56,17 @@
         assertEquals(Optional.of(FIRST), find(StreamIdentifier.NONE));
     }
 
+    @Test
+    void reportedStreamStaysKnownWhenTheHistoryOfVersionsIsRestarted() {
+        directory.setLongestStreamMillis(LONGEST_MILLIS);
+        directory.add(List.of(new BegunStreams(FIRST, List.of(7L))), 0);
+        directory.restartHistory(LATER_NANOS);
+        directory.observe(announcement("one", "v1"), LATER_NANOS);
+
+        assertEquals(Optional.of(FIRST), find(7));
+        assertEquals(Optional.empty(), find(8));
+    }
+
     @Test
     void deregistrationSaysNothingOfVersions() {
         directory.setLongestStreamMillis(LONGEST_MILLIS);
