--- a/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
@@ -12,6 +12,8 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -70,6 +72,8 @@
     private final List<BackendRecord> records = new ArrayList<>();
     private final List<KeyedOrganisation> organisations = new ArrayList<>();
     private ForwardingEnvironment environment;
+    private volatile boolean headersFail;
+    private volatile boolean searchesFail;
 
     private ForwardingFixture(RouteKind kind, long timeoutMillis, double extraRetries) {
         this.kind = kind;
@@ -144,6 +148,28 @@
         return loop.submit(() -> view.requestsAt(server.name())).get();
     }
 
+    /** Makes the creation of requests to backend servers fail unexpectedly. */
+    void failHeaders() {
+        headersFail = true;
+    }
+
+    /** Makes searches for a backend server fail unexpectedly from now on. */
+    void failSearches() {
+        searchesFail = true;
+    }
+
+    /** Starts to accept client connections. */
+    IngressServer listen(int port) throws Exception {
+        final IngressServer server = loop.submit(() -> new IngressServer(environment())).get();
+        server.listen(group, new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+        return server;
+    }
+
+    /** Runs an action on the event loop. */
+    void run(Runnable action) throws Exception {
+        loop.submit(action).get();
+    }
+
     /** Starts a request and returns what its client receives. */
     RecordedAnswer start() throws Exception {
         final RecordedAnswer answer = new RecordedAnswer();
@@ -232,7 +258,16 @@
                 ControlFreshness.ofMillis(
                         TIMEOUT_MILLIS, SystemEpochClock.INSTANCE, System.nanoTime());
         freshness.confirm(System.nanoTime());
-        final Random random = new Random(1);
+        final Random random =
+                new Random(1) {
+                    @Override
+                    public double nextDouble() {
+                        if (searchesFail) {
+                            throw new IllegalStateException("injected");
+                        }
+                        return super.nextDouble();
+                    }
+                };
         return new ForwardingEnvironment(
                 loop,
                 SystemNanoClock.INSTANCE,
@@ -392,14 +427,17 @@
     }
 
     /** Takes every answer as signed, and those with a header named Not-Run as not run. */
-    private static final class TestDialect implements IngressDialect {
+    private final class TestDialect implements IngressDialect {
         @Override
         public IngressRequest decodeRequest(HttpRequest head) {
-            throw new UnsupportedOperationException();
+            return request();
         }
 
         @Override
         public void addForwardingHeaders(HttpHeaders headers, ForwardingFields fields) {
+            if (headersFail) {
+                throw new IllegalStateException("injected");
+            }
             fields.lastEventId().ifPresent(id -> headers.set(LAST_EVENT_ID, id));
         }
 
--- a/daemon/src/test/java/org/crocushaven/forwarding/LeaderLinkTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/LeaderLinkTest.java
@@ -1,6 +1,9 @@
 package org.crocushaven.forwarding;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.DefaultEventLoop;
 import java.time.Duration;
@@ -8,10 +11,14 @@
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.agrona.concurrent.SystemNanoClock;
 import org.crocushaven.admission.ShareHolder;
+import org.crocushaven.fleet.AdapterGrant;
+import org.crocushaven.fleet.AdapterRequest;
+import org.crocushaven.fleet.ControlHint;
 import org.crocushaven.fleet.GatewayReport;
 import org.crocushaven.fleet.GatewayUpdate;
 import org.crocushaven.protocol.Message;
@@ -28,13 +35,19 @@
     private final DefaultEventLoop loop = new DefaultEventLoop();
     private final BlockingQueue<Sent> sent = new LinkedBlockingQueue<>();
     private final BlockingQueue<Long> updates = new LinkedBlockingQueue<>();
+    private volatile boolean updatesFail;
     private final LeaderLink link =
             new LeaderLink(
                     loop,
                     new SilentTransport(),
                     SystemNanoClock.INSTANCE,
                     LeaderLinkTest::report,
-                    (update, sentNanos) -> updates.add(update.epoch()),
+                    (update, sentNanos) -> {
+                        updates.add(update.epoch());
+                        if (updatesFail) {
+                            throw new IllegalStateException("injected");
+                        }
+                    },
                     () -> false);
 
     @AfterEach
@@ -100,6 +113,69 @@
         assertEquals(0, updates.size());
     }
 
+    @Test
+    void reportsGoOnAfterAnUpdateThatCannotBeApplied() throws InterruptedException {
+        updatesFail = true;
+        loop.execute(() -> link.addControlInstances(List.of(NEW_LEADER)));
+        loop.execute(link::start);
+        nextSent().answer().complete(update(1));
+        assertEquals(1, updates.poll(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+
+        assertNotNull(nextSent(), "no further report");
+    }
+
+    @Test
+    void requestsThatWaitForTokensGoOnAfterAnUpdateThatCannotBeApplied()
+            throws InterruptedException {
+        updatesFail = true;
+        loop.execute(() -> link.addControlInstances(List.of(NEW_LEADER)));
+        final CountDownLatch ran = new CountDownLatch(1);
+        loop.execute(() -> link.afterNextReport(ran::countDown));
+        nextSent().answer().complete(update(1));
+
+        assertTrue(ran.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+    }
+
+    @Test
+    void oneFailingRequestDoesNotHoldThoseThatWaitWithIt() throws InterruptedException {
+        loop.execute(() -> link.addControlInstances(List.of(NEW_LEADER)));
+        final CountDownLatch ran = new CountDownLatch(1);
+        loop.execute(
+                () -> {
+                    link.afterNextReport(
+                            () -> {
+                                throw new IllegalStateException("injected");
+                            });
+                    link.afterNextReport(ran::countDown);
+                });
+        nextSent().answer().complete(update(1));
+
+        assertTrue(ran.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+    }
+
+    @Test
+    void announcementByOneThatDoesNotLeadDoesNotReleaseTheLeader() throws Exception {
+        loop.execute(() -> link.addControlInstances(List.of(NEW_LEADER)));
+        loop.execute(link::start);
+        nextSent().answer().complete(update(1));
+        updates.poll(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+
+        loop.execute(() -> link.leaderAnnounced(LOST_LEADER));
+        Sent next = nextSent();
+        while (!next.to().equals(LOST_LEADER)) {
+            next = nextSent();
+        }
+        next.answer().complete(new ControlHint(NEW_LEADER, List.of(LOST_LEADER, NEW_LEADER)));
+
+        final CompletableFuture<AdapterGrant> asked =
+                loop.submit(
+                                () ->
+                                        link.requestAdapter(
+                                                new AdapterRequest("s", "m", "a", List.of())))
+                        .get();
+        assertFalse(asked.isCompletedExceptionally(), "refused although the leader is reachable");
+    }
+
     private record Sent(String to, CompletableFuture<Message> answer) {}
 
     /** Records requests and leaves their answers to the test. */
--- a/daemon/src/test/java/org/crocushaven/forwarding/SilentBackendServerTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/SilentBackendServerTest.java
@@ -168,6 +168,63 @@
             assertEquals("id: 1;id: 2;", answer.awaitEnd());
         }
 
+        @Test
+        void silentOneIsKeptWhenTheReplacementBreaksOffWithinItsFirstEvent() throws Exception {
+            final StandInServer.Exchange first = startStream();
+
+            other.awaitRequest().begin().partialEvent(2).close();
+            assertEquals("attempts", fixture.awaitMissing());
+            first.event(2).end();
+
+            assertEquals("id: 1;id: 2;", answer.awaitEnd());
+        }
+
+        @Test
+        void silentOneIsKeptWhenTheReplacementLeavesOutAnEvent() throws Exception {
+            final StandInServer.Exchange first = startStream();
+
+            other.awaitRequest().begin().event(3);
+            assertEquals("attempts", fixture.awaitMissing());
+            first.event(2).end();
+
+            assertEquals("id: 1;id: 2;", answer.awaitEnd());
+        }
+
+        @Test
+        void silentOneIsKeptWhenTheReplacementOnlyRepeatsEvents() throws Exception {
+            final StandInServer.Exchange first = startStream();
+
+            other.awaitRequest().begin().event(1).close();
+            assertEquals("attempts", fixture.awaitMissing());
+            first.event(2).end();
+
+            assertEquals("id: 1;id: 2;", answer.awaitEnd());
+        }
+
+        @Test
+        void streamIsNotCutWhenTheReplacementRefusesItLate() throws Exception {
+            final StandInServer.Exchange first = startStream();
+
+            final StandInServer.Exchange second = other.awaitRequest();
+            Thread.sleep(400);
+            second.refuse();
+            assertEquals("attempts", fixture.awaitMissing());
+            first.event(2).end();
+
+            assertEquals("id: 1;id: 2;", answer.awaitEnd());
+        }
+
+        @Test
+        void failedAnswerIsForwardedWhenTheSilentOneNeverAnswers() throws Exception {
+            use(ForwardingFixture.withRetries(RouteKind.IDEMPOTENT, 1_000));
+            answer = fixture.start();
+            silent.awaitRequest();
+
+            other.awaitRequest().answer(500, "", "failed");
+
+            assertEquals("500 failed", answer.awaitEnd());
+        }
+
         @Test
         void bothAreClosedWhenTheClientDisconnects() throws Exception {
             final StandInServer.Exchange first = startStream();
--- a/daemon/src/test/java/org/crocushaven/forwarding/StandInServer.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/StandInServer.java
@@ -117,6 +117,18 @@
             return this;
         }
 
+        /** Sends the first part of an event. */
+        Exchange partialEvent(int id) throws IOException {
+            final String event = "id: " + id + "\n";
+            write(Integer.toHexString(event.length()) + "\r\n" + event + "\r\n");
+            return this;
+        }
+
+        /** Closes the connection after what was sent. */
+        void close() throws IOException {
+            socket.close();
+        }
+
         /** Ends a stream as complete. */
         void end() throws IOException {
             write("0\r\n\r\n");
