Keep the silent backend server until the replacement's first whole event

Callers saw a stream cut although its first backend server went on: the replacement had sent half an event and broken off, left out an event, or only repeated old ones. Now each of two attempts has a splitter of its own, and only a whole new event changes over.

--- a/daemon/src/main/java/org/crocushaven/forwarding/EventSplitter.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/EventSplitter.java
@@ -24,6 +24,15 @@
     private long eventCount;
     private boolean eventsMissing;
 
+    /** Returns a splitter that goes on after the last forwarded event of this one. */
+    EventSplitter continued() {
+        final EventSplitter next = new EventSplitter();
+        next.lastEventId = lastEventId;
+        next.lastNumber = lastNumber;
+        next.eventCount = eventCount;
+        return next;
+    }
+
     /**
      * Adds bytes of the body and returns the new complete events in them, or null when there are
      * none.
--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
@@ -40,7 +40,8 @@
     private final ByteBuf body;
     private final ClientAnswer client;
     private final long arrivedNanos;
-    private final EventSplitter splitter = new EventSplitter();
+    private EventSplitter splitter = new EventSplitter();
+    private EventSplitter replacementSplitter;
     private final PauseMeter pauses = new PauseMeter();
     private final InactivityTimer silence;
     private final RequestAdmission admission;
@@ -151,14 +152,16 @@
         if (isStale(from)) {
             return;
         }
-        if (from == attempts.replacement()) {
-            replaceSilent();
-        }
-        final ByteBuf events = splitter.add(data);
+        final boolean fromReplacement = from == attempts.replacement();
+        final ByteBuf events = (fromReplacement ? replacementSplitter : splitter).add(data);
         if (events == null) {
             return;
         }
-        abandonReplacement("silent backend server went on first");
+        if (fromReplacement) {
+            replaceSilent();
+        } else {
+            abandonReplacement("silent backend server went on first");
+        }
         replacementLacked = "";
         pauses.recordEvent(environment.nowNanos());
         silence.recordProgress(SilenceLimits.withinStreamMillis(route(), remainingMillis()));
@@ -176,9 +179,13 @@
         }
     }
 
-    /** Fails the current attempt when its stream has an event that is too long or missing. */
+    private EventSplitter splitterOf(BackendAttempt attempt) {
+        return attempt == attempts.replacement() ? replacementSplitter : splitter;
+    }
+
+    /** Fails an attempt when its stream has an event that is too long or missing. */
     void checkStream(BackendAttempt from) {
-        if (!isStale(from) && from == attempts.current() && splitter.isBroken()) {
+        if (!isStale(from) && splitterOf(from).isBroken()) {
             from.abort();
             handleFailure(from, true, "event missing or too long");
         }
@@ -189,13 +196,14 @@
         if (isStale(from)) {
             return;
         }
-        if (from == attempts.replacement()) {
-            replaceSilent();
-        }
-        if (splitter.hasPartialEvent() || splitter.isBroken()) {
+        if (splitterOf(from).hasPartialEvent() || splitterOf(from).isBroken()) {
             handleFailure(from, true, "stream ended within an event");
             return;
         }
+        if (from == attempts.replacement()) {
+            handleFailure(from, true, "stream ended without an event");
+            return;
+        }
         if (!streamStarted) {
             streamStarted = true;
             client.startStream(from.status(), from.headers());
@@ -549,6 +557,7 @@
             reportReplacementLacks("budget");
         } else {
             final BackendAttempt next = nextAttempt(usable.get());
+            replacementSplitter = splitter.continued();
             attempts.beginReplacement(next);
             sender.send(next);
         }
@@ -738,7 +747,7 @@
         readingPaused = false;
         replacementLacked = "";
         if (!attempts.isEmpty()) {
-            splitter.discardPartialEvent();
+            splitter = replacementSplitter;
             startSilenceTimer();
         }
     }
