Count the time at two backend servers from the answer of the second one

Callers saw a stream cut although its first backend server went on: the gateway left it 300 ms after it had sent the request to a second one, which had answered nothing and then refused it. Cause: the bound counted from the send, and prefill or a queue takes longer; so the silent one was still released before its replacement was certain.

--- a/daemon/src/main/java/org/crocushaven/forwarding/BackendAttempt.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/BackendAttempt.java
@@ -92,6 +92,7 @@
             answerKind = AnswerKind.UNSIGNED;
         } else if (success && forwarding.isStream()) {
             answerKind = AnswerKind.EVENT_STREAM;
+            forwarding.streamAnswered(this);
         } else {
             answerKind = AnswerKind.COMPLETE_BODY;
             body = Unpooled.buffer();
--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
@@ -31,7 +31,8 @@
     private static final Duration REFUSAL_RETRY_DELAY = Duration.ofMillis(300);
 
     /**
-     * Maximum time for which two engines may work on a request; then the silent one is abandoned.
+     * Maximum time for which two backend servers may work on a stream, counted from the answer of
+     * the second one; then the silent one is abandoned.
      */
     private static final long MAXIMUM_OVERLAP_MILLIS = 300;
 
@@ -310,12 +311,20 @@
         requestsAtBackend = requestsThere;
         if (sent == attempts.current()) {
             startSilenceTimer();
-        } else if (isStream() || request.model().isPresent()) {
+        }
+    }
+
+    /**
+     * Called when a backend server begins to answer with a stream, which means that it works on the
+     * request; limits the time for which the silent one works on it too.
+     */
+    void streamAnswered(BackendAttempt from) {
+        if (!isStale(from) && from == attempts.replacement()) {
             environment
                     .loop()
                     .schedule(
                             () -> {
-                                if (!isStale(sent) && sent == attempts.replacement()) {
+                                if (!isStale(from) && from == attempts.replacement()) {
                                     replaceSilent();
                                 }
                             },
--- a/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
@@ -165,6 +165,11 @@
         return server;
     }
 
+    /** Waits until timers of the given delay have run on the event loop. */
+    void passOnLoop(long millis) throws Exception {
+        loop.schedule(() -> {}, millis, TimeUnit.MILLISECONDS).get();
+    }
+
     /** Runs an action on the event loop. */
     void run(Runnable action) throws Exception {
         loop.submit(action).get();
