Forward a backend server's failure when the silent one reaches its time limit

A caller got 504 from the gateway although a backend server had answered 500: the replacement's failure was forgotten when the silent attempt reached its time limit. Found by the review. The failure that was received is delivered now, with its signature. SilentBackendServerTest.failedAnswerIsForwardedWhenTheSilentOneNeverAnswers failed before ("refused BACKEND_SERVER_TIMEOUT"), passes; 18 of 18.

--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
@@ -661,6 +661,8 @@
         if (streamStarted) {
             client.abort();
             finish(ResultCode.ANSWER_INCOMPLETE, 0, "time limit reached within a stream");
+        } else if (lastFailure != null) {
+            deliver(lastFailure, "backend server failed");
         } else if (current != null || retries.mayHaveRun()) {
             refuse(ResultException.of(ResultCode.BACKEND_SERVER_TIMEOUT, lastBackend()));
         } else {
