End a request when sending or retrying it throws, instead of holding it to its time limit

Callers would wait for the whole time limit of a request when creating its backend request throws, or the search for another backend server after a refusal or a break-off: the exception went into a future that nobody reads, or came after the connection had forgotten its listener. A replacement that throws is only dropped.

--- a/daemon/src/main/java/org/crocushaven/forwarding/AttemptSender.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/AttemptSender.java
@@ -44,17 +44,24 @@
                         !admission.route().isRetryable())
                 .whenComplete(
                         (channel, failure) -> {
-                            if (failure != null) {
-                                forwarding.handleFailure(attempt, false, "no connection");
-                            } else if (forwarding.isStale(attempt)
-                                    || forwarding.remainingMillis() <= 0) {
-                                channel.close();
-                            } else {
-                                sendOn(channel, attempt);
+                            try {
+                                connected(attempt, channel, failure);
+                            } catch (RuntimeException fault) {
+                                forwarding.sendFaulted(attempt, fault);
                             }
                         });
     }
 
+    private void connected(BackendAttempt attempt, BackendChannel channel, Throwable failure) {
+        if (failure != null) {
+            forwarding.handleFailure(attempt, false, "no connection");
+        } else if (forwarding.isStale(attempt) || forwarding.remainingMillis() <= 0) {
+            channel.close();
+        } else {
+            sendOn(channel, attempt);
+        }
+    }
+
     private void sendOn(BackendChannel channel, BackendAttempt attempt) {
         attempt.opened(channel);
         final String backend = attempt.target().backend().backend();
--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.crocushaven.fleet.BackendRecord;
 import org.crocushaven.ingress.IngressRequest;
@@ -390,6 +391,17 @@
         }
     }
 
+    /** Handles an unexpected exception while an attempt was sent. */
+    void sendFaulted(BackendAttempt attempt, RuntimeException fault) {
+        if (!done && attempt == attempts.replacement()) {
+            environment.observer().faulted(fault, true);
+            attempt.abort();
+            handleFailure(attempt, attempt.wasSent(), "unexpected exception");
+        } else {
+            endAfterFault(fault);
+        }
+    }
+
     /** Ends the request after an unexpected exception, rather than hold it to its time limit. */
     private void endAfterFault(Throwable fault) {
         environment.observer().faulted(fault, !done);
@@ -535,8 +547,7 @@
         excluded.add(backend);
         final long events = splitter.eventCount();
         replacementSought = true;
-        new TargetFinder(environment)
-                .find(admission.service(), request, excluded, continuation)
+        searchReplacement(excluded)
                 .whenComplete(
                         (target, failure) -> {
                             if (failure != null) {
@@ -553,6 +564,16 @@
                         });
     }
 
+    private CompletableFuture<Target> searchReplacement(Set<String> excluded) {
+        try {
+            return new TargetFinder(environment)
+                    .find(admission.service(), request, excluded, continuation);
+        } catch (RuntimeException fault) {
+            environment.observer().faulted(fault, true);
+            return CompletableFuture.failedFuture(fault);
+        }
+    }
+
     /** Sends the replacement unless the silent backend server has gone on meanwhile. */
     private void sendReplacement(BackendAttempt silent, long eventsBefore, Target target) {
         replacementSought = false;
@@ -614,7 +635,7 @@
             giveUpRetry("attempts");
         } else {
             splitter.discardPartialEvent();
-            findTarget();
+            orEnd(this::findTarget);
         }
     }
 
