Go on reporting to the leader after an update that cannot be applied

Beside a change of the configuration, callers of a gateway would wait for tokens to their time limit and its control state would grow old, when applying one update or one waiting action throws: no further report was scheduled until an announcement came. Cause: the steps after a report ran unguarded, and the revision of the state was recorded before the configuration was decoded. Now each step is guarded, with a line, and the revision follows the decoding, which comes after the view. Found by the review.

--- a/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
@@ -207,15 +207,15 @@
 
     private void applyUpdate(GatewayUpdate update, long sentNanos) {
         final long nowNanos = clock.nanoTime();
-        if (update.hasState() && update.stateRevision() >= stateRevision) {
-            stateRevision = update.stateRevision();
-            applyConfiguration(update);
-        }
         view.apply(update, nowNanos);
         streams.reportAnswered(update.epoch());
         health.retain(view.identifiers());
         retryBudget.setGateways(update.gateways());
         update.shares().ifPresent(grant -> admission.apply(grant, nowNanos));
+        if (update.hasState() && update.stateRevision() >= stateRevision) {
+            applyConfiguration(update);
+            stateRevision = update.stateRevision();
+        }
         if (update.configurationVersion()
                 == configuration.map(IngressConfiguration::version).orElse(0L)) {
             freshness.confirm(sentNanos);
--- a/daemon/src/main/java/org/crocushaven/forwarding/LeaderLink.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/LeaderLink.java
@@ -259,7 +259,7 @@
             controlInstances.clear();
             controlInstances.addAll(update.controlInstances());
             final boolean actionsRan = actionsAwaitingAnswer > 0;
-            updates.updated(update, sentNanos);
+            runGuarded(() -> updates.updated(update, sentNanos));
             runPendingActions();
             scheduleNext(actionsRan);
             return;
@@ -287,7 +287,16 @@
                 new ArrayList<>(pendingActions.subList(0, actionsAwaitingAnswer));
         pendingActions.subList(0, actionsAwaitingAnswer).clear();
         actionsAwaitingAnswer = 0;
-        due.forEach(Runnable::run);
+        due.forEach(LeaderLink::runGuarded);
+    }
+
+    /** Runs a step whose failure must not end the reports. */
+    private static void runGuarded(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException fault) {
+            EventLine.fault(fault).error();
+        }
     }
 
     private void setLeader(String name) {
