Answer a call whose handler fails with status 500

Operators and backend servers would see a call closed without an answer when its handler throws, and never answered when its future fails. Cause: an exception went to exceptionCaught, a failed future to nobody. Both are answered 500 now, with a line.

--- a/daemon/src/main/java/org/crocushaven/network/AggregatingHttpServer.java
+++ b/daemon/src/main/java/org/crocushaven/network/AggregatingHttpServer.java
@@ -1,19 +1,24 @@
 package org.crocushaven.network;
 
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
+import org.crocushaven.observability.EventLine;
 
 /** Serves short HTTP requests, whose whole body is read before they are handled. */
 public final class AggregatingHttpServer {
@@ -24,8 +29,8 @@
     /**
      * Starts listening.
      *
-     * @param handler answers a request, which stays valid until the method returns its future; the
-     *     future must not fail
+     * @param handler answers a request, which stays valid until the method returns its future; one
+     *     that fails is answered with status 500
      */
     public static Listener listen(
             EventLoopGroup group,
@@ -56,8 +61,29 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
             final boolean keepOpen = HttpUtil.isKeepAlive(request);
-            handler.apply(request)
-                    .thenAccept(response -> answer(context.channel(), response, keepOpen));
+            answerTo(request)
+                    .whenComplete(
+                            (response, failure) ->
+                                    answer(
+                                            context.channel(),
+                                            failure == null ? response : faultAnswer(failure),
+                                            keepOpen));
+        }
+
+        private CompletableFuture<FullHttpResponse> answerTo(FullHttpRequest request) {
+            try {
+                return handler.apply(request);
+            } catch (RuntimeException fault) {
+                return CompletableFuture.failedFuture(fault);
+            }
+        }
+
+        private static FullHttpResponse faultAnswer(Throwable fault) {
+            EventLine.fault(fault).error();
+            return new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.INTERNAL_SERVER_ERROR,
+                    Unpooled.EMPTY_BUFFER);
         }
 
         @Override
