Keep the leader that answers when an announcement by another instance proves wrong

Callers whose adapter needs the leader would be refused (1403) for a round trip and 60 ms when an instance that does not lead is announced: its hint made the gateway forget the leader that had answered. Class: a working resource is released before its replacement is certain. Only the leader's own answer ends it now.

--- a/daemon/src/main/java/org/crocushaven/forwarding/LeaderLink.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/LeaderLink.java
@@ -265,7 +265,9 @@
             return;
         }
         runPendingActions();
-        setLeader("");
+        if (recipient.equals(leader)) {
+            setLeader("");
+        }
         if (answer instanceof ControlHint hint) {
             controlInstances.addAll(hint.controlInstances());
             target =
