Keep a connection until its client has taken the answer

Around a SIGTERM, and after the idle time, a client that reads a large answer slowly got only a part of it: the connection counted as idle once the answer was queued, and was closed over the rest. Class: the connection is released while an answer is due on it. Found by the review. A connection with unwritten bytes is busy now, and its idle time starts again whenever some of them are written, so that only a client that takes nothing at all is closed. The review's sleeps became waits for the end of the request.

--- a/daemon/src/main/java/org/crocushaven/forwarding/IngressConnection.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/IngressConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -48,6 +49,9 @@
     private RequestForwarding forwarding;
     private boolean closing;
 
+    /** Bytes of answers that the client had not taken at the last check. */
+    private long unwrittenBytes;
+
     /** Refusal of an unreadable request, which follows the answers that are still due. */
     private ResultException finalRefusal;
 
@@ -62,7 +66,10 @@
     }
 
     boolean isBusy() {
-        return current != null || head != null || !pipelined.isEmpty();
+        return current != null
+                || head != null
+                || !pipelined.isEmpty()
+                || channel.isActive() && pendingBytes() > 0;
     }
 
     /** Called when the current answer is written; serves the next pipelined request. */
@@ -87,6 +94,10 @@
      * been idle for too long.
      */
     void checkTimeouts(long nowNanos) {
+        if (pendingBytes() != unwrittenBytes) {
+            unwrittenBytes = pendingBytes();
+            activity.resetIdleTime();
+        }
         final long incompleteMillis =
                 TimeUnit.NANOSECONDS.toMillis(activity.incompleteNanos(nowNanos));
         final long idleMillis = TimeUnit.NANOSECONDS.toMillis(activity.idleNanos(nowNanos));
@@ -146,6 +157,11 @@
         context.close();
     }
 
+    private long pendingBytes() {
+        final ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
+        return buffer == null ? 0 : buffer.totalPendingWriteBytes();
+    }
+
     private void read(Object message) {
         if (message instanceof HttpRequest request) {
             readHead(request);
--- a/daemon/src/test/java/org/crocushaven/forwarding/AnswerNotYetWrittenTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/AnswerNotYetWrittenTest.java
@@ -9,6 +9,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import org.crocushaven.ingress.RouteKind;
+import org.crocushaven.result.ResultCode;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -73,7 +74,7 @@
 
     private void answerAndLetTheGatewayTakeIt() throws Exception {
         backend.awaitRequest().answer(200, "", "x".repeat(BODY_BYTES));
-        Thread.sleep(300);
+        assertEquals(ResultCode.OK, fixture.awaitRequestEnd());
     }
 
     @Test
@@ -104,7 +105,7 @@
         answerAndLetTheGatewayTakeIt();
 
         send();
-        Thread.sleep(300);
+        readAll();
 
         assertEquals(0, fixture.pendingSends(), "sent on, and its connection is closing");
     }
--- a/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
@@ -65,6 +65,7 @@
     private final EventLoop loop = (EventLoop) group.next();
     private final GatewayBackends view = new GatewayBackends();
     private final BlockingQueue<String> sent = new LinkedBlockingQueue<>();
+    private final BlockingQueue<ResultCode> ended = new LinkedBlockingQueue<>();
     private final BlockingQueue<String> missing = new LinkedBlockingQueue<>();
     private final RouteKind kind;
     private final long timeoutMillis;
@@ -205,6 +206,11 @@
         return missing.poll(AWAIT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    /** Waits until the gateway has ended a request, and returns its result. */
+    ResultCode awaitRequestEnd() throws InterruptedException {
+        return ended.poll(AWAIT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     /** Returns the number of sends that {@link #awaitSend} has not returned yet. */
     int pendingSends() {
         return sent.size();
@@ -405,7 +411,9 @@
         public void foreignAnswer(IngressRequest request, String backend, int attempt) {}
 
         @Override
-        public void ended(ForwardingSummary summary) {}
+        public void ended(ForwardingSummary summary) {
+            ended.add(summary.code());
+        }
 
         @Override
         public void refusedBeforeDecoding(ResultCode code, String detail, boolean answerUnderWay) {}
