Send on no request that arrives behind a connection's last answer

Clients that pipeline would see a request passed on and its connection closed without an answer, when it arrives after the answer that closes the connection; and whole requests that wait behind an answer dropped when the gateway stops. Cause: the connection went on reading after its last answer, and decided before the answer whether it stays open. Nothing is served after the last answer now, and while whole requests wait, an answer does not say that it is the last.

--- a/daemon/src/main/java/org/crocushaven/forwarding/ClientExchange.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/ClientExchange.java
@@ -27,12 +27,20 @@
 
     private final IngressConnection connection;
     private final Channel channel;
-    private final boolean keepOpen;
+    private final boolean keepAlive;
 
-    ClientExchange(IngressConnection connection, Channel channel, boolean keepOpen) {
+    /** Whether the connection stays open, as the head of the answer says. */
+    private boolean keepOpen;
+
+    /**
+     * Creates the exchange of one request.
+     *
+     * @param keepAlive whether the client wants the connection to stay open
+     */
+    ClientExchange(IngressConnection connection, Channel channel, boolean keepAlive) {
         this.connection = connection;
         this.channel = channel;
-        this.keepOpen = keepOpen;
+        this.keepAlive = keepAlive;
     }
 
     /**
@@ -80,7 +88,7 @@
         final HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, status);
         response.headers().set(headers);
         HttpUtil.setTransferEncodingChunked(response, true);
-        HttpUtil.setKeepAlive(response, keepOpen);
+        setKeepAlive(response);
         channel.write(response);
     }
 
@@ -106,10 +114,15 @@
     }
 
     private void finish(FullHttpResponse response) {
-        HttpUtil.setKeepAlive(response, keepOpen);
+        setKeepAlive(response);
         write(response);
     }
 
+    private void setKeepAlive(HttpResponse response) {
+        keepOpen = keepAlive && connection.mayStayOpen();
+        HttpUtil.setKeepAlive(response, keepOpen);
+    }
+
     private void write(Object last) {
         if (keepOpen) {
             channel.writeAndFlush(last, channel.voidPromise());
--- a/daemon/src/main/java/org/crocushaven/forwarding/IngressConnection.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/IngressConnection.java
@@ -72,12 +72,18 @@
                 || channel.isActive() && pendingBytes() > 0;
     }
 
+    /** Returns whether the connection stays open after the answer that begins now. */
+    boolean mayStayOpen() {
+        return !server.isStopping() || !pipelined.isEmpty();
+    }
+
     /** Called when the current answer is written; serves the next pipelined request. */
     void answerWritten(boolean keepOpen) {
         current = null;
         forwarding = null;
         activity.resetIdleTime();
         if (!keepOpen) {
+            closing = true;
             return;
         }
         final ReceivedRequest next = pipelined.poll();
@@ -226,8 +232,8 @@
     }
 
     private void serve(ReceivedRequest received) {
-        final boolean keepOpen = HttpUtil.isKeepAlive(received.head) && !server.isStopping();
-        final ClientExchange exchange = new ClientExchange(this, channel, keepOpen);
+        final ClientExchange exchange =
+                new ClientExchange(this, channel, HttpUtil.isKeepAlive(received.head));
         current = exchange;
         if (server.isRefusing()) {
             received.body.release();
