Carry the software version and the start of a backend server to the gateways

Nothing knew the version of a backend server's software: the heartbeat's field was not read. It is decoded now (absent: empty) and carried with the start in the records that the leader sends to gateways; no decision uses either yet. Both records on the wire grow at the end without a new message number: the array codec fills missing elements with null and skips further ones, so instances of either version read both forms, and departures stored before are still read. Calls of the constructors in other tests gained the arguments.

--- a/daemon/src/main/java/org/crocushaven/fleet/BackendAnnouncement.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/BackendAnnouncement.java
@@ -18,6 +18,8 @@
  * @param sequence grows with each heartbeat after a start
  * @param holdsModels whether it reported what it holds
  * @param held base models and adapters that it holds
+ * @param softwareVersion version of its software; empty if not reported, or if the announcement was
+ *     stored before the component existed
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record BackendAnnouncement(
@@ -31,16 +33,29 @@
         long startedMillis,
         long sequence,
         boolean holdsModels,
-        List<HeldAdapter> held)
+        List<HeldAdapter> held,
+        String softwareVersion)
         implements Message {
     public BackendAnnouncement {
         held = List.copyOf(held);
+        softwareVersion = softwareVersion == null ? "" : softwareVersion;
     }
 
     /** Returns the deregistration of a backend server of which only the identifier is known. */
     public static BackendAnnouncement deregistration(String backend) {
         return new BackendAnnouncement(
-                backend, "", "", 0, "", BackendState.GONE, 0, 0, Long.MAX_VALUE, false, List.of());
+                backend,
+                "",
+                "",
+                0,
+                "",
+                BackendState.GONE,
+                0,
+                0,
+                Long.MAX_VALUE,
+                false,
+                List.of(),
+                "");
     }
 
     /** Returns whether this is a deregistration, which names nothing but the backend server. */
@@ -82,7 +97,8 @@
                 newStartedMillis,
                 sequence,
                 holdsModels,
-                held);
+                held,
+                softwareVersion);
     }
 
     /** Returns the same announcement without what the backend server holds. */
@@ -98,7 +114,8 @@
                 startedMillis,
                 sequence,
                 false,
-                List.of());
+                List.of(),
+                softwareVersion);
     }
 
     /** Returns the same announcement with another state. */
@@ -114,7 +131,8 @@
                 startedMillis,
                 sequence,
                 holdsModels,
-                held);
+                held,
+                softwareVersion);
     }
 
     /** Returns the address as {@code host:port}. */
--- a/daemon/src/main/java/org/crocushaven/fleet/BackendRecord.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/BackendRecord.java
@@ -15,6 +15,8 @@
  * @param silent whether its heartbeats have stopped
  * @param requestSlots number of requests that it runs concurrently
  * @param held base models and adapters that can be used on it now
+ * @param softwareVersion version of its software; empty if not known
+ * @param startedMillis Unix time of its start, in milliseconds; 0 if not known
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record BackendRecord(
@@ -26,9 +28,12 @@
         BackendState state,
         boolean silent,
         int requestSlots,
-        List<HeldAdapter> held) {
+        List<HeldAdapter> held,
+        String softwareVersion,
+        long startedMillis) {
     public BackendRecord {
         held = List.copyOf(held);
+        softwareVersion = softwareVersion == null ? "" : softwareVersion;
     }
 
     /** Returns whether new requests may be sent to it. */
--- a/daemon/src/main/java/org/crocushaven/fleet/FleetLeader.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/FleetLeader.java
@@ -207,6 +207,8 @@
                         announcement.requestSlots(),
                         profileOf(announcement.service()).isPresent()
                                 ? placement.usable(backend)
-                                : List.of()));
+                                : List.of(),
+                        announcement.softwareVersion(),
+                        announcement.startedMillis()));
     }
 }
--- a/daemon/src/test/java/org/crocushaven/fleet/AdapterPlannerTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/AdapterPlannerTest.java
@@ -58,7 +58,7 @@
 
     private static BackendAnnouncement announcement(String backend, List<HeldAdapter> held) {
         return new BackendAnnouncement(
-                backend, "service", backend, 1, "a", BackendState.READY, 8, 1, 1, true, held);
+                backend, "service", backend, 1, "a", BackendState.READY, 8, 1, 1, true, held, "");
     }
 
     private Optional<AdapterPlacement> place(String adapter, String... avoided) {
@@ -325,7 +325,8 @@
                             2,
                             1,
                             true,
-                            List.of(new HeldAdapter(MODEL, "", 1)));
+                            List.of(new HeldAdapter(MODEL, "", 1)),
+                            "");
             planner.announced(restarted, PROFILE, nowNanos);
 
             assertEquals(List.of("one"), planner.enginesDueForReport(nowNanos));
--- a/daemon/src/test/java/org/crocushaven/fleet/AdapterRefusalTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/AdapterRefusalTest.java
@@ -32,7 +32,8 @@
                                 1,
                                 1,
                                 true,
-                                held),
+                                held,
+                                ""),
                         PROFILE);
         engine.slots().announced(held, nowNanos);
         if (verified) {
--- a/daemon/src/test/java/org/crocushaven/fleet/AdapterSpreadTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/AdapterSpreadTest.java
@@ -39,7 +39,8 @@
                                 1,
                                 1,
                                 true,
-                                held),
+                                held,
+                                ""),
                         PROFILE);
         engine.slots().announced(held, nowNanos);
         engine.slots()
--- a/daemon/src/test/java/org/crocushaven/fleet/BackendRegistryTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/BackendRegistryTest.java
@@ -27,7 +27,8 @@
                 startedMillis,
                 sequence,
                 false,
-                List.of());
+                List.of(),
+                "");
     }
 
     private static long seconds(long seconds) {
--- a/daemon/src/test/java/org/crocushaven/fleet/ControlInstanceTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/ControlInstanceTest.java
@@ -36,7 +36,18 @@
 
     private static BackendAnnouncement announcement(long sequence, BackendState state) {
         return new BackendAnnouncement(
-                BACKEND, "service", "10.0.0.1", 80, "a", state, 4, 1, sequence, false, List.of());
+                BACKEND,
+                "service",
+                "10.0.0.1",
+                80,
+                "a",
+                state,
+                4,
+                1,
+                sequence,
+                false,
+                List.of(),
+                "");
     }
 
     /** Returns the update of the leader other than the given instance, once there is one. */
--- a/daemon/src/test/java/org/crocushaven/fleet/DepartureScenario.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/DepartureScenario.java
@@ -268,7 +268,8 @@
                     startedMillis,
                     number,
                     false,
-                    List.of());
+                    List.of(),
+                    "");
         }
     }
 }
--- a/daemon/src/test/java/org/crocushaven/fleet/FleetLeaderTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/FleetLeaderTest.java
@@ -59,7 +59,8 @@
                 1,
                 1,
                 false,
-                List.of());
+                List.of(),
+                "");
     }
 
     private static String nameOf(int gateway) {
--- a/daemon/src/test/java/org/crocushaven/fleet/FleetStateTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/FleetStateTest.java
@@ -52,7 +52,8 @@
                 startedMillis,
                 sequence,
                 false,
-                List.of());
+                List.of(),
+                "");
     }
 
     private static byte[] added(BackendAnnouncement departure) {
@@ -86,6 +87,72 @@
         assertEquals(state.departures(), restored.departures());
     }
 
+    @Test
+    void departureStoredWithoutSoftwareVersionIsStillRead() {
+        final List<Object> stored =
+                List.of(
+                        "worker",
+                        "service",
+                        "10.0.0.1",
+                        80,
+                        "a",
+                        "DRAINING",
+                        4,
+                        20,
+                        5,
+                        false,
+                        List.of());
+        final FleetState state = FleetState.create();
+
+        state.apply(
+                1,
+                MessageCodec.encodeValue(
+                        List.of(
+                                0,
+                                new byte[0],
+                                List.of(),
+                                List.of(),
+                                List.of(),
+                                List.of(stored),
+                                List.of())));
+
+        assertEquals(List.of(departure(BackendState.DRAINING, 20, 5)), state.departures());
+    }
+
+    @Test
+    void departureStoredWithComponentOfLaterSoftwareIsStillRead() {
+        final List<Object> stored =
+                List.of(
+                        "worker",
+                        "service",
+                        "10.0.0.1",
+                        80,
+                        "a",
+                        "DRAINING",
+                        4,
+                        20,
+                        5,
+                        false,
+                        List.of(),
+                        "",
+                        "later");
+        final FleetState state = FleetState.create();
+
+        state.apply(
+                1,
+                MessageCodec.encodeValue(
+                        List.of(
+                                0,
+                                new byte[0],
+                                List.of(),
+                                List.of(),
+                                List.of(),
+                                List.of(stored),
+                                List.of())));
+
+        assertEquals(List.of(departure(BackendState.DRAINING, 20, 5)), state.departures());
+    }
+
     @Test
     void removalOfDepartureLeavesOneOfLaterStart() {
         final FleetState state = FleetState.create();
--- a/daemon/src/test/java/org/crocushaven/forwarding/GatewayBackendsTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/GatewayBackendsTest.java
@@ -34,7 +34,9 @@
                 BackendState.READY,
                 false,
                 8,
-                List.of(held));
+                List.of(held),
+                "",
+                1);
     }
 
     private static HeldAdapter adapter(long version) {
--- a/daemon/src/test/java/org/crocushaven/forwarding/RequestForwardingTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/RequestForwardingTest.java
@@ -80,7 +80,17 @@
 
     private BackendRecord backend(String name, BackendState state) {
         return new BackendRecord(
-                name, SERVICE, "127.0.0.1", server.getLocalPort(), "a", state, false, 4, List.of());
+                name,
+                SERVICE,
+                "127.0.0.1",
+                server.getLocalPort(),
+                "a",
+                state,
+                false,
+                4,
+                List.of(),
+                "",
+                1);
     }
 
     private void update(BackendRecord... changed) {
--- a/daemon/src/test/java/org/crocushaven/forwarding/RetryStateTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/RetryStateTest.java
@@ -49,7 +49,9 @@
                         BackendState.READY,
                         false,
                         8,
-                        List.of()),
+                        List.of(),
+                        "",
+                        1),
                 new AdapterKey("base", "a1"),
                 0,
                 adapterPending);
