Send nothing to a backend server that says in an answer that it leaves

Seen by backend servers: one that says only in its answers that it leaves (`Server-Leaving: 1`) got requests from the same gateway for as long as its heartbeats said ready; the header was not read. Clients would see requests fail once it has gone. Change: the dialect decodes it, BackendNotices keeps it by identifier and start, and every choice of a target respects it: by service, by holder, by expected holder, after a wait for an adapter, the leader's grant, and once more when the connection is there, before anything is written (then it counts as never reached and is no retry). Requests for adapters exclude such backend servers. A record that says ready takes nothing back; one of a later start does. 421 does not count: another backend server may have answered. Evidence: both tests of PlatformPathTest.NoticesInAnswers failed on the code before (a booking after the drain time was answered 200 by the leaving one, 503 expected); they pass now.

--- a/daemon/src/main/java/org/crocushaven/forwarding/BackendAnswerHead.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/BackendAnswerHead.java
@@ -9,9 +9,14 @@
  * @param signed whether the answer carries the signature of a backend server
  * @param notRun whether the answer states that the request did not run and never will
  * @param load current load of the backend server
+ * @param leaving whether the backend server says that it leaves
  */
 public record BackendAnswerHead(
-        Optional<String> requestId, boolean signed, boolean notRun, Optional<Load> load) {
+        Optional<String> requestId,
+        boolean signed,
+        boolean notRun,
+        Optional<Load> load,
+        boolean leaving) {
     /**
      * Describes the current load of a backend server.
      *
--- a/daemon/src/main/java/org/crocushaven/forwarding/BackendAttempt.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/BackendAttempt.java
@@ -81,6 +81,9 @@
         status = head.status();
         headers = ForwardableHeaders.copy(head.headers(), Set.of());
         final boolean success = status.codeClass() == HttpStatusClass.SUCCESS;
+        if (status.code() != MISDIRECTED) {
+            forwarding.noticesReceived(this, decoded);
+        }
         if (decoded.notRun() || status.code() == MISDIRECTED) {
             answerKind = AnswerKind.NOT_RUN;
         } else if (success && !decoded.signed()) {
--- a/daemon/src/main/java/org/crocushaven/forwarding/ForwardingEnvironment.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/ForwardingEnvironment.java
@@ -4,7 +4,9 @@
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 import org.agrona.concurrent.NanoClock;
+import org.crocushaven.fleet.BackendRecord;
 import org.crocushaven.ingress.IngressConfiguration;
+import org.crocushaven.ingress.IngressRequest;
 import org.crocushaven.outbound.BackendPool;
 
 /**
@@ -46,6 +48,13 @@
         return clock.nanoTime();
     }
 
+    /** Records what a backend server says of itself in an answer, and reports what is new. */
+    void recordNotices(IngressRequest request, BackendRecord answering, BackendAnswerHead head) {
+        if (head.leaving() && view.notices().recordLeaving(answering)) {
+            observer.leavingAnnounced(request, answering.backend());
+        }
+    }
+
     /** Provides the configuration in force. */
     interface ConfigurationSource {
         /** Returns the configuration; empty before the first one is received. */
--- a/daemon/src/main/java/org/crocushaven/forwarding/ForwardingObserver.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/ForwardingObserver.java
@@ -22,6 +22,9 @@
             long sinceArrivalMillis,
             long adapterWaitMillis);
 
+    /** Called when a backend server first says in an answer that it leaves. */
+    void leavingAnnounced(IngressRequest request, String backend);
+
     /**
      * Called when an attempt fails.
      *
--- a/daemon/src/main/java/org/crocushaven/forwarding/GatewayBackends.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/GatewayBackends.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.crocushaven.fleet.AdapterKey;
 import org.crocushaven.fleet.AdapterUse;
 import org.crocushaven.fleet.AdapterVersion;
@@ -38,6 +39,7 @@
     private final Map<String, PromptBacklog> ownPromptBacklogs = new HashMap<>();
     private final Map<String, PromptBacklog> otherPromptBacklogs = new HashMap<>();
     private final Map<UseKey, UseCounts> uses = new HashMap<>();
+    private final BackendNotices notices = new BackendNotices();
     private long epoch;
     private long revision;
 
@@ -93,11 +95,34 @@
         return Optional.ofNullable(backends.get(backend));
     }
 
+    /** Returns what backend servers said of themselves in their answers. */
+    BackendNotices notices() {
+        return notices;
+    }
+
+    /** Returns whether a backend server accepts requests by its record and by its own answers. */
+    boolean acceptsRequests(BackendRecord record) {
+        return record.acceptsRequests() && notices.allowRequests(record);
+    }
+
     /** Returns the backend servers of a service that accept requests. */
     List<BackendRecord> ofService(String service) {
+        return select(service, this::acceptsRequests);
+    }
+
+    /**
+     * Returns the backend servers of a service that accept requests by their records but not by
+     * their own answers.
+     */
+    List<BackendRecord> withheldByNotices(String service) {
+        return select(
+                service, record -> record.acceptsRequests() && !notices.allowRequests(record));
+    }
+
+    private List<BackendRecord> select(String service, Predicate<BackendRecord> condition) {
         final List<BackendRecord> found = new ArrayList<>();
         for (final BackendRecord record : backends.values()) {
-            if (record.service().equals(service) && record.acceptsRequests()) {
+            if (record.service().equals(service) && condition.test(record)) {
                 found.add(record);
             }
         }
@@ -138,7 +163,7 @@
     private Optional<BackendRecord> usable(
             Map.Entry<String, Holding> holder, String service, AdapterKey key) {
         return find(holder.getKey())
-                .filter(BackendRecord::acceptsRequests)
+                .filter(this::acceptsRequests)
                 .filter(record -> record.service().equals(service))
                 .filter(
                         record ->
--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
@@ -125,6 +125,11 @@
         }
     }
 
+    /** Handles what a backend server says of itself in an answer, also in one that is too late. */
+    void noticesReceived(BackendAttempt from, BackendAnswerHead head) {
+        environment.recordNotices(request, from.target().backend(), head);
+    }
+
     /** Handles bytes of an event stream. */
     void streamDataReceived(BackendAttempt from, ByteBuf data) {
         if (isStale(from)) {
@@ -328,7 +333,7 @@
         return environment
                 .view()
                 .find(target.backend().backend())
-                .filter(BackendRecord::acceptsRequests)
+                .filter(environment.view()::acceptsRequests)
                 .isPresent();
     }
 
@@ -365,6 +370,11 @@
             channel.close();
             return;
         }
+        if (!environment.view().notices().allowRequests(next.target().backend())) {
+            channel.close();
+            withdraw(next);
+            return;
+        }
         next.opened(channel);
         final String backend = next.target().backend().backend();
         requestsAtBackend = environment.view().requestsAt(backend);
@@ -395,6 +405,13 @@
         }
     }
 
+    /** Looks for another backend server for a request that was not written to the chosen one. */
+    private void withdraw(BackendAttempt unsent) {
+        endAttempt(unsent);
+        retries.recordNeverReached(unsent.target().backend().backend());
+        tryAnother();
+    }
+
     /** Reports a send to a backend server that does not accept requests any more. */
     private void reportIfLeaving(String backend) {
         final Optional<BackendRecord> known = environment.view().find(backend);
--- a/daemon/src/main/java/org/crocushaven/forwarding/TargetFinder.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/TargetFinder.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -84,7 +85,8 @@
             return CompletableFuture.completedFuture(pending.get());
         }
         final AdapterRequest ask =
-                new AdapterRequest(service, key.model(), key.adapter(), new ArrayList<>(excluded));
+                new AdapterRequest(
+                        service, key.model(), key.adapter(), notToBeUsed(service, excluded));
         final CompletableFuture<Target> found = new CompletableFuture<>();
         environment
                 .leader()
@@ -94,6 +96,15 @@
         return found;
     }
 
+    /** Returns the excluded backend servers and those that do not want requests of this gateway. */
+    private List<String> notToBeUsed(String service, Set<String> excluded) {
+        final Set<String> all = new LinkedHashSet<>(excluded);
+        environment.view().withheldByNotices(service).stream()
+                .map(BackendRecord::backend)
+                .forEach(all::add);
+        return List.copyOf(all);
+    }
+
     /**
      * Returns the backend server on which the adapter is available first, unless that backend
      * server is full, failing or was already tried.
@@ -134,12 +145,12 @@
                 grant == null || !grant.isGranted()
                         ? Optional.empty()
                         : environment.view().find(grant.backend());
-        if (backend.isPresent() && backend.get().acceptsRequests()) {
+        if (backend.filter(environment.view()::acceptsRequests).isPresent()) {
             final long usableNanos =
                     environment.nowNanos() + TimeUnit.MILLISECONDS.toNanos(grant.readyInMillis());
             environment.view().addHolder(grant.backend(), key, grant.version(), usableNanos);
             found.complete(new Target(backend.get(), key, grant.readyInMillis(), true));
-        } else if (holder.isPresent() && holder.get().load() < MAXIMUM_LOAD) {
+        } else if (holder.filter(this::isUsable).isPresent()) {
             found.complete(new Target(holder.get().backend(), key, 0, false));
         } else if (grant == null) {
             refuse(
@@ -152,6 +163,10 @@
         }
     }
 
+    private boolean isUsable(BackendSelector.Candidate holder) {
+        return holder.load() < MAXIMUM_LOAD && environment.view().acceptsRequests(holder.backend());
+    }
+
     private Optional<BackendSelector.Candidate> select(
             List<BackendRecord> backends, IngressRequest request, Set<String> excluded) {
         final long nowNanos = environment.nowNanos();
--- a/daemon/src/main/java/org/crocushaven/instance/ForwardingLog.java
+++ b/daemon/src/main/java/org/crocushaven/instance/ForwardingLog.java
@@ -47,6 +47,12 @@
                     .help("Requests sent to a backend server that leaves or is unknown, by state.")
                     .labelNames("state")
                     .register(registry);
+    private final Counter notices =
+            Counter.builder()
+                    .name("crocushaven_gateway_backend_notices")
+                    .help("What backend servers newly said of themselves in answers, by kind.")
+                    .labelNames("kind")
+                    .register(registry);
     private final Counter foreignAnswers =
             Counter.builder()
                     .name("crocushaven_gateway_foreign_answers")
@@ -121,6 +127,15 @@
                 .info();
     }
 
+    @Override
+    public void leavingAnnounced(IngressRequest request, String backend) {
+        notices.labelValues("leaving").inc();
+        EventLine.of("backend-leaving-announced")
+                .with("backend", backend)
+                .with("request", request.requestId())
+                .info();
+    }
+
     @Override
     public void attemptFailed(
             IngressRequest request,
--- a/daemon/src/test/java/org/crocushaven/forwarding/RequestForwardingTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/RequestForwardingTest.java
@@ -248,6 +248,9 @@
                 long sinceArrivalMillis,
                 long adapterWaitMillis) {}
 
+        @Override
+        public void leavingAnnounced(IngressRequest request, String backend) {}
+
         @Override
         public void attemptFailed(
                 IngressRequest request,
