Leave a backend server alone for as long as its 503 asks

Seen by backend servers: one that turned a request away with 503 and `Retry-After` got the gateway's next requests at once: 106 in a pause of 1.5 s from one client in PlatformPathTest, two are allowed after the first half second. Clients were told to come back in 0.3 s where 1.47 s were left, and were turned away again. Cause: the header was not read. A request turned away does not wait there for its adapter, and counts as no failure there, so that the first request after the pause comes at once. Where all of a service pause, requests are refused at once as not run with the time left. RequestForwardingTest's observer got the new method; nothing else in it changed.

--- a/daemon/src/main/java/org/crocushaven/forwarding/BackendAnswerHead.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/BackendAnswerHead.java
@@ -1,5 +1,6 @@
 package org.crocushaven.forwarding;
 
+import java.time.Duration;
 import java.util.Optional;
 
 /**
@@ -10,13 +11,16 @@
  * @param notRun whether the answer states that the request did not run and never will
  * @param load current load of the backend server
  * @param leaving whether the backend server says that it leaves
+ * @param pause time for which the backend server, which turned the request away, wants no more
+ *     requests of this gateway
  */
 public record BackendAnswerHead(
         Optional<String> requestId,
         boolean signed,
         boolean notRun,
         Optional<Load> load,
-        boolean leaving) {
+        boolean leaving,
+        Optional<Duration> pause) {
     /**
      * Describes the current load of a backend server.
      *
--- a/daemon/src/main/java/org/crocushaven/forwarding/ForwardingEnvironment.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/ForwardingEnvironment.java
@@ -53,6 +53,12 @@
         if (head.leaving() && view.notices().recordLeaving(answering)) {
             observer.leavingAnnounced(request, answering.backend());
         }
+        head.pause()
+                .filter(pause -> view.notices().recordPause(answering, pause, nowNanos()))
+                .ifPresent(
+                        pause ->
+                                observer.pauseAnnounced(
+                                        request, answering.backend(), pause.toMillis()));
     }
 
     /** Provides the configuration in force. */
--- a/daemon/src/main/java/org/crocushaven/forwarding/ForwardingObserver.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/ForwardingObserver.java
@@ -25,6 +25,9 @@
     /** Called when a backend server first says in an answer that it leaves. */
     void leavingAnnounced(IngressRequest request, String backend);
 
+    /** Called when a backend server that took requests says in an answer that it wants a pause. */
+    void pauseAnnounced(IngressRequest request, String backend, long millis);
+
     /**
      * Called when an attempt fails.
      *
--- a/daemon/src/main/java/org/crocushaven/forwarding/GatewayBackends.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/GatewayBackends.java
@@ -1,5 +1,6 @@
 package org.crocushaven.forwarding;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -101,22 +102,36 @@
     }
 
     /** Returns whether a backend server accepts requests by its record and by its own answers. */
-    boolean acceptsRequests(BackendRecord record) {
-        return record.acceptsRequests() && notices.allowRequests(record);
+    boolean acceptsRequests(BackendRecord record, long nowNanos) {
+        return record.acceptsRequests() && notices.allowRequests(record, nowNanos);
     }
 
     /** Returns the backend servers of a service that accept requests. */
-    List<BackendRecord> ofService(String service) {
-        return select(service, this::acceptsRequests);
+    List<BackendRecord> ofService(String service, long nowNanos) {
+        return select(service, record -> acceptsRequests(record, nowNanos));
     }
 
     /**
      * Returns the backend servers of a service that accept requests by their records but not by
      * their own answers.
      */
-    List<BackendRecord> withheldByNotices(String service) {
+    List<BackendRecord> withheldByNotices(String service, long nowNanos) {
         return select(
-                service, record -> record.acceptsRequests() && !notices.allowRequests(record));
+                service,
+                record -> record.acceptsRequests() && !notices.allowRequests(record, nowNanos));
+    }
+
+    /**
+     * Returns the time until the first backend server of a service takes requests again; empty
+     * unless all that do not leave want a pause.
+     */
+    Optional<Duration> pauseOf(String service, long nowNanos) {
+        return select(service, record -> record.acceptsRequests() && !notices.isLeaving(record))
+                .stream()
+                .map(record -> notices.pauseNanos(record, nowNanos))
+                .min(Long::compare)
+                .filter(pauseNanos -> pauseNanos > 0)
+                .map(Duration::ofNanos);
     }
 
     private List<BackendRecord> select(String service, Predicate<BackendRecord> condition) {
@@ -137,7 +152,7 @@
         final List<BackendRecord> found = new ArrayList<>();
         for (final Map.Entry<String, Holding> holder : holdings(key).entrySet()) {
             if (holder.getValue().waitNanos(nowNanos) == 0) {
-                usable(holder, service, key).ifPresent(found::add);
+                usable(holder, service, key, nowNanos).ifPresent(found::add);
             }
         }
         return found;
@@ -148,7 +163,7 @@
         ExpectedHolder first = null;
         for (final Map.Entry<String, Holding> holder : holdings(key).entrySet()) {
             final long waitNanos = holder.getValue().waitNanos(nowNanos);
-            final Optional<BackendRecord> record = usable(holder, service, key);
+            final Optional<BackendRecord> record = usable(holder, service, key, nowNanos);
             if (record.isPresent() && (first == null || waitNanos < first.waitNanos())) {
                 first = new ExpectedHolder(record.get(), waitNanos);
             }
@@ -161,9 +176,9 @@
     }
 
     private Optional<BackendRecord> usable(
-            Map.Entry<String, Holding> holder, String service, AdapterKey key) {
+            Map.Entry<String, Holding> holder, String service, AdapterKey key, long nowNanos) {
         return find(holder.getKey())
-                .filter(this::acceptsRequests)
+                .filter(record -> acceptsRequests(record, nowNanos))
                 .filter(record -> record.service().equals(service))
                 .filter(
                         record ->
--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
@@ -213,7 +213,9 @@
         reportFailedAttempt(from, false, "not run, status " + from.status().code());
         endAttempt(from);
         final int status = from.status().code();
-        if (remainingMillis() > 0
+        final boolean takesRequests = acceptsRequests(from.target());
+        if (takesRequests
+                && remainingMillis() > 0
                 && retries.tryWaitForAdapter(from.target(), status)
                 && environment.retryBudget().tryRetry(admission.service())) {
             sendLater(from.target(), ADAPTER_WAIT_MILLIS);
@@ -221,7 +223,7 @@
         }
         if (RetryState.isMisdirected(status) && from.target().key() != null) {
             environment.view().removeHolder(backend, from.target().key());
-        } else {
+        } else if (takesRequests) {
             environment.health().recordFailure(backend, 0.5, environment.nowNanos());
         }
         retryOrGiveUp(from);
@@ -333,7 +335,9 @@
         return environment
                 .view()
                 .find(target.backend().backend())
-                .filter(environment.view()::acceptsRequests)
+                .filter(
+                        record ->
+                                environment.view().acceptsRequests(record, environment.nowNanos()))
                 .isPresent();
     }
 
@@ -370,7 +374,10 @@
             channel.close();
             return;
         }
-        if (!environment.view().notices().allowRequests(next.target().backend())) {
+        if (!environment
+                .view()
+                .notices()
+                .allowRequests(next.target().backend(), environment.nowNanos())) {
             channel.close();
             withdraw(next);
             return;
@@ -447,7 +454,7 @@
     }
 
     private boolean hasOtherBackend(BackendAttempt watched) {
-        return environment.view().ofService(admission.service()).stream()
+        return environment.view().ofService(admission.service(), environment.nowNanos()).stream()
                 .map(BackendRecord::backend)
                 .anyMatch(
                         other ->
@@ -494,7 +501,11 @@
         } else {
             refuse(
                     ResultException.of(ResultCode.BACKEND_SERVER_REFUSED, lastBackend())
-                            .withRetryAfter(REFUSAL_RETRY_DELAY));
+                            .withRetryAfter(
+                                    environment
+                                            .view()
+                                            .pauseOf(admission.service(), environment.nowNanos())
+                                            .orElse(REFUSAL_RETRY_DELAY)));
         }
     }
 
--- a/daemon/src/main/java/org/crocushaven/forwarding/TargetFinder.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/TargetFinder.java
@@ -51,6 +51,11 @@
      * @param excluded backend servers that were already tried
      */
     CompletableFuture<Target> find(String service, IngressRequest request, Set<String> excluded) {
+        final Optional<Duration> pause =
+                environment.view().pauseOf(service, environment.nowNanos());
+        if (pause.isPresent()) {
+            return refused(ResultCode.QUEUE_FULL, service, pause.get());
+        }
         return request.model().isPresent()
                 ? findForModel(service, request, excluded)
                 : findWithoutModel(service, request, excluded);
@@ -59,7 +64,10 @@
     private CompletableFuture<Target> findWithoutModel(
             String service, IngressRequest request, Set<String> excluded) {
         final Optional<BackendSelector.Candidate> best =
-                select(environment.view().ofService(service), request, excluded);
+                select(
+                        environment.view().ofService(service, environment.nowNanos()),
+                        request,
+                        excluded);
         if (best.isEmpty()) {
             return refused(ResultCode.NO_BACKEND_SERVER, service, NO_BACKEND_RETRY_DELAY);
         }
@@ -99,7 +107,7 @@
     /** Returns the excluded backend servers and those that do not want requests of this gateway. */
     private List<String> notToBeUsed(String service, Set<String> excluded) {
         final Set<String> all = new LinkedHashSet<>(excluded);
-        environment.view().withheldByNotices(service).stream()
+        environment.view().withheldByNotices(service, environment.nowNanos()).stream()
                 .map(BackendRecord::backend)
                 .forEach(all::add);
         return List.copyOf(all);
@@ -145,7 +153,7 @@
                 grant == null || !grant.isGranted()
                         ? Optional.empty()
                         : environment.view().find(grant.backend());
-        if (backend.filter(environment.view()::acceptsRequests).isPresent()) {
+        if (backend.filter(this::acceptsRequests).isPresent()) {
             final long usableNanos =
                     environment.nowNanos() + TimeUnit.MILLISECONDS.toNanos(grant.readyInMillis());
             environment.view().addHolder(grant.backend(), key, grant.version(), usableNanos);
@@ -164,7 +172,11 @@
     }
 
     private boolean isUsable(BackendSelector.Candidate holder) {
-        return holder.load() < MAXIMUM_LOAD && environment.view().acceptsRequests(holder.backend());
+        return holder.load() < MAXIMUM_LOAD && acceptsRequests(holder.backend());
+    }
+
+    private boolean acceptsRequests(BackendRecord backend) {
+        return environment.view().acceptsRequests(backend, environment.nowNanos());
     }
 
     private Optional<BackendSelector.Candidate> select(
--- a/daemon/src/main/java/org/crocushaven/instance/ForwardingLog.java
+++ b/daemon/src/main/java/org/crocushaven/instance/ForwardingLog.java
@@ -136,6 +136,16 @@
                 .info();
     }
 
+    @Override
+    public void pauseAnnounced(IngressRequest request, String backend, long millis) {
+        notices.labelValues("paused").inc();
+        EventLine.of("backend-paused")
+                .with("backend", backend)
+                .with("millis", millis)
+                .with("request", request.requestId())
+                .info();
+    }
+
     @Override
     public void attemptFailed(
             IngressRequest request,
--- a/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -158,6 +159,15 @@
         view.notices().recordLeaving(view.find(backend).orElseThrow());
     }
 
+    /** Records, on the loop, that a backend server wants no requests for a time. */
+    void pause(String backend, long millis) {
+        view.notices()
+                .recordPause(
+                        view.find(backend).orElseThrow(),
+                        Duration.ofMillis(millis),
+                        System.nanoTime());
+    }
+
     void runOnLoop(Runnable action) {
         onLoop(action);
     }
@@ -331,6 +341,11 @@
             notices.add("leaving " + backend);
         }
 
+        @Override
+        public void pauseAnnounced(IngressRequest request, String backend, long millis) {
+            notices.add("paused " + backend + ' ' + millis);
+        }
+
         @Override
         public void attemptFailed(
                 IngressRequest request,
@@ -407,7 +422,10 @@
                     true,
                     head.headers().contains(StandInBackend.NOT_RUN),
                     Optional.empty(),
-                    head.headers().contains(StandInBackend.LEAVING));
+                    head.headers().contains(StandInBackend.LEAVING),
+                    Optional.ofNullable(head.headers().get(StandInBackend.PAUSE_MILLIS))
+                            .map(Long::parseLong)
+                            .map(Duration::ofMillis));
         }
     }
 }
--- a/daemon/src/test/java/org/crocushaven/forwarding/RequestForwardingTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/RequestForwardingTest.java
@@ -251,6 +251,9 @@
         @Override
         public void leavingAnnounced(IngressRequest request, String backend) {}
 
+        @Override
+        public void pauseAnnounced(IngressRequest request, String backend, long millis) {}
+
         @Override
         public void attemptFailed(
                 IngressRequest request,
