--- a/daemon/src/test/java/org/crocushaven/forwarding/DepartureNoticesTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/DepartureNoticesTest.java
@@ -23,7 +23,7 @@
     private static final Map<String, String> NOT_RUN_NOTICE =
             Map.of(StandInBackend.LEAVING, "1", StandInBackend.NOT_RUN, "1");
 
-    private ForwardingFixture gateway = ForwardingFixture.withAttempts(3, 10);
+    private NoticeFixture gateway = NoticeFixture.withAttempts(3, 10);
 
     @AfterEach
     void stop() {
@@ -80,8 +80,8 @@
                 gateway.backend(LEAVING)
                         .answerNext(StandInBackend.Answer.of(200, NOTICE).releasedBy(release));
             }
-            final ForwardingFixture.PendingResult first = gateway.start(() -> {});
-            final ForwardingFixture.PendingResult second = gateway.start(() -> {});
+            final NoticeFixture.PendingResult first = gateway.start(() -> {});
+            final NoticeFixture.PendingResult second = gateway.start(() -> {});
             gateway.backend(LEAVING).awaitRequests(2);
             release.complete(null);
 
@@ -132,12 +132,11 @@
         @Test
         void whoseConnectionIsUnderWayAreSentElsewhereWithoutRetry() {
             gateway.close();
-            gateway = ForwardingFixture.withAttempts(1, 0);
+            gateway = NoticeFixture.withAttempts(1, 0);
             gateway.startBackends(LEAVING);
             gateway.startDistantBackends(STAYING);
 
-            final ForwardingFixture.PendingResult pending =
-                    gateway.start(() -> gateway.leave(LEAVING));
+            final NoticeFixture.PendingResult pending = gateway.start(() -> gateway.leave(LEAVING));
 
             assertEquals(200, pending.await().status());
             assertEquals(0, gateway.backend(LEAVING).requests());
@@ -151,7 +150,7 @@
             gateway.updateWithoutAdapter(LEAVING, STAYING);
             final CompletableFuture<AdapterGrant> grant = new CompletableFuture<>();
             gateway.grantLater(grant);
-            final ForwardingFixture.PendingResult pending =
+            final NoticeFixture.PendingResult pending =
                     gateway.start(
                             () -> {
                                 gateway.leave(LEAVING);
@@ -179,7 +178,7 @@
             gateway.startBackends("breaking");
             gateway.backend("breaking")
                     .answerNext(StandInBackend.Answer.broken().releasedBy(release));
-            final ForwardingFixture.PendingResult pending = gateway.start(() -> {});
+            final NoticeFixture.PendingResult pending = gateway.start(() -> {});
             gateway.backend("breaking").awaitRequests(1);
             gateway.startBackends(LEAVING);
             gateway.startDistantBackends(STAYING);
@@ -195,7 +194,7 @@
         void withoutAnotherBackendServerAreRefusedAsNotRun() {
             announceDeparture(StandInBackend.Answer.of(200, NOTICE));
 
-            final ForwardingFixture.Result result = gateway.request();
+            final NoticeFixture.Result result = gateway.request();
 
             assertEquals(503, result.status());
             assertEquals(Execution.NOT_RUN, result.refusal().orElseThrow().execution());
--- a/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
@@ -12,26 +12,16 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import java.time.Duration;
-import java.util.ArrayDeque;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.Deque;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
-import java.util.Set;
-import java.util.TreeMap;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
-import java.util.function.Supplier;
 import org.agrona.concurrent.SystemEpochClock;
 import org.agrona.concurrent.SystemNanoClock;
 import org.crocushaven.fleet.AdapterGrant;
@@ -39,215 +29,181 @@
 import org.crocushaven.fleet.BackendRecord;
 import org.crocushaven.fleet.BackendState;
 import org.crocushaven.fleet.GatewayUpdate;
-import org.crocushaven.fleet.HeldAdapter;
 import org.crocushaven.ingress.IngressConfiguration;
 import org.crocushaven.ingress.IngressLimits;
 import org.crocushaven.ingress.IngressRequest;
 import org.crocushaven.ingress.IngressRoute;
-import org.crocushaven.ingress.ModelReference;
 import org.crocushaven.ingress.RouteKind;
 import org.crocushaven.ingress.WeightedService;
 import org.crocushaven.outbound.BackendPool;
 import org.crocushaven.result.ResultCode;
 import org.crocushaven.result.ResultException;
 
-/**
- * Sends requests to backend servers that stand in on loopback, through one gateway's forwarding.
- */
+/** Serves requests of one route at stand-in backend servers, and records what clients receive. */
 final class ForwardingFixture implements AutoCloseable {
-    static final HeldAdapter HELD = new HeldAdapter("base", "a1", 1);
+    static final long TIMEOUT_MILLIS = 8_000;
+    static final long AWAIT_MILLIS = 10_000;
     private static final String SERVICE = "engines";
-    private static final long TIMEOUT_MILLIS = 10_000;
+    private static final int OBJECTIVE_MILLIS = 40;
+    private static final int PAUSE_MILLIS = 20;
+    private static final int MAXIMUM_ATTEMPTS = 2;
+    private static final String NOT_RUN = "Not-Run";
+    private static final String LAST_EVENT_ID = "Last-Event-Id";
 
     private final EventLoopGroup group =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = (EventLoop) group.next();
     private final GatewayBackends view = new GatewayBackends();
-    private final Map<String, StandInBackend> backends = new TreeMap<>();
-    private final Set<String> distant = new HashSet<>();
-    private final Deque<CompletableFuture<AdapterGrant>> grants = new ArrayDeque<>();
-    private final List<AdapterRequest> adapterRequests = new ArrayList<>();
-    private final BlockingQueue<String> notices = new LinkedBlockingQueue<>();
-    private final ForwardingEnvironment environment;
-
-    private ForwardingFixture(int maximumAttempts, double retryExtra) {
-        this.environment = environment(maximumAttempts, retryExtra);
+    private final BlockingQueue<String> sent = new LinkedBlockingQueue<>();
+    private final BlockingQueue<String> missing = new LinkedBlockingQueue<>();
+    private final RouteKind kind;
+    private final long timeoutMillis;
+    private final double extraRetries;
+    private final List<BackendRecord> records = new ArrayList<>();
+    private ForwardingEnvironment environment;
+
+    private ForwardingFixture(RouteKind kind, long timeoutMillis, double extraRetries) {
+        this.kind = kind;
+        this.timeoutMillis = timeoutMillis;
+        this.extraRetries = extraRetries;
     }
 
-    /** Returns a gateway without backend servers. */
-    static ForwardingFixture withAttempts(int maximumAttempts, double retryExtra) {
-        return new ForwardingFixture(maximumAttempts, retryExtra);
+    /** Returns a fixture whose requests may be sent again. */
+    static ForwardingFixture withRetries(RouteKind kind, long timeoutMillis) {
+        return new ForwardingFixture(kind, timeoutMillis, 100);
     }
 
-    /**
-     * Starts backend servers in another failure domain, which are chosen only where no other one
-     * can be.
-     */
-    void startDistantBackends(String... names) {
-        distant.addAll(List.of(names));
-        startBackends(names);
+    /** Returns a fixture whose retry budget is spent by the first retry. */
+    static ForwardingFixture withOneRetry(RouteKind kind, long timeoutMillis) {
+        return new ForwardingFixture(kind, timeoutMillis, 0);
     }
 
-    /** Starts backend servers that hold the adapter, and adds their records. */
-    void startBackends(String... names) {
-        for (final String name : names) {
-            backends.put(name, StandInBackend.start());
-        }
-        update(1, names);
-    }
-
-    StandInBackend backend(String name) {
-        return backends.get(name);
-    }
-
-    /** Applies the leader's records, which say that the backend servers are ready. */
-    void update(long startedMillis, String... names) {
-        onLoop(
-                () ->
-                        apply(
-                                Arrays.stream(names)
-                                        .map(name -> record(name, startedMillis, HELD))
-                                        .toList()));
-    }
-
-    /** Applies the leader's records of backend servers that hold no adapter. */
-    void updateWithoutAdapter(String... names) {
-        onLoop(() -> apply(Arrays.stream(names).map(name -> record(name, 1)).toList()));
-    }
-
-    /** Grants the adapter on a backend server at the next request for one. */
-    void grant(String backend, long readyInMillis) {
-        grantLater(CompletableFuture.completedFuture(new AdapterGrant(backend, readyInMillis, 1)));
-    }
-
-    void grantLater(CompletableFuture<AdapterGrant> grant) {
-        grants.add(grant);
+    /** Announces a backend server. */
+    void announce(StandInServer server, int requestSlots) {
+        records.add(
+                new BackendRecord(
+                        server.name(),
+                        SERVICE,
+                        "127.0.0.1",
+                        server.port(),
+                        "a",
+                        BackendState.READY,
+                        false,
+                        requestSlots,
+                        List.of(),
+                        "",
+                        0));
     }
 
-    List<AdapterRequest> adapterRequests() {
-        return adapterRequests;
+    /** Spends the retry budget of the service. */
+    void spendRetries() throws Exception {
+        loop.submit(
+                        () -> {
+                            while (environment().retryBudget().tryRetry(SERVICE)) {
+                                continue;
+                            }
+                        })
+                .get();
     }
 
-    /** Returns the notices that were reported so far. */
-    List<String> notices() {
-        return List.copyOf(notices);
+    /** Occupies slots of a backend server. */
+    void occupy(StandInServer server, int requests) throws Exception {
+        loop.submit(
+                        () -> {
+                            environment();
+                            for (int request = 0; request < requests; request++) {
+                                view.requestStarted(server.name(), null);
+                            }
+                        })
+                .get();
     }
 
-    double failuresAt(String backend) {
-        return onLoop(() -> environment.health().failures(backend, System.nanoTime()));
+    /** Returns the number of requests in flight at a backend server. */
+    int requestsAt(StandInServer server) throws Exception {
+        return loop.submit(() -> view.requestsAt(server.name())).get();
     }
 
-    /** Serves one request and returns its result. */
-    Result request() {
-        return start(() -> {}).await();
+    /** Starts a request and returns what its client receives. */
+    RecordedAnswer start() throws Exception {
+        final RecordedAnswer answer = new RecordedAnswer();
+        loop.submit(
+                        () ->
+                                answer.forwarding =
+                                        RequestForwarding.start(
+                                                environment(),
+                                                request(),
+                                                Unpooled.EMPTY_BUFFER,
+                                                answer))
+                .get();
+        return answer;
     }
 
-    /** Starts a request, and runs an action on the loop before anything comes back for it. */
-    PendingResult start(Runnable next) {
-        final RecordingClient client = new RecordingClient();
-        loop.execute(
-                () -> {
-                    RequestForwarding.start(
-                            environment, ingressRequest(), Unpooled.EMPTY_BUFFER, client);
-                    next.run();
-                });
-        return new PendingResult(client);
+    /** Disconnects the client of a request. */
+    void disconnect(RecordedAnswer answer) throws Exception {
+        loop.submit(() -> answer.forwarding.clientDisconnected()).get();
     }
 
-    /** Records, on the loop, that a backend server said that it leaves. */
-    void leave(String backend) {
-        view.notices().recordLeaving(view.find(backend).orElseThrow());
+    /** Returns the next backend server to which a request is sent. */
+    String awaitSend() throws InterruptedException {
+        return sent.poll(AWAIT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    /** Records, on the loop, that a backend server wants no requests for a time. */
-    void pause(String backend, long millis) {
-        view.notices()
-                .recordPause(
-                        view.find(backend).orElseThrow(),
-                        Duration.ofMillis(millis),
-                        System.nanoTime());
+    /** Returns what the next retry that was not possible lacked. */
+    String awaitMissing() throws InterruptedException {
+        return missing.poll(AWAIT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    void runOnLoop(Runnable action) {
-        onLoop(action);
+    /** Returns the number of sends that {@link #awaitSend} has not returned yet. */
+    int pendingSends() {
+        return sent.size();
     }
 
     @Override
-    public void close() {
-        backends.values().forEach(StandInBackend::close);
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
-    }
-
-    private BackendRecord record(String name, long startedMillis, HeldAdapter... held) {
-        return new BackendRecord(
-                name,
-                SERVICE,
-                "127.0.0.1",
-                backends.get(name).port(),
-                distant.contains(name) ? "b" : "a",
-                BackendState.READY,
-                false,
-                4,
-                List.of(held),
-                "",
-                startedMillis);
-    }
-
-    private void apply(List<BackendRecord> changed) {
-        view.apply(
-                new GatewayUpdate(
-                        1,
-                        1,
-                        false,
-                        0,
-                        1,
-                        new byte[0],
-                        List.of(),
-                        false,
-                        changed,
-                        List.of(),
-                        List.of(),
-                        1,
-                        List.of(),
-                        Optional.empty()),
-                System.nanoTime());
+    public void close() throws Exception {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).await();
     }
 
-    private void onLoop(Runnable action) {
-        onLoop(
-                () -> {
-                    action.run();
-                    return null;
-                });
-    }
-
-    private <T> T onLoop(Supplier<T> action) {
-        return waitFor(CompletableFuture.supplyAsync(action, loop));
+    private ForwardingEnvironment environment() {
+        if (environment == null) {
+            view.apply(update(), System.nanoTime());
+            environment = createEnvironment();
+        }
+        return environment;
     }
 
-    private static <T> T waitFor(CompletableFuture<T> future) {
-        try {
-            return future.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
-        } catch (InterruptedException | ExecutionException | TimeoutException failure) {
-            throw new AssertionError(failure);
-        }
+    private GatewayUpdate update() {
+        return new GatewayUpdate(
+                1,
+                1,
+                false,
+                0,
+                1,
+                new byte[0],
+                List.of(),
+                false,
+                records,
+                List.of(),
+                List.of(),
+                1,
+                List.of(),
+                Optional.empty());
     }
 
-    private ForwardingEnvironment environment(int maximumAttempts, double retryExtra) {
+    private ForwardingEnvironment createEnvironment() {
         final IngressRoute route =
                 new IngressRoute(
                         "chat",
                         "host",
                         "/chat/",
-                        RouteKind.STREAM,
-                        TIMEOUT_MILLIS,
-                        5_000,
-                        3_000,
+                        kind,
+                        timeoutMillis,
+                        OBJECTIVE_MILLIS,
+                        PAUSE_MILLIS,
                         0,
                         List.of(new WeightedService(SERVICE, 1)),
-                        maximumAttempts,
+                        MAXIMUM_ATTEMPTS,
                         true,
-                        true);
+                        kind == RouteKind.STREAM);
         final IngressConfiguration configuration =
                 IngressConfiguration.of(
                         1, List.of(route), List.of(), List.of(), IngressLimits.DEFAULT);
@@ -260,21 +216,21 @@
                 loop,
                 SystemNanoClock.INSTANCE,
                 random,
-                new StandInDialect(),
+                new TestDialect(),
                 () -> Optional.of(configuration),
                 BackendPool.create(loop, SystemNanoClock.INSTANCE),
                 view,
                 new BackendHealth(),
                 BackendSelector.of("a", random),
-                ServiceRetryBudget.of(0, retryExtra),
+                ServiceRetryBudget.of(0, extraRetries),
                 KeyedAdmission.of(freshness, 1),
                 freshness,
                 new PromptReaders(),
-                new QueuedGrants(),
-                new NoticeRecorder());
+                new NoLeader(),
+                new Recorder());
     }
 
-    private static IngressRequest ingressRequest() {
+    private static IngressRequest request() {
         return new IngressRequest(
                 "request",
                 HttpMethod.POST,
@@ -284,49 +240,69 @@
                 new DefaultHttpHeaders(),
                 OptionalLong.empty(),
                 Optional.empty(),
-                Optional.of(new ModelReference("base", "a1")),
+                Optional.empty(),
                 Optional.empty(),
                 List.of(),
                 Optional.empty());
     }
 
-    /**
-     * The result of a request.
-     *
-     * @param status status of the answer, or of the refusal
-     * @param refusal the refusal, if it was refused
-     * @param complete whether the answer was complete
-     */
-    record Result(int status, Optional<ResultException> refusal, boolean complete) {}
-
-    /** Waits for the result of a request. */
-    record PendingResult(RecordingClient client) {
-        Result await() {
-            return waitFor(client.result);
+    /** What the client of one request receives. */
+    static final class RecordedAnswer implements ClientAnswer {
+        private final StringBuilder received = new StringBuilder();
+        private final CompletableFuture<String> end = new CompletableFuture<>();
+        private RequestForwarding forwarding;
+
+        /** Returns the complete answer, or "refused CODE" or "aborted" with what came before it. */
+        String awaitEnd() throws Exception {
+            return end.get(AWAIT_MILLIS, TimeUnit.MILLISECONDS);
+        }
+
+        boolean hasEnded() {
+            return end.isDone();
         }
-    }
 
-    /** Answers each request for an adapter with the next grant, or with none. */
-    private final class QueuedGrants implements LeaderRequests {
         @Override
-        public CompletableFuture<AdapterGrant> requestAdapter(AdapterRequest request) {
-            adapterRequests.add(request);
-            return grants.isEmpty()
-                    ? CompletableFuture.completedFuture(AdapterGrant.none(100))
-                    : grants.remove();
+        public void refuse(ResultException refusal) {
+            end.complete("refused " + refusal.code());
         }
 
         @Override
-        public void afterNextReport(Runnable action) {
-            throw new AssertionError("the route needs no tokens");
+        public void sendComplete(HttpResponseStatus status, HttpHeaders headers, ByteBuf body) {
+            end.complete(status.code() + " " + body.toString(StandardCharsets.UTF_8));
+            body.release();
+        }
+
+        @Override
+        public void startStream(HttpResponseStatus status, HttpHeaders headers) {}
+
+        @Override
+        public void sendEvents(ByteBuf events) {
+            received.append(events.toString(StandardCharsets.UTF_8).replace("\n\n", ";"));
+            events.release();
+        }
+
+        @Override
+        public void endStream() {
+            end.complete(received.toString());
+        }
+
+        @Override
+        public void abort() {
+            end.complete("aborted after " + received);
+        }
+
+        @Override
+        public boolean isWritable() {
+            return true;
         }
     }
 
-    /** Records reported notices. */
-    private final class NoticeRecorder implements ForwardingObserver {
+    private final class Recorder implements ForwardingObserver {
         @Override
         public void sent(
-                IngressRequest request, String backend, int attempt, int requestsAtBackend) {}
+                IngressRequest request, String backend, int attempt, int requestsAtBackend) {
+            sent.add(backend);
+        }
 
         @Override
         public void sentToLeaving(
@@ -337,14 +313,10 @@
                 long adapterWaitMillis) {}
 
         @Override
-        public void leavingAnnounced(IngressRequest request, String backend) {
-            notices.add("leaving " + backend);
-        }
+        public void leavingAnnounced(IngressRequest request, String backend) {}
 
         @Override
-        public void pauseAnnounced(IngressRequest request, String backend, long millis) {
-            notices.add("paused " + backend + ' ' + millis);
-        }
+        public void pauseAnnounced(IngressRequest request, String backend, long millis) {}
 
         @Override
         public void attemptFailed(
@@ -355,56 +327,37 @@
                 String reason) {}
 
         @Override
-        public void foreignAnswer(IngressRequest request, String backend, int attempt) {}
-
-        @Override
-        public void ended(ForwardingSummary summary) {}
-
-        @Override
-        public void refusedBeforeDecoding(ResultCode code, String detail) {}
-    }
-
-    /** Records the result of one request. */
-    private static final class RecordingClient implements ClientAnswer {
-        private final CompletableFuture<Result> result = new CompletableFuture<>();
-
-        @Override
-        public void refuse(ResultException refusal) {
-            result.complete(new Result(refusal.code().httpStatus(), Optional.of(refusal), true));
+        public void retryUnavailable(IngressRequest request, String what) {
+            missing.add(what);
         }
 
         @Override
-        public void sendComplete(HttpResponseStatus status, HttpHeaders headers, ByteBuf body) {
-            body.release();
-            result.complete(new Result(status.code(), Optional.empty(), true));
-        }
+        public void foreignAnswer(IngressRequest request, String backend, int attempt) {}
 
         @Override
-        public void startStream(HttpResponseStatus status, HttpHeaders headers) {}
+        public void ended(ForwardingSummary summary) {}
 
         @Override
-        public void sendEvents(ByteBuf events) {
-            events.release();
-        }
+        public void refusedBeforeDecoding(ResultCode code, String detail, boolean answerUnderWay) {}
 
         @Override
-        public void endStream() {
-            result.complete(new Result(200, Optional.empty(), true));
-        }
+        public void faulted(Throwable fault, boolean answerUnderWay) {}
+    }
 
+    private static final class NoLeader implements LeaderRequests {
         @Override
-        public void abort() {
-            result.complete(new Result(200, Optional.empty(), false));
+        public CompletableFuture<AdapterGrant> requestAdapter(AdapterRequest request) {
+            throw new AssertionError("the requests need no adapter");
         }
 
         @Override
-        public boolean isWritable() {
-            return true;
+        public void afterNextReport(Runnable action) {
+            throw new AssertionError("the route needs no tokens");
         }
     }
 
-    /** Reads and writes the headers of {@link StandInBackend}. */
-    private static final class StandInDialect implements IngressDialect {
+    /** Takes every answer as signed, and those with a header named Not-Run as not run. */
+    private static final class TestDialect implements IngressDialect {
         @Override
         public IngressRequest decodeRequest(HttpRequest head) {
             throw new UnsupportedOperationException();
@@ -412,7 +365,7 @@
 
         @Override
         public void addForwardingHeaders(HttpHeaders headers, ForwardingFields fields) {
-            fields.lastEventId().ifPresent(id -> headers.set(StandInBackend.RESUME_AFTER, id));
+            fields.lastEventId().ifPresent(id -> headers.set(LAST_EVENT_ID, id));
         }
 
         @Override
@@ -420,12 +373,10 @@
             return new BackendAnswerHead(
                     Optional.empty(),
                     true,
-                    head.headers().contains(StandInBackend.NOT_RUN),
+                    head.headers().contains(NOT_RUN),
                     Optional.empty(),
-                    head.headers().contains(StandInBackend.LEAVING),
-                    Optional.ofNullable(head.headers().get(StandInBackend.PAUSE_MILLIS))
-                            .map(Long::parseLong)
-                            .map(Duration::ofMillis));
+                    false,
+                    Optional.empty());
         }
     }
 }
--- a/daemon/src/test/java/org/crocushaven/forwarding/PauseNoticesTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/PauseNoticesTest.java
@@ -22,7 +22,7 @@
     private static final long SHORT_PAUSE_MILLIS = 300;
     private static final long LOAD_MILLIS = 100;
 
-    private ForwardingFixture gateway = ForwardingFixture.withAttempts(3, 10);
+    private NoticeFixture gateway = NoticeFixture.withAttempts(3, 10);
 
     @AfterEach
     void stop() {
@@ -39,10 +39,10 @@
                         Long.toString(pauseMillis)));
     }
 
-    private ForwardingFixture.Result askForPause(long pauseMillis) {
+    private NoticeFixture.Result askForPause(long pauseMillis) {
         gateway.startBackends(PAUSING);
         gateway.backend(PAUSING).answerNext(turnedAway(pauseMillis));
-        final ForwardingFixture.Result refused = gateway.request();
+        final NoticeFixture.Result refused = gateway.request();
         assertEquals(1, gateway.backend(PAUSING).requests());
         return refused;
     }
@@ -58,7 +58,7 @@
         assertEquals(before + 1, gateway.backend(backend).requests());
     }
 
-    private static long retryAfterMillis(ForwardingFixture.Result refused) {
+    private static long retryAfterMillis(NoticeFixture.Result refused) {
         return refused.refusal().orElseThrow().retryAfter().orElseThrow().toMillis();
     }
 
@@ -116,7 +116,7 @@
             gateway.grant(PAUSING, LOAD_MILLIS);
             gateway.grant(OTHER, LOAD_MILLIS);
 
-            final ForwardingFixture.PendingResult pending =
+            final NoticeFixture.PendingResult pending =
                     gateway.start(() -> gateway.pause(PAUSING, PAUSE_MILLIS));
 
             assertEquals(200, pending.await().status());
@@ -127,10 +127,10 @@
         @Test
         void whoseConnectionIsUnderWayAreSentElsewhereWithoutRetry() {
             gateway.close();
-            gateway = ForwardingFixture.withAttempts(1, 0);
+            gateway = NoticeFixture.withAttempts(1, 0);
             startBoth();
 
-            final ForwardingFixture.PendingResult pending =
+            final NoticeFixture.PendingResult pending =
                     gateway.start(() -> gateway.pause(PAUSING, PAUSE_MILLIS));
 
             assertEquals(200, pending.await().status());
@@ -144,7 +144,7 @@
             gateway.updateWithoutAdapter(PAUSING, OTHER);
             final CompletableFuture<AdapterGrant> grant = new CompletableFuture<>();
             gateway.grantLater(grant);
-            final ForwardingFixture.PendingResult pending =
+            final NoticeFixture.PendingResult pending =
                     gateway.start(
                             () -> {
                                 gateway.pause(PAUSING, PAUSE_MILLIS);
@@ -161,7 +161,7 @@
             gateway.startBackends("breaking");
             gateway.backend("breaking")
                     .answerNext(StandInBackend.Answer.broken().releasedBy(release));
-            final ForwardingFixture.PendingResult pending = gateway.start(() -> {});
+            final NoticeFixture.PendingResult pending = gateway.start(() -> {});
             gateway.backend("breaking").awaitRequests(1);
             startBoth();
             gateway.runOnLoop(() -> gateway.pause(PAUSING, PAUSE_MILLIS));
@@ -211,7 +211,7 @@
     @Nested
     class Refusals {
         private void assertRefusedUntil(
-                ForwardingFixture.Result refused, long earliestEndNanos, long longestMillis) {
+                NoticeFixture.Result refused, long earliestEndNanos, long longestMillis) {
             final long remainingMillis =
                     Duration.ofNanos(earliestEndNanos - System.nanoTime()).toMillis();
 
