Keep a pause that a new start may have asked for

Seen by backend servers, in a randomised test of departures and pauses against both rules (BackendNoticesFuzzTest, new): requests went on in a pause. Cause: a backend server that starts anew under its identifier may turn a request away before the gateway has the record of that start, so the pause was kept for the start before and ended with the new record, or with a record that came late and went again. Departures stay kept by start: a sound start would otherwise be unused for good; a start that says it leaves before its record came is asked once more.

--- a/daemon/src/main/java/org/crocushaven/forwarding/ForwardingEnvironment.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/ForwardingEnvironment.java
@@ -54,7 +54,7 @@
             observer.leavingAnnounced(request, answering.backend());
         }
         head.pause()
-                .filter(pause -> view.notices().recordPause(answering, pause, nowNanos()))
+                .filter(pause -> view.notices().recordPause(answering.backend(), pause, nowNanos()))
                 .ifPresent(
                         pause ->
                                 observer.pauseAnnounced(
--- a/daemon/src/main/java/org/crocushaven/forwarding/GatewayBackends.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/GatewayBackends.java
@@ -314,6 +314,7 @@
             }
         }
         backends.put(backend, record);
+        notices.recordReceived(record, nowNanos);
         for (final HeldAdapter held : record.held()) {
             addHolder(backend, AdapterKey.of(held), held.version(), nowNanos);
         }
