--- a/daemon/src/main/java/org/crocushaven/forwarding/AttemptSender.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/AttemptSender.java
@@ -57,11 +57,21 @@
             forwarding.handleFailure(attempt, false, "no connection");
         } else if (forwarding.isStale(attempt) || forwarding.remainingMillis() <= 0) {
             channel.close();
+        } else if (!isWanted(attempt)) {
+            channel.close();
+            forwarding.withdraw(attempt);
         } else {
             sendOn(channel, attempt);
         }
     }
 
+    private boolean isWanted(BackendAttempt attempt) {
+        return environment
+                .view()
+                .notices()
+                .allowRequests(attempt.target().backend(), environment.nowNanos());
+    }
+
     private void sendOn(BackendChannel channel, BackendAttempt attempt) {
         attempt.opened(channel);
         final String backend = attempt.target().backend().backend();
--- a/daemon/src/main/java/org/crocushaven/forwarding/ForwardingObserver.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/ForwardingObserver.java
@@ -23,6 +23,12 @@
             long sinceArrivalMillis,
             long adapterWaitMillis);
 
+    /** Called when a backend server first says in an answer that it leaves. */
+    void leavingAnnounced(IngressRequest request, String backend);
+
+    /** Called when a backend server that took requests says in an answer that it wants a pause. */
+    void pauseAnnounced(IngressRequest request, String backend, long millis);
+
     /**
      * Called when an attempt fails.
      *
--- a/daemon/src/main/java/org/crocushaven/forwarding/GatewayBackends.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/GatewayBackends.java
@@ -1,5 +1,6 @@
 package org.crocushaven.forwarding;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -39,6 +40,7 @@
     private final Map<String, PromptBacklog> ownPromptBacklogs = new HashMap<>();
     private final Map<String, PromptBacklog> otherPromptBacklogs = new HashMap<>();
     private final Map<UseKey, UseCounts> uses = new HashMap<>();
+    private final BackendNotices notices = new BackendNotices();
     private long epoch;
     private long revision;
 
@@ -94,11 +96,48 @@
         return Optional.ofNullable(backends.get(backend));
     }
 
+    /** Returns what backend servers said of themselves in their answers. */
+    BackendNotices notices() {
+        return notices;
+    }
+
+    /** Returns whether a backend server accepts requests by its record and by its own answers. */
+    boolean acceptsRequests(BackendRecord record, long nowNanos) {
+        return record.acceptsRequests() && notices.allowRequests(record, nowNanos);
+    }
+
     /** Returns the backend servers of a service that accept requests. */
-    List<BackendRecord> ofService(String service) {
+    List<BackendRecord> ofService(String service, long nowNanos) {
+        return select(service, record -> acceptsRequests(record, nowNanos));
+    }
+
+    /**
+     * Returns the backend servers of a service that accept requests by their records but not by
+     * their own answers.
+     */
+    List<BackendRecord> withheldByNotices(String service, long nowNanos) {
+        return select(
+                service,
+                record -> record.acceptsRequests() && !notices.allowRequests(record, nowNanos));
+    }
+
+    /**
+     * Returns the time until the first backend server of a service takes requests again; empty
+     * unless all that do not leave want a pause.
+     */
+    Optional<Duration> pauseOf(String service, long nowNanos) {
+        return select(service, record -> record.acceptsRequests() && !notices.isLeaving(record))
+                .stream()
+                .map(record -> notices.pauseNanos(record, nowNanos))
+                .min(Long::compare)
+                .filter(pauseNanos -> pauseNanos > 0)
+                .map(Duration::ofNanos);
+    }
+
+    private List<BackendRecord> select(String service, Predicate<BackendRecord> condition) {
         final List<BackendRecord> found = new ArrayList<>();
         for (final BackendRecord record : backends.values()) {
-            if (record.service().equals(service) && record.acceptsRequests()) {
+            if (record.service().equals(service) && condition.test(record)) {
                 found.add(record);
             }
         }
@@ -113,7 +152,7 @@
         final List<BackendRecord> found = new ArrayList<>();
         for (final Map.Entry<String, Holding> holder : holdings(key).entrySet()) {
             if (holder.getValue().waitNanos(nowNanos) == 0) {
-                usable(holder, service, key).ifPresent(found::add);
+                usable(holder, service, key, nowNanos).ifPresent(found::add);
             }
         }
         return found;
@@ -128,7 +167,8 @@
         ExpectedHolder first = null;
         for (final Map.Entry<String, Holding> holder : holdings(key).entrySet()) {
             final long waitNanos = holder.getValue().waitNanos(nowNanos);
-            final Optional<BackendRecord> record = usable(holder, service, key).filter(condition);
+            final Optional<BackendRecord> record =
+                    usable(holder, service, key, nowNanos).filter(condition);
             if (record.isPresent() && (first == null || waitNanos < first.waitNanos())) {
                 first = new ExpectedHolder(record.get(), waitNanos);
             }
@@ -141,9 +181,9 @@
     }
 
     private Optional<BackendRecord> usable(
-            Map.Entry<String, Holding> holder, String service, AdapterKey key) {
+            Map.Entry<String, Holding> holder, String service, AdapterKey key, long nowNanos) {
         return find(holder.getKey())
-                .filter(BackendRecord::acceptsRequests)
+                .filter(record -> acceptsRequests(record, nowNanos))
                 .filter(record -> record.service().equals(service))
                 .filter(
                         record ->
@@ -279,6 +319,7 @@
             }
         }
         backends.put(backend, record);
+        notices.recordReceived(record, nowNanos);
         for (final HeldAdapter held : record.held()) {
             addHolder(backend, AdapterKey.of(held), held.version(), nowNanos);
         }
--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
@@ -8,7 +8,6 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import org.crocushaven.fleet.BackendRecord;
 import org.crocushaven.ingress.IngressRequest;
 import org.crocushaven.ingress.IngressRoute;
 import org.crocushaven.ingress.RouteKind;
@@ -149,6 +148,11 @@
         }
     }
 
+    /** Handles what a backend server says of itself in an answer, also in one that is too late. */
+    void noticesReceived(BackendAttempt from, BackendAnswerHead head) {
+        environment.recordNotices(request, from.target().backend(), head);
+    }
+
     /** Handles bytes of an event stream. */
     void streamDataReceived(BackendAttempt from, ByteBuf data) {
         if (isStale(from)) {
@@ -253,7 +257,9 @@
         reportFailedAttempt(from, false, "not run, status " + from.status().code());
         endAttempt(from);
         final int status = from.status().code();
-        if (attempts.isEmpty()
+        final boolean takesRequests = stillUsable(from.target()).isPresent();
+        if (takesRequests
+                && attempts.isEmpty()
                 && remainingMillis() > 0
                 && retries.tryWaitForAdapter(from.target(), status)
                 && environment.retryBudget().tryRetry(admission.service())) {
@@ -262,7 +268,7 @@
         }
         if (RetryState.isMisdirected(status) && from.target().key() != null) {
             environment.view().removeHolder(backend, from.target().key());
-        } else {
+        } else if (takesRequests) {
             environment.health().recordFailure(backend, 0.5, environment.nowNanos());
         }
         retries.exclude(backend);
@@ -292,10 +298,7 @@
         if (mayHaveRun) {
             retries.exclude(backend);
         } else {
-            retries.recordNeverReached(backend);
-            if (wasReplacement) {
-                environment.retryBudget().returnRetry(admission.service());
-            }
+            recordNeverReached(backend, wasReplacement);
         }
         if (!attempts.isEmpty()) {
             return;
@@ -307,6 +310,23 @@
         }
     }
 
+    /** Handles an attempt that is not sent since its backend server wants no requests any more. */
+    void withdraw(BackendAttempt unsent) {
+        final boolean wasReplacement = unsent == attempts.replacement();
+        endAttempt(unsent);
+        recordNeverReached(unsent.target().backend().backend(), wasReplacement);
+        if (attempts.isEmpty()) {
+            tryAnother();
+        }
+    }
+
+    private void recordNeverReached(String backend, boolean wasReplacement) {
+        retries.recordNeverReached(backend);
+        if (wasReplacement) {
+            environment.retryBudget().returnRetry(admission.service());
+        }
+    }
+
     /** Called when an attempt was sent. */
     void attemptSent(BackendAttempt sent, int requestsThere) {
         requestsAtBackend = requestsThere;
@@ -494,7 +514,9 @@
         return environment
                 .view()
                 .find(target.backend().backend())
-                .filter(BackendRecord::acceptsRequests)
+                .filter(
+                        record ->
+                                environment.view().acceptsRequests(record, environment.nowNanos()))
                 .filter(continuation::allows)
                 .map(target::with);
     }
@@ -667,7 +689,11 @@
         } else {
             refuse(
                     ResultException.of(ResultCode.BACKEND_SERVER_REFUSED, lastBackend())
-                            .withRetryAfter(REFUSAL_RETRY_DELAY));
+                            .withRetryAfter(
+                                    environment
+                                            .view()
+                                            .pauseOf(admission.service(), environment.nowNanos())
+                                            .orElse(REFUSAL_RETRY_DELAY)));
         }
     }
 
--- a/daemon/src/main/java/org/crocushaven/forwarding/StreamContinuation.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/StreamContinuation.java
@@ -78,7 +78,9 @@
 
     /** Adds the backend servers of other software versions to those that were excluded. */
     Set<String> excluded(Set<String> excluded) {
-        return rule.excluded(excluded, environment.view().ofService(admission.service()));
+        return rule.excluded(
+                excluded,
+                environment.view().ofService(admission.service(), environment.nowNanos()));
     }
 
     private boolean takesUpStream() {
--- a/daemon/src/main/java/org/crocushaven/forwarding/TargetFinder.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/TargetFinder.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -55,6 +56,11 @@
             IngressRequest request,
             Set<String> tried,
             StreamContinuation continuation) {
+        final Optional<Duration> pause =
+                environment.view().pauseOf(service, environment.nowNanos());
+        if (pause.isPresent()) {
+            return refused(ResultCode.QUEUE_FULL, service, pause.get());
+        }
         final Set<String> excluded = continuation.excluded(tried);
         return request.model().isPresent()
                 ? findForModel(service, request, excluded, continuation)
@@ -64,7 +70,10 @@
     private CompletableFuture<Target> findWithoutModel(
             String service, IngressRequest request, Set<String> excluded) {
         final Optional<BackendSelector.Candidate> best =
-                select(environment.view().ofService(service), request, excluded);
+                select(
+                        environment.view().ofService(service, environment.nowNanos()),
+                        request,
+                        excluded);
         if (best.isEmpty()) {
             return refused(ResultCode.NO_BACKEND_SERVER, service, NO_BACKEND_RETRY_DELAY);
         }
@@ -94,7 +103,8 @@
             return CompletableFuture.completedFuture(pending.get());
         }
         final AdapterRequest ask =
-                new AdapterRequest(service, key.model(), key.adapter(), new ArrayList<>(excluded));
+                new AdapterRequest(
+                        service, key.model(), key.adapter(), notToBeUsed(service, excluded));
         final CompletableFuture<Target> found = new CompletableFuture<>();
         environment
                 .leader()
@@ -110,6 +120,15 @@
         return found;
     }
 
+    /** Returns the excluded backend servers and those that do not want requests of this gateway. */
+    private List<String> notToBeUsed(String service, Set<String> excluded) {
+        final Set<String> all = new LinkedHashSet<>(excluded);
+        environment.view().withheldByNotices(service, environment.nowNanos()).stream()
+                .map(BackendRecord::backend)
+                .forEach(all::add);
+        return List.copyOf(all);
+    }
+
     /**
      * Returns the backend server on which the adapter is available first, unless that backend
      * server is full, failing or was already tried.
@@ -155,14 +174,12 @@
                 grant == null || !grant.isGranted()
                         ? Optional.empty()
                         : environment.view().find(grant.backend());
-        if (backend.filter(BackendRecord::acceptsRequests)
-                .filter(continuation::allows)
-                .isPresent()) {
+        if (backend.filter(this::acceptsRequests).filter(continuation::allows).isPresent()) {
             final long usableNanos =
                     environment.nowNanos() + TimeUnit.MILLISECONDS.toNanos(grant.readyInMillis());
             environment.view().addHolder(grant.backend(), key, grant.version(), usableNanos);
             found.complete(new Target(backend.get(), key, grant.readyInMillis(), true));
-        } else if (holder.isPresent() && holder.get().load() < MAXIMUM_LOAD) {
+        } else if (holder.filter(this::isUsable).isPresent()) {
             found.complete(new Target(holder.get().backend(), key, 0, false));
         } else if (grant == null) {
             refuse(
@@ -175,6 +192,14 @@
         }
     }
 
+    private boolean isUsable(BackendSelector.Candidate holder) {
+        return holder.load() < MAXIMUM_LOAD && acceptsRequests(holder.backend());
+    }
+
+    private boolean acceptsRequests(BackendRecord backend) {
+        return environment.view().acceptsRequests(backend, environment.nowNanos());
+    }
+
     private Optional<BackendSelector.Candidate> select(
             List<BackendRecord> backends, IngressRequest request, Set<String> excluded) {
         final long nowNanos = environment.nowNanos();
--- a/daemon/src/main/java/org/crocushaven/instance/ForwardingLog.java
+++ b/daemon/src/main/java/org/crocushaven/instance/ForwardingLog.java
@@ -60,6 +60,12 @@
                     .help("Requests sent to a backend server that leaves or is unknown, by state.")
                     .labelNames("state")
                     .register(registry);
+    private final Counter notices =
+            Counter.builder()
+                    .name("crocushaven_gateway_backend_notices")
+                    .help("What backend servers newly said of themselves in answers, by kind.")
+                    .labelNames("kind")
+                    .register(registry);
     private final Counter foreignAnswers =
             Counter.builder()
                     .name("crocushaven_gateway_foreign_answers")
@@ -136,6 +142,25 @@
                 .info();
     }
 
+    @Override
+    public void leavingAnnounced(IngressRequest request, String backend) {
+        notices.labelValues("leaving").inc();
+        EventLine.of("backend-leaving-announced")
+                .with("backend", backend)
+                .with("request", request.requestId())
+                .info();
+    }
+
+    @Override
+    public void pauseAnnounced(IngressRequest request, String backend, long millis) {
+        notices.labelValues("paused").inc();
+        EventLine.of("backend-paused")
+                .with("backend", backend)
+                .with("millis", millis)
+                .with("request", request.requestId())
+                .info();
+    }
+
     @Override
     public void attemptFailed(
             IngressRequest request,
--- a/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
@@ -394,6 +394,12 @@
                 long sinceArrivalMillis,
                 long adapterWaitMillis) {}
 
+        @Override
+        public void leavingAnnounced(IngressRequest request, String backend) {}
+
+        @Override
+        public void pauseAnnounced(IngressRequest request, String backend, long millis) {}
+
         @Override
         public void attemptFailed(
                 IngressRequest request,
@@ -457,7 +463,12 @@
         @Override
         public BackendAnswerHead decodeAnswer(HttpResponse head) {
             return new BackendAnswerHead(
-                    Optional.empty(), true, head.headers().contains(NOT_RUN), Optional.empty());
+                    Optional.empty(),
+                    true,
+                    head.headers().contains(NOT_RUN),
+                    Optional.empty(),
+                    false,
+                    Optional.empty());
         }
     }
 }
--- a/daemon/src/test/java/org/crocushaven/forwarding/IngressConnectionTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/IngressConnectionTest.java
@@ -259,6 +259,12 @@
         @Override
         public void retryUnavailable(IngressRequest request, String missing) {}
 
+        @Override
+        public void leavingAnnounced(IngressRequest request, String backend) {}
+
+        @Override
+        public void pauseAnnounced(IngressRequest request, String backend, long millis) {}
+
         @Override
         public void foreignAnswer(IngressRequest request, String backend, int attempt) {}
 
--- a/daemon/src/test/java/org/crocushaven/forwarding/RequestForwardingTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/RequestForwardingTest.java
@@ -257,6 +257,12 @@
                 long sinceArrivalMillis,
                 long adapterWaitMillis) {}
 
+        @Override
+        public void leavingAnnounced(IngressRequest request, String backend) {}
+
+        @Override
+        public void pauseAnnounced(IngressRequest request, String backend, long millis) {}
+
         @Override
         public void attemptFailed(
                 IngressRequest request,
