--- a/daemon/src/test/java/org/crocushaven/fleet/GatewayReportsTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/GatewayReportsTest.java
@@ -11,6 +11,7 @@
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
 import org.crocushaven.admission.ShareHolder;
+import org.crocushaven.protocol.MessageCodec;
 import org.junit.jupiter.api.Test;
 
 class GatewayReportsTest {
@@ -34,6 +35,23 @@
                 nowNanos);
     }
 
+    @Test
+    void reportOfGatewayThatRemembersNoStreamsIsRead() {
+        final byte[] encoded =
+                MessageCodec.encodeValue(
+                        List.of(
+                                "gateway",
+                                1,
+                                1,
+                                1,
+                                1,
+                                List.of(),
+                                List.of(),
+                                ShareHolder.create(1).report(0)));
+
+        assertEquals(List.of(), MessageCodec.decodeValue(encoded, GatewayReport.class).streams());
+    }
+
     @Test
     void otherLoadsSumTheRequestsAndPromptTokensOfAllOtherGateways() {
         report("one", 0, new BackendLoad("engine", 1, 900));
