Send gateways the whole view again after a gap in the leader's lease within one term

A gateway could go on with an old view of the backend servers, and send requests to one that had left meanwhile, after a leader lost its lease and got it back in the same term: the new stint counted its changes from 1 under the same epoch, so a gateway that had a higher revision was sent nothing until the count passed it. Revisions of a stint now begin at its monotonic time in microseconds, and a gateway whose revision is lower gets everything. FleetLeaderTest.gatewayReceivesTheWholeViewAgainAfterAGapInTheLeaseWithinOneTerm failed before (not complete, nothing changed), passes.

--- a/daemon/src/main/java/org/crocushaven/fleet/BackendChanges.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/BackendChanges.java
@@ -14,7 +14,24 @@
 final class BackendChanges {
     private final Map<String, Change> changes = new HashMap<>();
     private final NavigableMap<Long, Change> byRevision = new TreeMap<>();
-    private long revision = 1;
+    private final long firstRevision;
+    private long revision;
+
+    /**
+     * Creates an empty history of changes.
+     *
+     * @param firstRevision greater than every revision of an earlier history under the same
+     *     leader's epoch
+     */
+    BackendChanges(long firstRevision) {
+        this.firstRevision = firstRevision;
+        this.revision = firstRevision;
+    }
+
+    /** Returns whether the history holds all changes since a revision. */
+    boolean covers(long since) {
+        return since >= firstRevision;
+    }
 
     /** Returns the revision of the last change. */
     long revision() {
--- a/daemon/src/main/java/org/crocushaven/fleet/FleetLeader.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/FleetLeader.java
@@ -33,7 +33,7 @@
     private final ShareLending lending;
     private final EnginePlacement placement;
     private final GatewayReports reports = new GatewayReports();
-    private final BackendChanges changes = new BackendChanges();
+    private final BackendChanges changes;
     private final LeaderLoad load;
     private final StreamDirectory streams;
     private long configuredRevision = -1;
@@ -64,6 +64,7 @@
         this.dialect = orders.dialect();
         this.clock = clock;
         final long nowNanos = clock.nanoTime();
+        this.changes = new BackendChanges(TimeUnit.NANOSECONDS.toMicros(nowNanos));
         this.load = new LeaderLoad(nowNanos);
         this.streams = streams;
         this.lending = new ShareLending(epoch, state, registration, rateSlack, nowNanos);
@@ -120,7 +121,7 @@
             refresh();
         }
         final FleetState.View view = state.view();
-        final boolean isKnown = report.epoch() == epoch;
+        final boolean isKnown = report.epoch() == epoch && changes.covers(report.revision());
         final long since = isKnown ? report.revision() : 0;
         final boolean gatewayHasState = report.stateRevision() == view.revision();
         final boolean gatewayHasDocument =
--- a/daemon/src/test/java/org/crocushaven/fleet/FleetLeaderTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/FleetLeaderTest.java
@@ -1,5 +1,6 @@
 package org.crocushaven.fleet;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.lang.management.ManagementFactory;
@@ -103,6 +104,16 @@
         return least / (double) TimeUnit.MICROSECONDS.toNanos(1) / REPORTS;
     }
 
+    @Test
+    void gatewayReceivesTheWholeViewAgainAfterAGapInTheLeaseWithinOneTerm() {
+        final GatewayUpdate before = leader(1).report(report(0, null), List.of());
+
+        final GatewayUpdate after = leader(1).report(report(0, before), List.of());
+
+        assertTrue(after.complete());
+        assertEquals(BACKENDS, after.changed().size());
+    }
+
     /** The bound leaves a factor of four of sixteen for caches and maps. */
     @Test
     void costOfReportDoesNotGrowWithTheNumberOfGateways() {
