--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
@@ -3,10 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.time.Duration;
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.crocushaven.ingress.IngressRequest;
 import org.crocushaven.ingress.IngressRoute;
@@ -49,6 +46,7 @@
     private final StreamContinuation continuation;
     private final RetryState retries = new RetryState();
     private final AttemptsInFlight attempts;
+    private final ReplacementSearch replacements;
     private final AttemptSender sender;
     private ScheduledFuture<?> limitTimer;
     private String lastBackend = "-";
@@ -59,12 +57,6 @@
     private boolean done;
     private boolean readingPaused;
 
-    /** Whether a target for a replacement is being looked for. */
-    private boolean replacementSought;
-
-    /** What a replacement of the silent backend server last lacked; empty while none is silent. */
-    private String replacementLacked = "";
-
     private long firstByteNanos;
     private ResultException lastRefusal;
     private BackendAttempt lastFailure;
@@ -82,6 +74,8 @@
         this.admission = new RequestAdmission(environment, request);
         this.continuation = new StreamContinuation(environment, request, admission);
         this.attempts = new AttemptsInFlight(environment.view());
+        this.replacements =
+                new ReplacementSearch(environment, request, admission, continuation, this);
         this.sender = new AttemptSender(environment, request, body, admission, this);
         this.silence =
                 new InactivityTimer(environment.loop(), environment.clock(), this::backendSilent);
@@ -125,6 +119,11 @@
         return adapterWaitMillis;
     }
 
+    /** Returns the number of forwarded events. */
+    long eventCount() {
+        return splitter.eventCount();
+    }
+
     /** Returns the event after which a stream resumes; empty for one that begins. */
     Optional<String> lastEventId() {
         return splitter.lastEventId();
@@ -168,7 +167,7 @@
         } else {
             abandonReplacement("silent backend server went on first");
         }
-        replacementLacked = "";
+        replacements.silenceEnded();
         pauses.recordEvent(environment.nowNanos());
         silence.recordProgress(SilenceLimits.withinStreamMillis(route(), remainingMillis()));
         if (!streamStarted) {
@@ -483,7 +482,8 @@
                 });
     }
 
-    private void waitForAdapter(Target target, long delayMillis, Runnable then) {
+    /** Runs an action after a wait for an adapter, which counts as a request there meanwhile. */
+    void waitForAdapter(Target target, long delayMillis, Runnable then) {
         final String backend = target.backend().backend();
         adapterWaitMillis += delayMillis;
         environment.view().requestStarted(backend, target.key());
@@ -510,7 +510,7 @@
     }
 
     /** Returns the target with what is known of its backend server now, if that may be used. */
-    private Optional<Target> stillUsable(Target target) {
+    Optional<Target> stillUsable(Target target) {
         return environment
                 .view()
                 .find(target.backend().backend())
@@ -551,75 +551,27 @@
         if (done || attempts.isEmpty() || attempts.hasReplacement() || readingPaused) {
             return;
         }
-        final String backend = attempts.current().target().backend().backend();
-        if (replacementLacked.isEmpty()) {
-            environment.health().recordFailure(backend, 1, environment.nowNanos());
+        final BackendAttempt silent = attempts.current();
+        if (!replacements.lacksSomething()) {
+            environment
+                    .health()
+                    .recordFailure(silent.target().backend().backend(), 1, environment.nowNanos());
         }
         if (remainingMillis() <= 0) {
-            reportReplacementLacks("time");
+            replacements.reportLack("time");
         } else if (!mayTryAnother()) {
-            reportReplacementLacks("attempts");
-        } else if (!replacementSought) {
-            findReplacement(attempts.current(), backend);
-        }
-    }
-
-    private void findReplacement(BackendAttempt silent, String backend) {
-        final Set<String> excluded = new HashSet<>(retries.excluded());
-        excluded.add(backend);
-        final long events = splitter.eventCount();
-        replacementSought = true;
-        searchReplacement(excluded)
-                .whenComplete(
-                        (target, failure) -> {
-                            if (failure != null) {
-                                replacementSought = false;
-                                reportReplacementLacks("target");
-                            } else if (target.delayMillis() > 0) {
-                                waitForAdapter(
-                                        target,
-                                        target.delayMillis(),
-                                        () -> sendReplacement(silent, events, target));
-                            } else {
-                                sendReplacement(silent, events, target);
-                            }
-                        });
-    }
-
-    private CompletableFuture<Target> searchReplacement(Set<String> excluded) {
-        try {
-            return new TargetFinder(environment)
-                    .find(admission.service(), request, excluded, continuation);
-        } catch (RuntimeException fault) {
-            environment.observer().faulted(fault, true);
-            return CompletableFuture.failedFuture(fault);
-        }
-    }
-
-    /** Sends the replacement unless the silent backend server has gone on meanwhile. */
-    private void sendReplacement(BackendAttempt silent, long eventsBefore, Target target) {
-        replacementSought = false;
-        if (isStale(silent) || splitter.eventCount() != eventsBefore) {
-            return;
-        }
-        final Optional<Target> usable = stillUsable(target);
-        if (usable.isEmpty()) {
-            reportReplacementLacks("target");
-        } else if (!environment.retryBudget().tryRetry(admission.service())) {
-            reportReplacementLacks("budget");
+            replacements.reportLack("attempts");
         } else {
-            final BackendAttempt next = nextAttempt(usable.get());
-            replacementSplitter = splitter.continued();
-            attempts.beginReplacement(next);
-            sender.send(next);
+            replacements.start(silent, retries.excluded());
         }
     }
 
-    private void reportReplacementLacks(String missing) {
-        if (!done && !replacementLacked.equals(missing)) {
-            replacementLacked = missing;
-            environment.observer().retryUnavailable(request, missing);
-        }
+    /** Sends the request to a second backend server beside the silent one. */
+    void sendReplacement(Target target) {
+        final BackendAttempt next = nextAttempt(target);
+        replacementSplitter = splitter.continued();
+        attempts.beginReplacement(next);
+        sender.send(next);
     }
 
     /** Abandons the silent backend server for the replacement, whose answer is forwarded now. */
@@ -803,7 +755,7 @@
         }
         silence.stop();
         readingPaused = false;
-        replacementLacked = "";
+        replacements.silenceEnded();
         if (!attempts.isEmpty()) {
             splitter = replacementSplitter;
             startSilenceTimer();
