--- a/daemon/src/test/java/org/crocushaven/fleet/FleetLeaderTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/FleetLeaderTest.java
@@ -105,7 +105,7 @@
     }
 
     @Test
-    void gatewayReceivesTheWholeViewAgainAfterAGapInTheLeaseWithinOneTerm() {
+    void gatewayReceivesTheWholeViewAgainAfterLeaseGapWithinOneTerm() {
         final GatewayUpdate before = leader(1).report(report(0, null), List.of());
 
         final GatewayUpdate after = leader(1).report(report(0, before), List.of());
--- a/daemon/src/test/java/org/crocushaven/forwarding/UnexpectedExceptionTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/UnexpectedExceptionTest.java
@@ -40,7 +40,7 @@
     }
 
     @Test
-    void requestWhoseRetryThrowsAfterARefusalIsNotHeldToItsTimeLimit() throws Exception {
+    void requestWhoseRetryThrowsAfterRefusalIsNotHeldToItsTimeLimit() throws Exception {
         final ForwardingFixture.RecordedAnswer answer = fixture.start();
         final StandInServer.Exchange exchange = first.awaitRequest();
         fixture.failSearches();
@@ -50,7 +50,7 @@
     }
 
     @Test
-    void requestWhoseRetryThrowsAfterABreakOffIsNotHeldToItsTimeLimit() throws Exception {
+    void requestWhoseRetryThrowsAfterBreakOffIsNotHeldToItsTimeLimit() throws Exception {
         final ForwardingFixture.RecordedAnswer answer = fixture.start();
         final StandInServer.Exchange exchange = first.awaitRequest();
         fixture.failSearches();
