Count the outcomes of measured requests in a class of their own

Hard to read: RequestFlow (416 lines) carried simulated requests from charge to answer and besides kept the ideal buckets, the bounds and the counts, with the question whether a request counts in six places. Moved: FlowOutcomes counts and judges; RequestFlow (352 lines) only says what happened.

--- a/bench/src/main/java/org/crocushaven/bench/measure/PolicyRun.java
+++ b/bench/src/main/java/org/crocushaven/bench/measure/PolicyRun.java
@@ -25,26 +25,29 @@
         final long warmUpNanos = (long) (WARM_UP_SECONDS * SECOND_NANOS);
         final double failing = workload == Workload.FAILED_LOADS ? FAILED_LOAD_PART : 0;
         final int overRate = workload == Workload.AGGRESSOR ? Workload.AGGRESSOR_ORGANISATION : -1;
-        final RequestFlow flow = new RequestFlow(fleet, warmUpNanos, failing, overRate);
+        final FlowOutcomes outcomes =
+                new FlowOutcomes(fleet.clock(), deployment.organisations(), warmUpNanos, overRate);
+        final RequestFlow flow = new RequestFlow(fleet, outcomes, failing);
         fleet.start(flow);
         for (final Arrival arrival : arrivals) {
             fleet.clock().after(arrival.atNanos(), () -> flow.arrive(arrival));
         }
-        scheduleFaults(fleet, flow, workload);
+        scheduleFaults(fleet, flow, outcomes, workload);
         fleet.clock().runUntil((long) ((SECONDS + 60) * SECOND_NANOS));
         final long starts = fleet.slots().stream().mapToLong(slot -> slot.engine().starts()).sum();
         final long shared =
                 fleet.slots().stream().mapToLong(slot -> slot.engine().sharedStarts()).sum();
-        flow.result()
+        outcomes.result()
                 .fleet(
                         fleet.store().loads(),
                         fleet.store().mostInFlight(),
                         (double) shared / Math.max(1, starts),
-                        flow.bounds().stream().mapToLong(UsageBound::violations).sum());
-        return flow.result();
+                        outcomes.bounds().stream().mapToLong(UsageBound::violations).sum());
+        return outcomes.result();
     }
 
-    private static void scheduleFaults(Fleet fleet, RequestFlow flow, Workload workload) {
+    private static void scheduleFaults(
+            Fleet fleet, RequestFlow flow, FlowOutcomes outcomes, Workload workload) {
         final long middle = (long) (SECONDS / 2 * SECOND_NANOS);
         switch (workload) {
             case COLD_RESTART ->
@@ -58,7 +61,7 @@
             case INSTANCE_LOST, LEADER_LOST -> {
                 final int number =
                         workload == Workload.LEADER_LOST ? LEADER_INSTANCE : LOST_INSTANCE;
-                flow.lossAt(middle);
+                outcomes.lossAt(middle);
                 fleet.clock().after(middle, () -> fleet.lose(fleet.instance("i" + number), flow));
             }
             default -> {
--- a/bench/src/main/java/org/crocushaven/bench/measure/RequestFlow.java
+++ b/bench/src/main/java/org/crocushaven/bench/measure/RequestFlow.java
@@ -1,6 +1,5 @@
 package org.crocushaven.bench.measure;
 
-import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Optional;
@@ -8,7 +7,6 @@
 import org.crocushaven.admission.Charge;
 import org.crocushaven.admission.LoadPriority;
 import org.crocushaven.admission.LoadRequest;
-import org.crocushaven.admission.TokenBucket;
 import org.crocushaven.configuration.AdapterVersion;
 import org.crocushaven.configuration.Organisation;
 import org.crocushaven.placement.DispatcherAction;
@@ -18,7 +16,7 @@
 import org.crocushaven.routing.RouteQuery;
 import org.crocushaven.routing.RoutingDecision;
 
-/** Carries requests through charge, routing, permit and answer, and counts the outcome. */
+/** Carries requests through charge, routing, permit and answer. */
 final class RequestFlow {
     private static final long MILLISECOND = 1_000_000L;
     private static final long SECOND = 1_000 * MILLISECOND;
@@ -27,7 +25,6 @@
     private static final long ENGINE_LINK_NANOS = 500_000;
     private static final long INTERACTIVE_DEADLINE_NANOS = 30 * SECOND;
     private static final long BATCH_DEADLINE_NANOS = 120 * SECOND;
-    private static final long AFTER_LOSS_NANOS = 10 * SECOND;
     private static final int INTERACTIVE_URGENCY = 3;
     private static final int BATCH_URGENCY = 6;
     private static final int MAXIMUM_ATTEMPTS = 4;
@@ -36,58 +33,24 @@
     private final Fleet fleet;
     private final VirtualClock clock;
     private final List<Organisation> organisations;
-    private final List<TokenBucket> ideal = new ArrayList<>();
-    private final List<UsageBound> bounds = new ArrayList<>();
-    private final RunResult result = new RunResult();
-    private final long countFromNanos;
+    private final FlowOutcomes outcomes;
     private final double loadFailurePart;
-    private final int overRate;
-    private long lossNanos = Long.MAX_VALUE;
     private long identifiers;
 
-    /**
-     * Creates the flow.
-     *
-     * @param overRate index of an organisation that sends more than its rate, so that a refusal of
-     *     its requests is not wrongful; -1 for none
-     */
-    RequestFlow(Fleet fleet, long countFromNanos, double loadFailurePart, int overRate) {
+    RequestFlow(Fleet fleet, FlowOutcomes outcomes, double loadFailurePart) {
         this.fleet = fleet;
         this.clock = fleet.clock();
         this.organisations = fleet.deployment().organisations();
-        this.countFromNanos = countFromNanos;
+        this.outcomes = outcomes;
         this.loadFailurePart = loadFailurePart;
-        this.overRate = overRate;
-        for (final Organisation organisation : organisations) {
-            final double rate = organisation.tokensPerSecond();
-            final double burst = organisation.burstTokens();
-            ideal.add(TokenBucket.create(rate, burst, burst, 0));
-            bounds.add(new UsageBound(rate, burst));
-        }
-    }
-
-    RunResult result() {
-        return result;
-    }
-
-    List<UsageBound> bounds() {
-        return bounds;
-    }
-
-    void lossAt(long nanos) {
-        lossNanos = nanos;
     }
 
     void arrive(Arrival arrival) {
         final FleetInstance instance = fleet.liveInstance(arrival.instance());
-        final boolean inside =
-                arrival.organisation() != overRate
-                        && ideal.get(arrival.organisation())
-                                .tryTake(arrival.charge(), clock.nowNanos());
-        final RequestRun run = new RequestRun("r" + identifiers++, arrival, instance, inside);
-        if (isCounted(run)) {
-            result.arrived(arrival.organisation(), arrival.used(), inside, isAfterLoss(run));
-        }
+        final RequestRun run =
+                new RequestRun(
+                        "r" + identifiers++, arrival, instance, outcomes.tryTakeIdeal(arrival));
+        outcomes.arrived(run);
         if (!tryCharge(run)) {
             instance.waitingForTokens().add(run);
             askForTokens(instance);
@@ -103,7 +66,7 @@
                 waiting.remove();
             } else if (clock.nowNanos() - run.arrival().atNanos() >= TOKEN_PATIENCE_NANOS) {
                 waiting.remove();
-                refuse(run, ResultCode.RATE_EXCEEDED);
+                outcomes.refused(run, ResultCode.RATE_EXCEEDED);
             }
         }
         if (instance.waitingForTokens().isEmpty()) {
@@ -201,7 +164,7 @@
                                         Set.copyOf(run.tried()),
                                         clock.nowNanos()));
         if (decision.candidates().isEmpty()) {
-            refuse(run, ResultCode.NO_BACKEND_SERVER);
+            outcomes.refused(run, ResultCode.NO_BACKEND_SERVER);
             return;
         }
         final RoutingDecision.Candidate candidate = decision.candidates().get(0);
@@ -269,26 +232,23 @@
         final boolean missedLoad =
                 refusal.code() == ResultCode.DEADLINE_PASSED
                         && !slot.dispatcher().summary().loaded().contains(run.arrival().version());
-        if (missedLoad && isCounted(run)) {
-            result.stalled(clock.nowNanos() - run.arrival().atNanos());
+        if (missedLoad) {
+            outcomes.missedLoad(run);
         }
         clock.after(fleet.link(slot.host(), run.instance()), () -> tryNext(run, refusal.code()));
     }
 
     private void firstToken(RequestRun run, long atNanos) {
-        if (run.instance().isAlive() && isCounted(run)) {
-            result.firstToken(run.arrival().organisation(), atNanos - run.arrival().atNanos());
-            if (run.stalledNanos() >= 0) {
-                result.stalled(run.stalledNanos());
-            }
+        if (run.instance().isAlive()) {
+            outcomes.firstToken(run, atNanos);
         }
     }
 
     private void ended(DispatcherSlot slot, RequestRun run, PermitOutcome outcome) {
         slot.permitted().remove(run.identifier());
         if (!run.instance().isAlive()) {
-            result.cut();
-            use(run, run.arrival().used());
+            outcomes.cut();
+            outcomes.used(run);
             return;
         }
         if (slot.dispatcher() != null) {
@@ -300,15 +260,13 @@
             return;
         }
         settle(run, run.arrival().used());
-        use(run, run.arrival().used());
-        if (isCounted(run)) {
-            result.served(run.arrival().organisation(), run.arrival().used());
-        }
+        outcomes.used(run);
+        outcomes.served(run);
     }
 
     private void tryNext(RequestRun run, ResultCode code) {
         if (!run.instance().isAlive()) {
-            result.cut();
+            outcomes.cut();
             return;
         }
         final boolean again =
@@ -321,25 +279,12 @@
             return;
         }
         settle(run, 0);
-        refuse(run, code);
+        outcomes.refused(run, code);
     }
 
     private void settle(RequestRun run, long used) {
         run.instance().shares().settle(run.charge(), used, clock.nowNanos());
-        if (run.isInsideRate()) {
-            ideal.get(run.arrival().organisation())
-                    .add(run.arrival().charge() - used, clock.nowNanos());
-        }
-    }
-
-    private void use(RequestRun run, long tokens) {
-        bounds.get(run.arrival().organisation()).used(run.chargedNanos(), tokens);
-    }
-
-    private void refuse(RequestRun run, ResultCode code) {
-        if (isCounted(run)) {
-            result.refused(code, run.isInsideRate(), isAfterLoss(run));
-        }
+        outcomes.settled(run, used);
     }
 
     private void order(DispatcherSlot slot, DispatcherAction.OrderLoad order) {
@@ -386,15 +331,6 @@
                                         }));
     }
 
-    private boolean isCounted(RequestRun run) {
-        return run.arrival().atNanos() >= countFromNanos;
-    }
-
-    private boolean isAfterLoss(RequestRun run) {
-        final long since = run.arrival().atNanos() - lossNanos;
-        return since >= 0 && since < AFTER_LOSS_NANOS;
-    }
-
     private static long deadline(Arrival arrival) {
         return arrival.atNanos()
                 + (arrival.interactive() ? INTERACTIVE_DEADLINE_NANOS : BATCH_DEADLINE_NANOS);
