Let the tests' observers ignore in one place what they do not observe

Four test classes wrote the same empty methods of ForwardingObserver, so each new method of it changed all four. IgnoringObserver holds them; the tests override what they record, and check what they checked. 64 tests of seven classes pass.

--- a/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
@@ -379,53 +379,22 @@
         }
     }
 
-    private final class Recorder implements ForwardingObserver {
+    private final class Recorder extends IgnoringObserver {
         @Override
         public void sent(
                 IngressRequest request, BackendRecord backend, int attempt, int requestsAtBackend) {
             sent.add(backend.backend());
         }
 
-        @Override
-        public void sentToLeaving(
-                IngressRequest request,
-                String backend,
-                String state,
-                long sinceArrivalMillis,
-                long adapterWaitMillis) {}
-
-        @Override
-        public void leavingAnnounced(IngressRequest request, String backend) {}
-
-        @Override
-        public void pauseAnnounced(IngressRequest request, String backend, long millis) {}
-
-        @Override
-        public void attemptFailed(
-                IngressRequest request,
-                BackendRecord backend,
-                int attempt,
-                boolean mayHaveRun,
-                String reason) {}
-
         @Override
         public void retryUnavailable(IngressRequest request, String what) {
             missing.add(what);
         }
 
-        @Override
-        public void foreignAnswer(IngressRequest request, String backend, int attempt) {}
-
         @Override
         public void ended(ForwardingSummary summary) {
             ended.add(summary.code());
         }
-
-        @Override
-        public void refusedBeforeDecoding(ResultCode code, String detail, boolean answerUnderWay) {}
-
-        @Override
-        public void faulted(Throwable fault, boolean answerUnderWay) {}
     }
 
     private static final class NoLeader implements LeaderRequests {
--- /dev/null
+++ b/daemon/src/test/java/org/crocushaven/forwarding/IgnoringObserver.java
@@ -0,0 +1,49 @@
+package org.crocushaven.forwarding;
+
+import org.crocushaven.fleet.BackendRecord;
+import org.crocushaven.ingress.IngressRequest;
+import org.crocushaven.result.ResultCode;
+
+/** Ignores everything; tests override what they observe. */
+class IgnoringObserver implements ForwardingObserver {
+    @Override
+    public void sent(
+            IngressRequest request, BackendRecord backend, int attempt, int requestsAtBackend) {}
+
+    @Override
+    public void sentToLeaving(
+            IngressRequest request,
+            String backend,
+            String state,
+            long sinceArrivalMillis,
+            long adapterWaitMillis) {}
+
+    @Override
+    public void leavingAnnounced(IngressRequest request, String backend) {}
+
+    @Override
+    public void pauseAnnounced(IngressRequest request, String backend, long millis) {}
+
+    @Override
+    public void attemptFailed(
+            IngressRequest request,
+            BackendRecord backend,
+            int attempt,
+            boolean mayHaveRun,
+            String reason) {}
+
+    @Override
+    public void retryUnavailable(IngressRequest request, String missing) {}
+
+    @Override
+    public void foreignAnswer(IngressRequest request, String backend, int attempt) {}
+
+    @Override
+    public void ended(ForwardingSummary summary) {}
+
+    @Override
+    public void refusedBeforeDecoding(ResultCode code, String detail, boolean answerUnderWay) {}
+
+    @Override
+    public void faulted(Throwable fault, boolean answerUnderWay) {}
+}
--- a/daemon/src/test/java/org/crocushaven/forwarding/IngressConnectionTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/IngressConnectionTest.java
@@ -24,7 +24,6 @@
 import org.agrona.concurrent.SystemEpochClock;
 import org.crocushaven.fleet.AdapterGrant;
 import org.crocushaven.fleet.AdapterRequest;
-import org.crocushaven.fleet.BackendRecord;
 import org.crocushaven.fleet.StreamOriginAnswer;
 import org.crocushaven.fleet.StreamOriginQuery;
 import org.crocushaven.ingress.IngressConfiguration;
@@ -232,45 +231,7 @@
         }
     }
 
-    private final class FaultRecorder implements ForwardingObserver {
-        @Override
-        public void sent(
-                IngressRequest request,
-                BackendRecord backend,
-                int attempt,
-                int requestsAtBackend) {}
-
-        @Override
-        public void sentToLeaving(
-                IngressRequest request,
-                String backend,
-                String state,
-                long sinceArrivalMillis,
-                long adapterWaitMillis) {}
-
-        @Override
-        public void attemptFailed(
-                IngressRequest request,
-                BackendRecord backend,
-                int attempt,
-                boolean mayHaveRun,
-                String reason) {}
-
-        @Override
-        public void retryUnavailable(IngressRequest request, String missing) {}
-
-        @Override
-        public void leavingAnnounced(IngressRequest request, String backend) {}
-
-        @Override
-        public void pauseAnnounced(IngressRequest request, String backend, long millis) {}
-
-        @Override
-        public void foreignAnswer(IngressRequest request, String backend, int attempt) {}
-
-        @Override
-        public void ended(ForwardingSummary summary) {}
-
+    private final class FaultRecorder extends IgnoringObserver {
         @Override
         public void refusedBeforeDecoding(ResultCode code, String detail, boolean answerUnderWay) {
             unreadable.add(code);
--- a/daemon/src/test/java/org/crocushaven/forwarding/NoticeFixture.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/NoticeFixture.java
@@ -50,7 +50,6 @@
 import org.crocushaven.ingress.RouteKind;
 import org.crocushaven.ingress.WeightedService;
 import org.crocushaven.outbound.BackendPool;
-import org.crocushaven.result.ResultCode;
 import org.crocushaven.result.ResultException;
 
 /**
@@ -337,22 +336,7 @@
     }
 
     /** Records reported notices. */
-    private final class NoticeRecorder implements ForwardingObserver {
-        @Override
-        public void sent(
-                IngressRequest request,
-                BackendRecord backend,
-                int attempt,
-                int requestsAtBackend) {}
-
-        @Override
-        public void sentToLeaving(
-                IngressRequest request,
-                String backend,
-                String state,
-                long sinceArrivalMillis,
-                long adapterWaitMillis) {}
-
+    private final class NoticeRecorder extends IgnoringObserver {
         @Override
         public void leavingAnnounced(IngressRequest request, String backend) {
             notices.add("leaving " + backend);
@@ -362,29 +346,6 @@
         public void pauseAnnounced(IngressRequest request, String backend, long millis) {
             notices.add("paused " + backend + ' ' + millis);
         }
-
-        @Override
-        public void attemptFailed(
-                IngressRequest request,
-                BackendRecord backend,
-                int attempt,
-                boolean mayHaveRun,
-                String reason) {}
-
-        @Override
-        public void foreignAnswer(IngressRequest request, String backend, int attempt) {}
-
-        @Override
-        public void ended(ForwardingSummary summary) {}
-
-        @Override
-        public void refusedBeforeDecoding(ResultCode code, String detail, boolean answerUnderWay) {}
-
-        @Override
-        public void retryUnavailable(IngressRequest request, String what) {}
-
-        @Override
-        public void faulted(Throwable fault, boolean answerUnderWay) {}
     }
 
     /** Records the result of one request. */
--- a/daemon/src/test/java/org/crocushaven/forwarding/RequestForwardingTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/RequestForwardingTest.java
@@ -242,49 +242,12 @@
     }
 
     /** Records to which backend servers requests are sent. */
-    private final class SendRecorder implements ForwardingObserver {
+    private final class SendRecorder extends IgnoringObserver {
         @Override
         public void sent(
                 IngressRequest request, BackendRecord backend, int attempt, int requestsAtBackend) {
             sent.add(backend.backend());
         }
-
-        @Override
-        public void sentToLeaving(
-                IngressRequest request,
-                String backend,
-                String state,
-                long sinceArrivalMillis,
-                long adapterWaitMillis) {}
-
-        @Override
-        public void leavingAnnounced(IngressRequest request, String backend) {}
-
-        @Override
-        public void pauseAnnounced(IngressRequest request, String backend, long millis) {}
-
-        @Override
-        public void attemptFailed(
-                IngressRequest request,
-                BackendRecord backend,
-                int attempt,
-                boolean mayHaveRun,
-                String reason) {}
-
-        @Override
-        public void retryUnavailable(IngressRequest request, String missing) {}
-
-        @Override
-        public void foreignAnswer(IngressRequest request, String backend, int attempt) {}
-
-        @Override
-        public void ended(ForwardingSummary summary) {}
-
-        @Override
-        public void refusedBeforeDecoding(ResultCode code, String detail, boolean answerUnderWay) {}
-
-        @Override
-        public void faulted(Throwable fault, boolean answerUnderWay) {}
     }
 
     /** Records refusals. */
