Split the forwarding of a request by concern

No change of behaviour; the tests of the package are unchanged. What is where now:

- ForwardedRequest: what is known of the request, its limits and attempts
- TargetWait: the waits for a target and for its adapter
- AttemptFailures: what follows when an attempt fails
- AttemptSuccession: whose answer is forwarded, the silent backend server's or its replacement's
- StreamForwarding: the events of a stream
- RequestEnd: answer, refusal or abort, time limit, report

--- /dev/null
+++ b/daemon/src/main/java/org/crocushaven/forwarding/ForwardedRequest.java
@@ -0,0 +1,147 @@
+package org.crocushaven.forwarding;
+
+import java.util.concurrent.TimeUnit;
+import org.crocushaven.ingress.IngressRequest;
+import org.crocushaven.ingress.IngressRoute;
+
+/**
+ * Contains what is known of a request while it is served: its limits, its attempts and how far its
+ * answer has come. Used on the event loop only.
+ */
+final class ForwardedRequest {
+    private final ForwardingEnvironment environment;
+    private final IngressRequest request;
+    private final long arrivedNanos;
+    private final RequestAdmission admission;
+    private final StreamContinuation continuation;
+    private final RetryState retries = new RetryState();
+    private final AttemptsInFlight attempts;
+    private String lastBackend = "-";
+    private String lastSoftwareVersion = "-";
+    private long adapterWaitMillis;
+    private int requestsAtBackend;
+    private boolean streamStarted;
+    private boolean done;
+    private long firstByteNanos;
+
+    ForwardedRequest(ForwardingEnvironment environment, IngressRequest request) {
+        this.environment = environment;
+        this.request = request;
+        this.arrivedNanos = environment.nowNanos();
+        this.admission = new RequestAdmission(environment, request);
+        this.continuation = new StreamContinuation(environment, request, admission);
+        this.attempts = new AttemptsInFlight(environment.view());
+    }
+
+    ForwardingEnvironment environment() {
+        return environment;
+    }
+
+    IngressRequest request() {
+        return request;
+    }
+
+    long arrivedNanos() {
+        return arrivedNanos;
+    }
+
+    RequestAdmission admission() {
+        return admission;
+    }
+
+    StreamContinuation continuation() {
+        return continuation;
+    }
+
+    RetryState retries() {
+        return retries;
+    }
+
+    AttemptsInFlight attempts() {
+        return attempts;
+    }
+
+    IngressRoute route() {
+        return admission.route();
+    }
+
+    /** Returns the time, in milliseconds, until the deadline or the route's time limit. */
+    long remainingMillis() {
+        final long limit =
+                Math.min(request.deadlineMillis().orElse(Long.MAX_VALUE), route().timeoutMillis());
+        return limit - TimeUnit.NANOSECONDS.toMillis(environment.nowNanos() - arrivedNanos);
+    }
+
+    boolean isDone() {
+        return done;
+    }
+
+    void recordDone() {
+        done = true;
+    }
+
+    /** Returns whether what an attempt brings is of no use any more. */
+    boolean isStale(BackendAttempt from) {
+        return done || !attempts.contains(from);
+    }
+
+    boolean isStreamStarted() {
+        return streamStarted;
+    }
+
+    void recordStreamStarted() {
+        streamStarted = true;
+    }
+
+    /** Returns the time of the answer's first byte; 0 while there is none. */
+    long firstByteNanos() {
+        return firstByteNanos;
+    }
+
+    void recordFirstByte() {
+        firstByteNanos = environment.nowNanos();
+    }
+
+    long adapterWaitMillis() {
+        return adapterWaitMillis;
+    }
+
+    void recordAdapterWait(long delayMillis) {
+        adapterWaitMillis += delayMillis;
+    }
+
+    int requestsAtBackend() {
+        return requestsAtBackend;
+    }
+
+    void recordRequestsAtBackend(int requests) {
+        requestsAtBackend = requests;
+    }
+
+    /** Returns the backend server of the last attempt; "-" while there is none. */
+    String lastBackend() {
+        return lastBackend;
+    }
+
+    String lastSoftwareVersion() {
+        return lastSoftwareVersion;
+    }
+
+    /** Counts a further attempt and returns its number. */
+    int recordAttempt(Target target) {
+        lastBackend = target.backend().backend();
+        lastSoftwareVersion = target.backend().softwareVersion();
+        final int number = retries.recordSend(lastBackend);
+        if (number == 1) {
+            environment.retryBudget().recordSend(admission.service());
+        }
+        return number;
+    }
+
+    void reportFailedAttempt(BackendAttempt failed, boolean mayHaveRun, String reason) {
+        environment
+                .observer()
+                .attemptFailed(
+                        request, failed.target().backend(), failed.number(), mayHaveRun, reason);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocushaven/forwarding/TargetWait.java
@@ -0,0 +1,109 @@
+package org.crocushaven.forwarding;
+
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.crocushaven.result.ResultException;
+
+/**
+ * Waits until there is a backend server for one request, and until that is ready for it. Used on
+ * the event loop only.
+ */
+final class TargetWait {
+    private final ForwardedRequest served;
+    private final ForwardingEnvironment environment;
+    private final RequestEnd end;
+    private final RequestForwarding forwarding;
+
+    /**
+     * Creates the waits of one request.
+     *
+     * @param forwarding sends the request to the target
+     */
+    TargetWait(ForwardedRequest served, RequestEnd end, RequestForwarding forwarding) {
+        this.served = served;
+        this.environment = served.environment();
+        this.end = end;
+        this.forwarding = forwarding;
+    }
+
+    /** Looks for a backend server and sends the request to it, or ends the request. */
+    void find() {
+        forwarding.orEnd(
+                () ->
+                        new TargetFinder(environment)
+                                .find(
+                                        served.admission().service(),
+                                        served.request(),
+                                        served.retries().excluded(),
+                                        served.continuation())
+                                .whenComplete(
+                                        (target, failure) ->
+                                                ifNotDone(() -> found(target, failure))));
+    }
+
+    private void found(Target target, Throwable failure) {
+        if (failure instanceof ResultException refusal) {
+            end.keepRefusal(refusal);
+            if (served.retries().sends() > 0) {
+                environment.observer().retryUnavailable(served.request(), "target");
+            }
+            end.giveUp();
+        } else if (failure != null) {
+            end.afterFault(failure);
+        } else if (target.delayMillis() > 0) {
+            sendLater(target, target.delayMillis());
+        } else {
+            forwarding.send(target);
+        }
+    }
+
+    /** Sends the request to a target after a wait for its adapter. */
+    void sendLater(Target target, long delayMillis) {
+        waitForAdapter(target, delayMillis, () -> ifNotDone(() -> sendAfterWait(target)));
+    }
+
+    /** Runs an action after a wait for an adapter, which counts as a request there meanwhile. */
+    void waitForAdapter(Target target, long delayMillis, Runnable then) {
+        final String backend = target.backend().backend();
+        served.recordAdapterWait(delayMillis);
+        environment.view().requestStarted(backend, target.key());
+        environment
+                .loop()
+                .schedule(
+                        () -> {
+                            environment.view().requestEnded(backend, target.key());
+                            then.run();
+                        },
+                        delayMillis,
+                        TimeUnit.MILLISECONDS);
+    }
+
+    /** Sends a request to the target that it waited for, or looks for another if that one left. */
+    private void sendAfterWait(Target target) {
+        final Optional<Target> usable = stillUsable(target);
+        if (usable.isPresent()) {
+            forwarding.send(usable.get());
+        } else {
+            served.retries().exclude(target.backend().backend());
+            forwarding.tryAnother();
+        }
+    }
+
+    /** Returns the target with what is known of its backend server now, if that may be used. */
+    Optional<Target> stillUsable(Target target) {
+        return environment
+                .view()
+                .find(target.backend().backend())
+                .filter(
+                        record ->
+                                environment.view().acceptsRequests(record, environment.nowNanos()))
+                .filter(served.continuation()::allows)
+                .map(target::with);
+    }
+
+    private void ifNotDone(Runnable step) {
+        if (!served.isDone()) {
+            forwarding.orEnd(step);
+        }
+    }
+}
