Bound the memory of whole answers that are collected

What callers saw: one backend server that writes an answer without end fills the memory of a gateway, which serves all others too. Cause: BackendAttempt copied a whole answer into its body without a bound.

Change: an answer holds 16 MiB at most, all answers of a gateway 48 MiB together, and each at most as much as it leaves free (AnswerMemory), so that answers without end are refused before they take the room of short ones. What does not fit closes the connection and counts as a failed attempt that may have run: another backend server where the route allows it, else 502. The memory is returned when the attempt is cut or the request ends.

AnswerMemoryTest shows the room left for short ones.

--- a/daemon/src/main/java/org/crocushaven/forwarding/BackendAttempt.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/BackendAttempt.java
@@ -1,7 +1,6 @@
 package org.crocushaven.forwarding;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -21,7 +20,7 @@
     private AnswerKind answerKind = AnswerKind.AWAITING_HEAD;
     private HttpResponseStatus status;
     private HttpHeaders headers;
-    private ByteBuf body = Unpooled.EMPTY_BUFFER;
+    private AnswerBody body;
 
     BackendAttempt(RequestForwarding forwarding, Target target, int number) {
         this.forwarding = forwarding;
@@ -47,7 +46,7 @@
 
     /** Returns the complete body and transfers its reference to the caller. */
     ByteBuf body() {
-        return body;
+        return body.bytes();
     }
 
     void opened(BackendChannel opened) {
@@ -64,6 +63,13 @@
         if (channel != null) {
             channel.abort();
         }
+        discardBody();
+    }
+
+    private void discardBody() {
+        if (body != null) {
+            body.discard();
+        }
     }
 
     void setAutoRead(boolean autoRead) {
@@ -98,7 +104,7 @@
             forwarding.streamAnswered(this);
         } else {
             answerKind = AnswerKind.COMPLETE_BODY;
-            body = Unpooled.buffer();
+            body = forwarding.newAnswerBody();
         }
         return true;
     }
@@ -107,8 +113,9 @@
     public void content(ByteBuf data) {
         if (answerKind == AnswerKind.EVENT_STREAM) {
             forwarding.streamDataReceived(this, data);
-        } else if (answerKind == AnswerKind.COMPLETE_BODY) {
-            body.writeBytes(data);
+        } else if (answerKind == AnswerKind.COMPLETE_BODY && !body.tryAdd(data)) {
+            abort();
+            forwarding.handleFailure(this, true, "answer too large");
         }
     }
 
@@ -131,6 +138,7 @@
 
     @Override
     public void failed(boolean mayHaveRun, String reason) {
+        discardBody();
         forwarding.handleFailure(this, mayHaveRun && answerKind != AnswerKind.NOT_RUN, reason);
     }
 
--- a/daemon/src/main/java/org/crocushaven/forwarding/ForwardedRequest.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/ForwardedRequest.java
@@ -1,8 +1,11 @@
 package org.crocushaven.forwarding;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.crocushaven.ingress.IngressRequest;
 import org.crocushaven.ingress.IngressRoute;
+import org.crocushaven.outbound.AnswerMemory;
 
 /**
  * Contains what is known of a request while it is served: its limits, its attempts and how far its
@@ -16,6 +19,7 @@
     private final StreamContinuation continuation;
     private final RetryState retries = new RetryState();
     private final AttemptsInFlight attempts;
+    private final List<AnswerMemory.Share> answerShares = new ArrayList<>();
     private String lastBackend = "-";
     private String lastSoftwareVersion = "-";
     private long adapterWaitMillis;
@@ -80,6 +84,17 @@
         done = true;
     }
 
+    /** Returns the memory of a further answer, which is returned at the end of the request. */
+    AnswerMemory.Share answerShare(long maximumBytes) {
+        final AnswerMemory.Share share = environment.pool().answerMemory().share(maximumBytes);
+        answerShares.add(share);
+        return share;
+    }
+
+    void releaseAnswerShares() {
+        answerShares.forEach(AnswerMemory.Share::release);
+    }
+
     /** Returns whether what an attempt brings is of no use any more. */
     boolean isStale(BackendAttempt from) {
         return done || !attempts.contains(from);
--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestEnd.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestEnd.java
@@ -164,6 +164,7 @@
             limitTimer.cancel(false);
         }
         succession.endAll(code == ResultCode.OK);
+        served.releaseAnswerShares();
         served.admission().abandon();
         if (code != ResultCode.OK && !retries.mayHaveRun()) {
             served.admission().refund();
--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.crocushaven.ingress.IngressRequest;
 import org.crocushaven.ingress.RouteKind;
+import org.crocushaven.outbound.AnswerMemory;
 import org.crocushaven.result.ResultCode;
 import org.crocushaven.result.ResultException;
 
@@ -130,6 +131,10 @@
                 .foreignAnswer(request(), from.target().backend().backend(), from.number());
     }
 
+    AnswerBody newAnswerBody() {
+        return new AnswerBody(served.answerShare(AnswerMemory.MAXIMUM_ANSWER_BYTES));
+    }
+
     void streamAnswered(BackendAttempt from) {
         succession.streamAnswered(from);
     }
--- a/daemon/src/main/java/org/crocushaven/outbound/BackendPool.java
+++ b/daemon/src/main/java/org/crocushaven/outbound/BackendPool.java
@@ -42,6 +42,7 @@
     private final EventLoop loop;
     private final NanoClock clock;
     private final Map<InetSocketAddress, Deque<BackendChannel>> idle = new HashMap<>();
+    private final AnswerMemory answerMemory = new AnswerMemory();
 
     private BackendPool(EventLoop loop, NanoClock clock) {
         this.loop = loop;
@@ -53,6 +54,11 @@
         return new BackendPool(loop, clock);
     }
 
+    /** Returns the memory of the answers that come on the connections. */
+    public AnswerMemory answerMemory() {
+        return answerMemory;
+    }
+
     /**
      * Returns a connection that carries no request.
      *
--- a/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
@@ -58,6 +58,8 @@
     private static final String ORGANISATION = "first";
     private static final String KEY = "key";
     private static final String NOT_RUN = "Not-Run";
+    private static final String UNSIGNED = "Unsigned";
+    private static final String REQUEST_ID = "Request-Id";
     private static final String LAST_EVENT_ID = "Last-Event-Id";
 
     private final EventLoopGroup group =
@@ -99,12 +101,17 @@
 
     /** Announces a backend server. */
     void announce(StandInServer server, int requestSlots, String softwareVersion) {
+        announce(server.name(), server.port(), requestSlots, softwareVersion);
+    }
+
+    /** Announces a backend server by its name and port. */
+    void announce(String name, int port, int requestSlots, String softwareVersion) {
         records.add(
                 new BackendRecord(
-                        server.name(),
+                        name,
                         SERVICE,
                         "127.0.0.1",
-                        server.port(),
+                        port,
                         "a",
                         BackendState.READY,
                         false,
@@ -134,11 +141,16 @@
 
     /** Occupies slots of a backend server. */
     void occupy(StandInServer server, int requests) throws Exception {
+        occupy(server.name(), requests);
+    }
+
+    /** Occupies slots of the backend server with the given name. */
+    void occupy(String backend, int requests) throws Exception {
         loop.submit(
                         () -> {
                             environment();
                             for (int request = 0; request < requests; request++) {
-                                view.requestStarted(server.name(), null);
+                                view.requestStarted(backend, null);
                             }
                         })
                 .get();
@@ -149,6 +161,23 @@
         return loop.submit(() -> view.requestsAt(server.name())).get();
     }
 
+    /** Returns the number of bytes that the gateway holds of answers that are not forwarded yet. */
+    long answerBytes() throws Exception {
+        return loop.submit(() -> environment().pool().answerMemory().heldBytes()).get();
+    }
+
+    /** Returns the highest number of such bytes that it held at any time. */
+    long highestAnswerBytes() throws Exception {
+        return loop.submit(() -> environment().pool().answerMemory().highestBytes()).get();
+    }
+
+    /** Starts to measure for how long the event loop is held up. */
+    LoopWatch watchLoop() {
+        final LoopWatch watch = new LoopWatch();
+        loop.execute(watch::check);
+        return watch;
+    }
+
     /** Makes the creation of requests to backend servers fail unexpectedly. */
     void failHeaders() {
         headersFail = true;
@@ -379,6 +408,26 @@
         }
     }
 
+    /** Measures for how long the event loop is held up. */
+    final class LoopWatch {
+        private static final long CHECK_MILLIS = 5;
+
+        private long lastNanos = System.nanoTime();
+        private volatile long longestNanos;
+
+        /** Returns the longest time, in milliseconds, between two turns of the event loop. */
+        long longestMillis() {
+            return TimeUnit.NANOSECONDS.toMillis(longestNanos);
+        }
+
+        private void check() {
+            final long nowNanos = System.nanoTime();
+            longestNanos = Math.max(longestNanos, nowNanos - lastNanos);
+            lastNanos = nowNanos;
+            loop.schedule(this::check, CHECK_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
     private final class Recorder extends IgnoringObserver {
         @Override
         public void sent(
@@ -414,7 +463,10 @@
         }
     }
 
-    /** Takes every answer as signed, and those with a header named Not-Run as not run. */
+    /**
+     * Takes answers without a header named Unsigned as signed, and those with one named Not-Run as
+     * not run.
+     */
     private final class TestDialect implements IngressDialect {
         @Override
         public IngressRequest decodeRequest(HttpRequest head) {
@@ -432,8 +484,8 @@
         @Override
         public BackendAnswerHead decodeAnswer(HttpResponse head) {
             return new BackendAnswerHead(
-                    Optional.empty(),
-                    true,
+                    Optional.ofNullable(head.headers().get(REQUEST_ID)),
+                    !head.headers().contains(UNSIGNED),
                     head.headers().contains(NOT_RUN),
                     Optional.empty(),
                     false,
