--- a/daemon/src/main/java/org/crocushaven/instance/ForwardingLog.java
+++ b/daemon/src/main/java/org/crocushaven/instance/ForwardingLog.java
@@ -13,6 +13,7 @@
 import org.crocushaven.forwarding.ForwardingObserver;
 import org.crocushaven.forwarding.ForwardingSummary;
 import org.crocushaven.ingress.IngressRequest;
+import org.crocushaven.ingress.PromptPart;
 import org.crocushaven.observability.EventLine;
 import org.crocushaven.result.ResultCode;
 
@@ -176,6 +177,9 @@
                 .with("attempt", attempt)
                 .with("may_have_run", mayHaveRun)
                 .with("reason", reason)
+                .with("started_ms", backend.startedMillis())
+                .with("model", request.model().map(Object::toString).orElse("-"))
+                .with("parts", PromptPart.list(request.promptParts()))
                 .info();
     }
 
