Keep prompts that crash backend servers away from them

Cause: a failure that follows the request was put down to the backend server: it was excluded, and the request and all others with the part went to the next one. No instance knew parts of prompts but for affinity. Change: a gateway tells the leader of each request whose connection ended before its answer went on (a second event, or a whole answer), with those parts of its prompt on which it has seen no answer go on in the last minute; it opens one connection to the address, and tells if that refuses. The leader joins the reports of all gateways by start of the backend server. A part that was in three crashes (those within 200 ms count once) under three different requests, and that no gateway has seen go on, is condemned, together with those that were always with it. The verdict is replicated, so that each later leader and each new gateway has it at once. A request whose prompt has all of its parts, other than as the last, is refused with 1412 before it is charged, and before every send; after two crashes of a suspect part its requests are not repeated and get no replacement. An answer on it that goes on ends the verdict, else at most two single probes (after 2 and 20 minutes) or an hour without such a request.

--- a/daemon/src/main/java/org/crocushaven/fleet/ControlInstance.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/ControlInstance.java
@@ -62,6 +62,10 @@
     private StreamDirectory streams;
 
     private long streamsTerm;
+
+    /** Decides on parts of prompts, for the last term in which this instance led. */
+    private PartVerdicts verdicts;
+
     private long distrustedUntilNanos;
     private long ticks;
     private boolean stopped;
@@ -400,12 +404,31 @@
                         settings.orderPauseMillis(),
                         settings.rateSlack(),
                         this::proposeRegistration,
-                        streams);
+                        streams,
+                        verdictsOf(term));
         registry.present().forEach(leader::announced);
         final FleetUpdateNotice notice = new FleetUpdateNotice(settings.instance());
         state.gateways().forEach(gateway -> transport.send(gateway, notice));
     }
 
+    /** Keeps the evidence of the same term, because gateways do not report it again. */
+    private PartVerdicts verdictsOf(long term) {
+        if (verdicts == null || verdicts.epoch() != term) {
+            verdicts =
+                    new PartVerdicts(
+                            settings.instance(),
+                            term,
+                            state,
+                            clock,
+                            epochClock,
+                            change ->
+                                    commit(MessageCodec.encodeValue(change))
+                                            .thenRun(this::applyCommitted),
+                            notices::request);
+        }
+        return verdicts;
+    }
+
     /**
      * Keeps what gateways reported earlier in the same term, because they do not report it again.
      */
--- a/daemon/src/main/java/org/crocushaven/fleet/FleetLeader.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/FleetLeader.java
@@ -36,6 +36,7 @@
     private final BackendChanges changes;
     private final LeaderLoad load;
     private final StreamDirectory streams;
+    private final PartVerdicts verdicts;
     private long configuredRevision = -1;
     private Optional<IngressConfiguration> configuration = Optional.empty();
     private long passedNanos;
@@ -48,6 +49,7 @@
      *     of an earlier leader may still arrive
      * @param registration proposes changes of the gateways that may hold shares
      * @param streams where the streams began that gateways reported in this term
+     * @param verdicts decides on parts of prompts in this term
      */
     FleetLeader(
             EngineOrderContext orders,
@@ -57,7 +59,8 @@
             long orderPauseMillis,
             double rateSlack,
             Consumer<FleetCommand> registration,
-            StreamDirectory streams) {
+            StreamDirectory streams,
+            PartVerdicts verdicts) {
         this.epoch = orders.token();
         this.registry = registry;
         this.state = state;
@@ -67,6 +70,7 @@
         this.changes = new BackendChanges(TimeUnit.NANOSECONDS.toMicros(nowNanos));
         this.load = new LeaderLoad(nowNanos);
         this.streams = streams;
+        this.verdicts = verdicts;
         this.lending = new ShareLending(epoch, state, registration, rateSlack, nowNanos);
         this.placement =
                 new EnginePlacement(
@@ -102,6 +106,7 @@
     /** Applies an announcement that the registry accepted. */
     void announced(BackendAnnouncement announcement) {
         streams.observe(announcement, clock.nanoTime());
+        verdicts.started(announcement);
         final Optional<EngineProfile> profile = profileOf(announcement.service());
         final Optional<BackendAnnouncement> known = registry.find(announcement.backend());
         if (profile.isPresent() && known.isPresent()) {
@@ -116,6 +121,7 @@
         reports.put(report, nowNanos);
         placement.addStarted(report.uses());
         streams.add(report.streams(), nowNanos);
+        verdicts.report(report, reports.gateways());
         if (nowNanos - passedNanos >= PASS_INTERVAL_NANOS) {
             placement.updateUse(reports.loads(), reports.uses());
             refresh();
@@ -141,7 +147,8 @@
                         reports.otherLoads(report.gateway(), nowNanos),
                         reports.gatewayCount(),
                         controls,
-                        lending.lend(report, nowNanos));
+                        lending.lend(report, nowNanos),
+                        verdicts.update(report, !gatewayHasState));
         load.recordReport(nowNanos, clock.nanoTime(), update.changed().size());
         return update;
     }
@@ -166,6 +173,7 @@
         reports.removeExpired(clock.nanoTime());
         refresh();
         lending.tick(clock.nanoTime());
+        verdicts.tick(reports.gateways());
         placement.tick();
         load.tick(reports.gatewayCount(), changes.present().size(), clock.nanoTime());
     }
--- a/daemon/src/main/java/org/crocushaven/fleet/FleetState.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/FleetState.java
@@ -1,6 +1,7 @@
 package org.crocushaven.fleet;
 
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -11,7 +12,8 @@
 
 /**
  * The replicated state of a fleet: the newest configuration, the newest adapter versions, the
- * gateways that may hold shares, and the backend servers that leave.
+ * gateways that may hold shares, the backend servers that leave, and the verdicts on parts of
+ * prompts.
  *
  * <p>A configuration or adapter version that is not higher than the current one changes nothing.
  * Thread-safe; guarded by its own monitor.
@@ -28,6 +30,8 @@
     private final Set<String> gateways = new TreeSet<>();
     private Set<String> gatewaysView = Set.of();
     private final Map<String, BackendAnnouncement> departures = new TreeMap<>();
+    private final Map<List<Long>, PartVerdict> verdicts = new LinkedHashMap<>();
+    private List<PartVerdict> verdictList = List.of();
 
     /** Returns a state without configuration. */
     public static FleetState create() {
@@ -49,6 +53,7 @@
         decoded.departuresAdded().forEach(this::applyDeparture);
         decoded.departuresRemoved()
                 .forEach(departure -> departures.remove(departure.backend(), departure));
+        applyVerdicts(decoded.verdicts(), index);
         return NO_RESULT;
     }
 
@@ -62,7 +67,8 @@
                         List.copyOf(gateways),
                         List.of(),
                         List.copyOf(departures.values()),
-                        List.of()));
+                        List.of(),
+                        new VerdictChange(verdictList, List.of())));
     }
 
     @Override
@@ -71,6 +77,8 @@
         gateways.clear();
         gatewaysView = Set.of();
         departures.clear();
+        verdicts.clear();
+        verdictList = List.of();
         configurationVersion = 0;
         document = NO_DOCUMENT;
         apply(index, snapshot);
@@ -80,7 +88,7 @@
 
     /** Returns the current state. */
     public synchronized View view() {
-        return new View(revision, configurationVersion, document, adapterVersionList);
+        return new View(revision, configurationVersion, document, adapterVersionList, verdictList);
     }
 
     /** Returns the gateways that may hold shares. */
@@ -120,6 +128,16 @@
         }
     }
 
+    private void applyVerdicts(VerdictChange change, long index) {
+        if (change.isEmpty()) {
+            return;
+        }
+        change.removed().forEach(verdicts::remove);
+        change.put().forEach(verdict -> verdicts.put(verdict.parts(), verdict));
+        verdictList = List.copyOf(verdicts.values());
+        revision = index;
+    }
+
     private void applyVersion(AdapterVersion required, long index) {
         final String key = required.model() + '/' + required.adapter();
         final AdapterVersion known = adapterVersions.get(key);
@@ -137,10 +155,12 @@
      * @param configurationVersion version of the configuration; 0 when none is known
      * @param document the configuration as the operator sent it, compressed
      * @param adapterVersions versions that the operator requires
+     * @param verdicts verdicts on parts of prompts
      */
     public record View(
             long revision,
             long configurationVersion,
             byte[] document,
-            List<AdapterVersion> adapterVersions) {}
+            List<AdapterVersion> adapterVersions,
+            List<PartVerdict> verdicts) {}
 }
--- a/daemon/src/main/java/org/crocushaven/fleet/GatewayReport.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/GatewayReport.java
@@ -18,6 +18,8 @@
  * @param shares its report on organisations' shares
  * @param streams streams that began since the last acknowledged report; none if the gateway runs
  *     software without this component
+ * @param parts what it knows of parts of prompts that may end backend servers; nothing if the
+ *     gateway runs software without this component
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record GatewayReport(
@@ -29,11 +31,13 @@
         List<BackendLoad> loads,
         List<AdapterUse> uses,
         ShareReport shares,
-        List<BegunStreams> streams)
+        List<BegunStreams> streams,
+        PartReport parts)
         implements Message {
     public GatewayReport {
         loads = List.copyOf(loads);
         uses = List.copyOf(uses);
         streams = streams == null ? List.of() : List.copyOf(streams);
+        parts = parts == null ? PartReport.EMPTY : parts;
     }
 }
--- a/daemon/src/main/java/org/crocushaven/fleet/GatewayUpdate.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/GatewayUpdate.java
@@ -25,6 +25,8 @@
  * @param gateways number of gateways that report to this leader
  * @param controlInstances names of the instances that hold control state
  * @param shares answer on organisations' shares; empty while the gateway may not hold any
+ * @param parts parts of prompts that may end backend servers; nothing if the leader runs software
+ *     without this component
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record GatewayUpdate(
@@ -41,7 +43,8 @@
         List<BackendLoad> otherLoads,
         int gateways,
         List<String> controlInstances,
-        Optional<ShareGrant> shares)
+        Optional<ShareGrant> shares,
+        PartUpdate parts)
         implements Message {
     public GatewayUpdate {
         adapterVersions = List.copyOf(adapterVersions);
@@ -49,5 +52,6 @@
         gone = List.copyOf(gone);
         otherLoads = List.copyOf(otherLoads);
         controlInstances = List.copyOf(controlInstances);
+        parts = parts == null ? PartUpdate.EMPTY : parts;
     }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/crocushaven/fleet/PartVerdicts.java
@@ -0,0 +1,186 @@
+package org.crocushaven.fleet;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.agrona.concurrent.EpochClock;
+import org.agrona.concurrent.NanoClock;
+import org.crocushaven.observability.EventLine;
+
+/**
+ * Performs the leader's part in protecting backend servers from parts of prompts that end them:
+ * hears gateways, decides, commits the verdicts so that every later leader has them, and tells the
+ * gateways. One command is proposed at a time. Used on one event loop only.
+ */
+final class PartVerdicts {
+    /** Shortest time between two weighings, which read all evidence. */
+    private static final long WEIGH_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+
+    private final long epoch;
+    private final FleetState state;
+    private final NanoClock clock;
+    private final EpochClock epochClock;
+    private final Function<FleetCommand, CompletableFuture<Void>> proposer;
+    private final Runnable notice;
+    private final PartTrial trial;
+    private final ProbeSchedule probes = new ProbeSchedule();
+    private long weighedNanos;
+    private boolean proposing;
+
+    /**
+     * Creates the verdicts of a term.
+     *
+     * @param instance the instance that leads
+     * @param proposer commits a command; the future completes on the event loop
+     * @param notice tells the gateways that there is news
+     */
+    PartVerdicts(
+            String instance,
+            long epoch,
+            FleetState state,
+            NanoClock clock,
+            EpochClock epochClock,
+            Function<FleetCommand, CompletableFuture<Void>> proposer,
+            Runnable notice) {
+        this.epoch = epoch;
+        this.state = state;
+        this.clock = clock;
+        this.epochClock = epochClock;
+        this.proposer = proposer;
+        this.notice = notice;
+        this.trial = new PartTrial(instance);
+        this.weighedNanos = clock.nanoTime() - WEIGH_INTERVAL_NANOS;
+    }
+
+    /** Returns the term. */
+    long epoch() {
+        return epoch;
+    }
+
+    /** Takes in a gateway's report. */
+    void report(GatewayReport report, Collection<String> gateways) {
+        final long nowNanos = clock.nanoTime();
+        final PartReport parts = answeredHere(report);
+        final boolean isNew = trial.report(report.gateway(), parts, nowNanos);
+        parts.refused().forEach(refused -> probes.refused(refused, report.gateway(), nowNanos));
+        final boolean isOpen = !trial.suspects().isEmpty() || !parts.wentOn().isEmpty();
+        if ((isNew || isOpen) && nowNanos - weighedNanos >= WEIGH_INTERVAL_NANOS) {
+            weigh(gateways);
+        }
+    }
+
+    /** Returns a report with the revision of suspects only if this leader sent it. */
+    private PartReport answeredHere(GatewayReport report) {
+        final PartReport parts = report.parts();
+        return report.epoch() == epoch
+                ? parts
+                : new PartReport(
+                        parts.broken(), parts.ended(), -1, parts.wentOn(), parts.refused());
+    }
+
+    /** Returns what a gateway has to know. */
+    PartUpdate update(GatewayReport report, boolean withState) {
+        final List<PartVerdict> verdicts = state.view().verdicts();
+        return new PartUpdate(
+                trial.revision(),
+                trial.suspects(),
+                withState ? verdicts : List.of(),
+                probes.takeGrants(report.gateway(), verdicts));
+    }
+
+    /** Records an announcement of a backend server. */
+    void started(BackendAnnouncement announcement) {
+        trial.started(announcement, clock.nanoTime());
+    }
+
+    /** Runs the periodic tasks. */
+    void tick(Collection<String> gateways) {
+        weigh(gateways);
+        final long nowNanos = clock.nanoTime();
+        final List<PartVerdict> verdicts = state.view().verdicts();
+        probes.retain(verdicts, nowNanos);
+        final List<List<Long>> forgotten = probes.forgotten(nowNanos);
+        final Optional<PartVerdict> due = probes.due(verdicts, nowNanos);
+        if (!forgotten.isEmpty()) {
+            propose(new VerdictChange(List.of(), forgotten), () -> {});
+        } else if (due.isPresent()) {
+            propose(
+                    new VerdictChange(List.of(due.get().withOneMoreProbe()), List.of()),
+                    () -> grant(due.get()));
+        }
+    }
+
+    private void grant(PartVerdict verdict) {
+        EventLine.of("part-probe-granted")
+                .with("parts", verdict.partList())
+                .with("probe", verdict.probes() + 1)
+                .with("gateway", probes.grant(verdict.parts(), clock.nanoTime()))
+                .warn();
+    }
+
+    private void weigh(Collection<String> gateways) {
+        weighedNanos = clock.nanoTime();
+        final long revisionBefore = trial.revision();
+        final VerdictChange change =
+                trial.weigh(state.view().verdicts(), gateways, clock.nanoTime(), epochClock.time());
+        if (trial.revision() != revisionBefore) {
+            logSuspects();
+            notice.run();
+        }
+        if (!change.isEmpty()) {
+            propose(change, () -> {});
+        }
+    }
+
+    private void propose(VerdictChange change, Runnable then) {
+        if (proposing) {
+            return;
+        }
+        proposing = true;
+        proposer.apply(FleetCommand.verdicts(change))
+                .whenComplete(
+                        (done, failure) -> {
+                            proposing = false;
+                            if (failure == null) {
+                                log(change);
+                                then.run();
+                            }
+                        });
+    }
+
+    private void logSuspects() {
+        for (final PartSuspect suspect : trial.suspects()) {
+            if (suspect.crashes() > 1) {
+                EventLine.of("part-suspected")
+                        .with("part", Long.toHexString(suspect.part()))
+                        .with("crashes", suspect.crashes())
+                        .with("revision", trial.revision())
+                        .info();
+            }
+        }
+    }
+
+    private void log(VerdictChange change) {
+        for (final PartVerdict verdict : change.put()) {
+            EventLine.of("part-condemned")
+                    .with("parts", verdict.partList())
+                    .with("models", String.join(",", verdict.models()))
+                    .with("spared_models", String.join(",", verdict.sparedModels()))
+                    .with("crashes", verdict.crashes())
+                    .with("decided_by", verdict.decidedBy())
+                    .with("decided_ms", verdict.decidedMillis())
+                    .with("probes", verdict.probes())
+                    .with("epoch", epoch)
+                    .warn();
+        }
+        for (final List<Long> removed : change.removed()) {
+            EventLine.of("part-verdict-ended")
+                    .with("parts", removed.stream().map(Long::toHexString).toList())
+                    .with("epoch", epoch)
+                    .warn();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocushaven/fleet/VerdictChange.java
@@ -0,0 +1,25 @@
+package org.crocushaven.fleet;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+import java.util.List;
+
+/**
+ * A change of the verdicts on parts of prompts.
+ *
+ * @param put verdicts that are added, or replace those on the same parts
+ * @param removed the parts of verdicts that end
+ */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+public record VerdictChange(List<PartVerdict> put, List<List<Long>> removed) {
+    /** Changes nothing. */
+    static final VerdictChange NONE = new VerdictChange(List.of(), List.of());
+
+    public VerdictChange {
+        put = List.copyOf(put);
+        removed = List.copyOf(removed);
+    }
+
+    boolean isEmpty() {
+        return put.isEmpty() && removed.isEmpty();
+    }
+}
--- a/daemon/src/main/java/org/crocushaven/forwarding/AttemptFailures.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/AttemptFailures.java
@@ -1,5 +1,7 @@
 package org.crocushaven.forwarding;
 
+import org.crocushaven.result.ResultException;
+
 /**
  * Decides what follows when an attempt of one request fails: another attempt where that is allowed,
  * else the end of the request. Used on the event loop only.
@@ -119,6 +121,34 @@
         }
     }
 
+    /** Handles the end of a connection, also where it looks like the end of an answer. */
+    void connectionEnded(BackendAttempt from) {
+        if (!served.isStale(from)) {
+            final long events = succession.splitterOf(from).eventCount() - from.eventsBefore();
+            served.guard().recordConnectionEnded(from.target().backend(), events);
+        }
+    }
+
+    /** Records the end of an answer; one that ends with its connection may have been broken off. */
+    void answerEnded(BackendAttempt from) {
+        if (from.endsWithConnection()) {
+            connectionEnded(from);
+        } else {
+            served.guard().recordWentOn();
+        }
+    }
+
+    /** Handles an attempt that is not sent since its prompt was condemned meanwhile. */
+    void refuseUnsent(BackendAttempt unsent, ResultException refusal) {
+        final boolean wasReplacement = unsent == attempts.replacement();
+        succession.end(unsent);
+        recordNeverReached(unsent.target().backend().backend(), wasReplacement);
+        if (attempts.isEmpty()) {
+            end.keepRefusal(refusal);
+            end.giveUp();
+        }
+    }
+
     /** Handles an unexpected exception while an attempt was sent. */
     void sendFaulted(BackendAttempt attempt, RuntimeException fault) {
         if (!served.isDone() && attempt == attempts.replacement()) {
@@ -132,10 +162,12 @@
 
     /** Returns whether the request may be sent to another backend server. */
     boolean mayTryAnother() {
-        return retries.mayTryAnother(
-                served.route(),
-                served.isStreamStarted(),
-                succession.splitter().lastEventId().isPresent());
+        final boolean isFirst = attempts.isEmpty() && !retries.mayHaveRun();
+        return (isFirst || served.guard().mayRepeat())
+                && retries.mayTryAnother(
+                        served.route(),
+                        served.isStreamStarted(),
+                        succession.splitter().lastEventId().isPresent());
     }
 
     /**
--- a/daemon/src/main/java/org/crocushaven/forwarding/AttemptSender.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/AttemptSender.java
@@ -7,6 +7,7 @@
 import org.crocushaven.fleet.BackendRecord;
 import org.crocushaven.ingress.IngressRequest;
 import org.crocushaven.outbound.BackendChannel;
+import org.crocushaven.result.ResultException;
 
 /** Sends the attempts of one request to their backend servers. Used on the event loop only. */
 final class AttemptSender {
@@ -60,6 +61,16 @@
         } else if (!isWanted(attempt)) {
             channel.close();
             forwarding.withdraw(attempt);
+        } else {
+            sendUnlessRefused(channel, attempt);
+        }
+    }
+
+    private void sendUnlessRefused(BackendChannel channel, BackendAttempt attempt) {
+        final Optional<ResultException> refusal = forwarding.refusalNow();
+        if (refusal.isPresent()) {
+            channel.close();
+            forwarding.refuseUnsent(attempt, refusal.get());
         } else {
             sendOn(channel, attempt);
         }
--- a/daemon/src/main/java/org/crocushaven/forwarding/BackendAttempt.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/BackendAttempt.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 import java.util.Set;
 import org.crocushaven.outbound.BackendAnswerListener;
 import org.crocushaven.outbound.BackendChannel;
@@ -17,16 +18,24 @@
     private final RequestForwarding forwarding;
     private final Target target;
     private final int number;
+    private final long eventsBefore;
     private BackendChannel channel;
+    private boolean delimited;
     private AnswerKind answerKind = AnswerKind.AWAITING_HEAD;
     private HttpResponseStatus status;
     private HttpHeaders headers;
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
 
-    BackendAttempt(RequestForwarding forwarding, Target target, int number) {
+    /**
+     * Creates an attempt that is not sent yet.
+     *
+     * @param eventsBefore number of events that the request had before
+     */
+    BackendAttempt(RequestForwarding forwarding, Target target, int number, long eventsBefore) {
         this.forwarding = forwarding;
         this.target = target;
         this.number = number;
+        this.eventsBefore = eventsBefore;
     }
 
     Target target() {
@@ -37,6 +46,15 @@
         return number;
     }
 
+    long eventsBefore() {
+        return eventsBefore;
+    }
+
+    /** Returns whether a complete answer may be one that the backend server broke off. */
+    boolean endsWithConnection() {
+        return !delimited;
+    }
+
     HttpResponseStatus status() {
         return status;
     }
@@ -84,6 +102,7 @@
             return false;
         }
         status = head.status();
+        delimited = HttpUtil.isTransferEncodingChunked(head) || HttpUtil.isContentLengthSet(head);
         headers = ForwardableHeaders.copy(head.headers(), Set.of());
         final boolean success = status.codeClass() == HttpStatusClass.SUCCESS;
         if (status.code() != MISDIRECTED) {
@@ -129,6 +148,11 @@
         }
     }
 
+    @Override
+    public void connectionEnded() {
+        forwarding.connectionEnded(this);
+    }
+
     @Override
     public void failed(boolean mayHaveRun, String reason) {
         forwarding.handleFailure(this, mayHaveRun && answerKind != AnswerKind.NOT_RUN, reason);
--- a/daemon/src/main/java/org/crocushaven/forwarding/ForwardedRequest.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/ForwardedRequest.java
@@ -16,6 +16,7 @@
     private final StreamContinuation continuation;
     private final RetryState retries = new RetryState();
     private final AttemptsInFlight attempts;
+    private final RequestGuard guard;
     private String lastBackend = "-";
     private String lastSoftwareVersion = "-";
     private long adapterWaitMillis;
@@ -31,6 +32,7 @@
         this.admission = new RequestAdmission(environment, request);
         this.continuation = new StreamContinuation(environment, request, admission);
         this.attempts = new AttemptsInFlight(environment.view());
+        this.guard = environment.crashes().of(request);
     }
 
     ForwardingEnvironment environment() {
@@ -61,6 +63,10 @@
         return attempts;
     }
 
+    RequestGuard guard() {
+        return guard;
+    }
+
     IngressRoute route() {
         return admission.route();
     }
--- a/daemon/src/main/java/org/crocushaven/forwarding/ForwardingEnvironment.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/ForwardingEnvironment.java
@@ -27,6 +27,7 @@
  * @param promptReaders which backend server has recently read which prompt
  * @param streams where the streams of this gateway began
  * @param leader requests adapter placements and tokens from the leader
+ * @param crashes keeps condemned prompts away from backend servers
  * @param observer is notified of sends, failures and results
  */
 record ForwardingEnvironment(
@@ -45,6 +46,7 @@
         PromptReaders promptReaders,
         BegunStreamMemory streams,
         LeaderRequests leader,
+        CrashGuard crashes,
         ForwardingObserver observer) {
     long nowNanos() {
         return clock.nanoTime();
--- a/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
@@ -8,9 +8,11 @@
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import org.agrona.concurrent.EpochClock;
 import org.agrona.concurrent.NanoClock;
+import org.crocushaven.fleet.BackendStart;
 import org.crocushaven.fleet.Documents;
 import org.crocushaven.fleet.FleetUpdateNotice;
 import org.crocushaven.fleet.GatewayReport;
@@ -19,6 +21,7 @@
 import org.crocushaven.network.SuspensionDetector;
 import org.crocushaven.observability.EventLine;
 import org.crocushaven.outbound.BackendPool;
+import org.crocushaven.outbound.RefusalCheck;
 import org.crocushaven.protocol.PeerTransport;
 
 /**
@@ -51,6 +54,7 @@
     private final ControlFreshness freshness;
     private final KeyedAdmission admission;
     private final LeaderLink link;
+    private final CrashGuard crashes;
     private final IngressServer server;
     private Optional<IngressConfiguration> configuration = Optional.empty();
     private long stateRevision;
@@ -85,6 +89,7 @@
                         this::createReport,
                         this::applyUpdate,
                         () -> view.hasReportablePrompts(clock.nanoTime()));
+        this.crashes = new CrashGuard(clock, this::checkEnd, link::reportSoon);
         final Random random = new Random(epochClock.time() ^ settings.instance().hashCode());
         this.server =
                 new IngressServer(
@@ -104,6 +109,7 @@
                                 new PromptReaders(),
                                 streams,
                                 link,
+                                crashes,
                                 observer));
         transport.registerHandler(
                 FleetUpdateNotice.class,
@@ -202,13 +208,27 @@
                 view.ownLoads(nowNanos),
                 view.drainUses(),
                 admission.report(nowNanos),
-                streams.unreported());
+                streams.unreported(),
+                crashes.report(nowNanos));
+    }
+
+    private void checkEnd(BackendStart start, Consumer<Boolean> then) {
+        view.find(start.backend())
+                .filter(record -> record.startedMillis() == start.startedMillis())
+                .ifPresent(
+                        record ->
+                                RefusalCheck.on(loop)
+                                        .check(
+                                                new InetSocketAddress(record.host(), record.port()),
+                                                then));
     }
 
     private void applyUpdate(GatewayUpdate update, long sentNanos) {
         final long nowNanos = clock.nanoTime();
         view.apply(update, nowNanos);
         streams.reportAnswered(update.epoch());
+        crashes.apply(
+                update, update.hasState() && update.stateRevision() >= stateRevision, nowNanos);
         health.retain(view.identifiers());
         retryBudget.setGateways(update.gateways());
         update.shares().ifPresent(grant -> admission.apply(grant, nowNanos));
--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
@@ -158,6 +158,7 @@
         environment
                 .health()
                 .recordSuccess(from.target().backend().backend(), environment.nowNanos());
+        failures.answerEnded(from);
         if (served.isStreamStarted()) {
             handleFailure(from, true, "answer is not a stream");
             return;
@@ -176,6 +177,18 @@
         failures.attemptFailed(from, mayHaveRun, reason);
     }
 
+    void connectionEnded(BackendAttempt from) {
+        failures.connectionEnded(from);
+    }
+
+    Optional<ResultException> refusalNow() {
+        return served.guard().refusal();
+    }
+
+    void refuseUnsent(BackendAttempt unsent, ResultException refusal) {
+        failures.refuseUnsent(unsent, refusal);
+    }
+
     void withdraw(BackendAttempt unsent) {
         failures.withdraw(unsent);
     }
@@ -213,12 +226,13 @@
     }
 
     private BackendAttempt nextAttempt(Target target) {
-        return new BackendAttempt(this, target, served.recordAttempt(target));
+        return new BackendAttempt(this, target, served.recordAttempt(target), eventCount());
     }
 
     /** Starts the time limit and charges the request. */
     private void admit() {
         served.admission().identify(arrivedNanos());
+        served.guard().requireAllowed();
         request().lastEventId().ifPresent(succession.splitter()::resumeAfter);
         end.startTimeLimit();
         served.admission().charge().whenComplete((charged, failure) -> admitted(failure));
--- a/daemon/src/main/java/org/crocushaven/forwarding/StreamForwarding.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/StreamForwarding.java
@@ -39,6 +39,7 @@
             return;
         }
         succession.eventsReceived(from);
+        served.guard().recordEvents(succession.splitter().eventCount() - from.eventsBefore());
         pauses.recordEvent(environment.nowNanos());
         succession.recordProgress();
         if (!served.isStreamStarted()) {
@@ -93,6 +94,7 @@
             served.recordStreamStarted();
             client.startStream(from.status(), from.headers());
         }
+        failures.answerEnded(from);
         client.endStream();
         end.finish(ResultCode.OK, from.status().code(), "served");
     }
--- a/daemon/src/main/java/org/crocushaven/outbound/BackendAnswerListener.java
+++ b/daemon/src/main/java/org/crocushaven/outbound/BackendAnswerListener.java
@@ -20,6 +20,9 @@
     /** Called when the answer is complete. */
     void complete();
 
+    /** Called before {@link #failed} when the reason is that the connection ended. */
+    default void connectionEnded() {}
+
     /**
      * Called when no complete answer will come.
      *
--- a/daemon/src/main/java/org/crocushaven/outbound/BackendChannel.java
+++ b/daemon/src/main/java/org/crocushaven/outbound/BackendChannel.java
@@ -74,7 +74,7 @@
                 .addListener(
                         written -> {
                             if (!written.isSuccess()) {
-                                fail("write failed");
+                                failAtEnd("write failed");
                             }
                         });
     }
@@ -124,12 +124,12 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        fail(headReceived ? "closed during the answer" : "closed before the answer");
+        failAtEnd(headReceived ? "closed during the answer" : "closed before the answer");
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        fail("connection failed: " + cause.getClass().getSimpleName());
+        failAtEnd("connection failed: " + cause.getClass().getSimpleName());
         close();
     }
 
@@ -191,6 +191,13 @@
         finished.complete();
     }
 
+    private void failAtEnd(String reason) {
+        if (listener != null) {
+            listener.connectionEnded();
+        }
+        fail(reason);
+    }
+
     private void fail(String reason) {
         final BackendAnswerListener failed = listener;
         listener = null;
--- a/daemon/src/test/java/org/crocushaven/fleet/ControlFleet.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/ControlFleet.java
@@ -118,7 +118,8 @@
                 List.of(),
                 List.of(),
                 ShareHolder.create(1).report(System.nanoTime()),
-                List.of());
+                List.of(),
+                PartReport.EMPTY);
     }
 
     @Override
--- a/daemon/src/test/java/org/crocushaven/fleet/FleetLeaderTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/FleetLeaderTest.java
@@ -7,8 +7,10 @@
 import java.lang.management.ThreadMXBean;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
+import org.agrona.concurrent.SystemEpochClock;
 import org.agrona.concurrent.SystemNanoClock;
 import org.crocushaven.admission.ShareHolder;
 import org.crocushaven.protocol.MessageCodec;
@@ -46,7 +48,15 @@
                 0,
                 0,
                 command -> {},
-                StreamDirectory.startingAt(System.nanoTime()));
+                StreamDirectory.startingAt(System.nanoTime()),
+                new PartVerdicts(
+                        "leader",
+                        1,
+                        state,
+                        SystemNanoClock.INSTANCE,
+                        SystemEpochClock.INSTANCE,
+                        command -> CompletableFuture.completedFuture(null),
+                        () -> {}));
     }
 
     private static BackendAnnouncement announcement(int backend) {
@@ -83,7 +93,8 @@
                 loads,
                 List.of(),
                 ShareHolder.create(1).report(System.nanoTime()),
-                List.of());
+                List.of(),
+                PartReport.EMPTY);
     }
 
     /** Returns the least processor time of a report over several rounds, in microseconds. */
--- a/daemon/src/test/java/org/crocushaven/fleet/GatewayReportsTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/GatewayReportsTest.java
@@ -31,7 +31,8 @@
                         List.of(loads),
                         List.of(),
                         ShareHolder.create(1).report(nowNanos),
-                        List.of()),
+                        List.of(),
+                        PartReport.EMPTY),
                 nowNanos);
     }
 
@@ -122,7 +123,8 @@
                         .toList(),
                 List.of(),
                 ShareHolder.create(1).report(nowNanos),
-                List.of());
+                List.of(),
+                PartReport.EMPTY);
     }
 
     @Test
--- a/daemon/src/test/java/org/crocushaven/fleet/ShareLendingTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/ShareLendingTest.java
@@ -32,7 +32,8 @@
                         List.of(),
                         List.of(),
                         ShareHolder.create(1).report(nowNanos),
-                        List.of()),
+                        List.of(),
+                        PartReport.EMPTY),
                 nowNanos);
     }
 
--- a/daemon/src/test/java/org/crocushaven/forwarding/BackendNoticesFuzzTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/BackendNoticesFuzzTest.java
@@ -17,6 +17,7 @@
 import org.crocushaven.fleet.BackendState;
 import org.crocushaven.fleet.GatewayUpdate;
 import org.crocushaven.fleet.HeldAdapter;
+import org.crocushaven.fleet.PartUpdate;
 import org.crocushaven.fuzz.FaultCounts;
 import org.crocushaven.fuzz.FuzzSettings;
 import org.junit.jupiter.api.Tag;
@@ -152,7 +153,8 @@
                             List.of(),
                             1,
                             List.of(),
-                            Optional.empty()),
+                            Optional.empty(),
+                            PartUpdate.EMPTY),
                     now);
         }
 
--- a/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
@@ -34,6 +34,7 @@
 import org.crocushaven.fleet.BackendRecord;
 import org.crocushaven.fleet.BackendState;
 import org.crocushaven.fleet.GatewayUpdate;
+import org.crocushaven.fleet.PartUpdate;
 import org.crocushaven.fleet.StreamOriginAnswer;
 import org.crocushaven.fleet.StreamOriginQuery;
 import org.crocushaven.ingress.IngressConfiguration;
@@ -244,7 +245,8 @@
                 List.of(),
                 1,
                 List.of(),
-                Optional.empty());
+                Optional.empty(),
+                PartUpdate.EMPTY);
     }
 
     private ForwardingEnvironment createEnvironment() {
@@ -295,6 +297,7 @@
                 new PromptReaders(),
                 new BegunStreamMemory(),
                 new NoLeader(),
+                IdleCrashGuard.create(),
                 new Recorder());
     }
 
--- a/daemon/src/test/java/org/crocushaven/forwarding/GatewayBackendsTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/GatewayBackendsTest.java
@@ -14,6 +14,7 @@
 import org.crocushaven.fleet.BackendState;
 import org.crocushaven.fleet.GatewayUpdate;
 import org.crocushaven.fleet.HeldAdapter;
+import org.crocushaven.fleet.PartUpdate;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -76,7 +77,8 @@
                         otherLoads,
                         1,
                         List.of(),
-                        Optional.empty()),
+                        Optional.empty(),
+                        PartUpdate.EMPTY),
                 nowNanos);
     }
 
--- a/daemon/src/test/java/org/crocushaven/forwarding/IngressConnectionTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/IngressConnectionTest.java
@@ -133,6 +133,7 @@
                 new PromptReaders(),
                 new BegunStreamMemory(),
                 new HeldGrants(),
+                IdleCrashGuard.create(),
                 new FaultRecorder());
     }
 
--- a/daemon/src/test/java/org/crocushaven/forwarding/LeaderLinkTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/LeaderLinkTest.java
@@ -21,6 +21,8 @@
 import org.crocushaven.fleet.ControlHint;
 import org.crocushaven.fleet.GatewayReport;
 import org.crocushaven.fleet.GatewayUpdate;
+import org.crocushaven.fleet.PartReport;
+import org.crocushaven.fleet.PartUpdate;
 import org.crocushaven.protocol.Message;
 import org.crocushaven.protocol.MessageHandler;
 import org.crocushaven.protocol.PeerTransport;
@@ -66,7 +68,8 @@
                 List.of(),
                 List.of(),
                 ShareHolder.create(1).report(nowNanos),
-                List.of());
+                List.of(),
+                PartReport.EMPTY);
     }
 
     private static GatewayUpdate update(long epoch) {
@@ -84,7 +87,8 @@
                 List.of(),
                 1,
                 List.of(LOST_LEADER, NEW_LEADER),
-                Optional.empty());
+                Optional.empty(),
+                PartUpdate.EMPTY);
     }
 
     private Sent nextSent() throws InterruptedException {
--- a/daemon/src/test/java/org/crocushaven/forwarding/NoticeFixture.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/NoticeFixture.java
@@ -40,6 +40,7 @@
 import org.crocushaven.fleet.BackendState;
 import org.crocushaven.fleet.GatewayUpdate;
 import org.crocushaven.fleet.HeldAdapter;
+import org.crocushaven.fleet.PartUpdate;
 import org.crocushaven.fleet.StreamOriginAnswer;
 import org.crocushaven.fleet.StreamOriginQuery;
 import org.crocushaven.ingress.IngressConfiguration;
@@ -215,7 +216,8 @@
                         List.of(),
                         1,
                         List.of(),
-                        Optional.empty()),
+                        Optional.empty(),
+                        PartUpdate.EMPTY),
                 System.nanoTime());
     }
 
@@ -278,6 +280,7 @@
                 new PromptReaders(),
                 new BegunStreamMemory(),
                 new QueuedGrants(),
+                IdleCrashGuard.create(),
                 new NoticeRecorder());
     }
 
--- a/daemon/src/test/java/org/crocushaven/forwarding/RequestForwardingTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/RequestForwardingTest.java
@@ -36,6 +36,7 @@
 import org.crocushaven.fleet.BackendRecord;
 import org.crocushaven.fleet.BackendState;
 import org.crocushaven.fleet.GatewayUpdate;
+import org.crocushaven.fleet.PartUpdate;
 import org.crocushaven.fleet.StreamOriginAnswer;
 import org.crocushaven.fleet.StreamOriginQuery;
 import org.crocushaven.ingress.IngressConfiguration;
@@ -115,7 +116,8 @@
                         List.of(),
                         1,
                         List.of(),
-                        Optional.empty()),
+                        Optional.empty(),
+                        PartUpdate.EMPTY),
                 System.nanoTime());
     }
 
@@ -158,6 +160,7 @@
                 new PromptReaders(),
                 new BegunStreamMemory(),
                 new QueuedGrants(),
+                IdleCrashGuard.create(),
                 new SendRecorder());
     }
 
--- a/daemon/src/test/java/org/crocushaven/forwarding/StreamContinuationTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/StreamContinuationTest.java
@@ -135,6 +135,7 @@
                         null,
                         streams,
                         new ScriptedLeader(),
+                        IdleCrashGuard.create(),
                         null);
         admission = new RequestAdmission(environment, request);
         admission.identify(System.nanoTime());
