--- a/daemon/src/main/java/org/crocushaven/fleet/PartVerdicts.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/PartVerdicts.java
@@ -15,7 +15,7 @@
  * hears gateways, decides, commits the verdicts so that every later leader has them, and tells the
  * gateways. One command is proposed at a time. Used on one event loop only.
  */
-final class PartVerdicts {
+public final class PartVerdicts {
     /** Shortest time between two weighings, which read all evidence. */
     private static final long WEIGH_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
@@ -37,7 +37,7 @@
      * @param proposer commits a command; the future completes on the event loop
      * @param notice tells the gateways that there is news
      */
-    PartVerdicts(
+    public PartVerdicts(
             String instance,
             long epoch,
             FleetState state,
@@ -56,12 +56,12 @@
     }
 
     /** Returns the term. */
-    long epoch() {
+    public long epoch() {
         return epoch;
     }
 
     /** Takes in a gateway's report. */
-    void report(GatewayReport report, Collection<String> gateways) {
+    public void report(GatewayReport report, Collection<String> gateways) {
         final long nowNanos = clock.nanoTime();
         final PartReport parts = answeredHere(report);
         final boolean isNew = trial.report(report.gateway(), parts, nowNanos);
@@ -82,7 +82,7 @@
     }
 
     /** Returns what a gateway has to know. */
-    PartUpdate update(GatewayReport report, boolean withState) {
+    public PartUpdate update(GatewayReport report, boolean withState) {
         final List<PartVerdict> verdicts = state.view().verdicts();
         return new PartUpdate(
                 trial.revision(),
@@ -92,12 +92,12 @@
     }
 
     /** Records an announcement of a backend server. */
-    void started(BackendAnnouncement announcement) {
+    public void started(BackendAnnouncement announcement) {
         trial.started(announcement, clock.nanoTime());
     }
 
     /** Runs the periodic tasks. */
-    void tick(Collection<String> gateways) {
+    public void tick(Collection<String> gateways) {
         weigh(gateways);
         final long nowNanos = clock.nanoTime();
         final List<PartVerdict> verdicts = state.view().verdicts();
