--- a/daemon/src/main/java/org/crocushaven/forwarding/ForwardedRequest.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/ForwardedRequest.java
@@ -20,6 +20,7 @@
     private final RetryState retries = new RetryState();
     private final AttemptsInFlight attempts;
     private final List<AnswerMemory.Share> answerShares = new ArrayList<>();
+    private final RequestGuard guard;
     private String lastBackend = "-";
     private String lastSoftwareVersion = "-";
     private long adapterWaitMillis;
@@ -35,6 +36,7 @@
         this.admission = new RequestAdmission(environment, request);
         this.continuation = new StreamContinuation(environment, request, admission);
         this.attempts = new AttemptsInFlight(environment.view());
+        this.guard = environment.crashes().of(request);
     }
 
     ForwardingEnvironment environment() {
@@ -65,6 +67,10 @@
         return attempts;
     }
 
+    RequestGuard guard() {
+        return guard;
+    }
+
     IngressRoute route() {
         return admission.route();
     }
