--- a/daemon/src/main/java/org/crocushaven/outbound/AnswerMemory.java
+++ b/daemon/src/main/java/org/crocushaven/outbound/AnswerMemory.java
@@ -8,10 +8,10 @@
  */
 public final class AnswerMemory {
     /** Maximum size, in bytes, of an answer that is collected as a whole. */
-    public static final long MAXIMUM_ANSWER_BYTES = 16L << 20;
+    public static final long MAXIMUM_ANSWER_BYTES = 32L << 20;
 
     /** Maximum size, in bytes, of all answers together. */
-    public static final long MAXIMUM_BYTES = 3 * MAXIMUM_ANSWER_BYTES;
+    public static final long MAXIMUM_BYTES = 2 * MAXIMUM_ANSWER_BYTES;
 
     private long heldBytes;
     private long highestBytes;
