--- a/daemon/src/main/java/org/crocushaven/forwarding/IngressConnection.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/IngressConnection.java
@@ -1,13 +1,11 @@
 package org.crocushaven.forwarding;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
-import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -15,14 +13,12 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.crocushaven.ingress.IngressLimits;
 import org.crocushaven.ingress.IngressRequest;
@@ -42,9 +38,8 @@
     private final ReadActivityHandler activity;
     private final IngressLimits limits;
     private final Deque<ReceivedRequest> pipelined = new ArrayDeque<>();
+    private final RequestAssembly assembly;
     private Channel channel;
-    private HttpRequest head;
-    private ByteBuf body = Unpooled.EMPTY_BUFFER;
     private ClientExchange current;
     private RequestForwarding forwarding;
     private boolean closing;
@@ -59,6 +54,7 @@
         this.server = server;
         this.activity = activity;
         this.limits = limits;
+        this.assembly = new RequestAssembly(limits);
     }
 
     Channel channel() {
@@ -67,7 +63,7 @@
 
     boolean isBusy() {
         return current != null
-                || head != null
+                || assembly.isUnderWay()
                 || !pipelined.isEmpty()
                 || channel.isActive() && pendingBytes() > 0;
     }
@@ -107,7 +103,7 @@
         final long incompleteMillis =
                 TimeUnit.NANOSECONDS.toMillis(activity.incompleteNanos(nowNanos));
         final long idleMillis = TimeUnit.NANOSECONDS.toMillis(activity.idleNanos(nowNanos));
-        if (head == null && incompleteMillis > limits.headerTimeoutMillis() && !closing) {
+        if (!assembly.isUnderWay() && incompleteMillis > limits.headerTimeoutMillis() && !closing) {
             refuseAndClose(
                     ResultException.of(ResultCode.REQUEST_TIMEOUT, limits.headerTimeoutMillis()));
         } else if (current == null && idleMillis > limits.idleTimeoutMillis()) {
@@ -149,7 +145,7 @@
         if (forwarding != null) {
             forwarding.clientDisconnected();
         }
-        pipelined.forEach(received -> received.body.release());
+        pipelined.forEach(received -> received.body().release());
         pipelined.clear();
     }
 
@@ -169,58 +165,34 @@
     }
 
     private void read(Object message) {
-        if (message instanceof HttpRequest request) {
-            readHead(request);
-        }
-        if (message instanceof HttpContent content && head != null && !closing) {
-            readContent(content);
-        }
-    }
-
-    private void readHead(HttpRequest request) {
-        final DecoderResult result = request.decoderResult();
-        if (result.isFailure()) {
-            refuseAndClose(decodingFailure(result.cause()));
+        final Optional<ReceivedRequest> received;
+        try {
+            received = assemble(message);
+        } catch (ResultException refusal) {
+            refuseAndClose(refusal);
             return;
         }
-        head = request;
-        body = Unpooled.EMPTY_BUFFER;
-        if (HttpUtil.is100ContinueExpected(request)) {
-            channel.writeAndFlush(
-                    new DefaultFullHttpResponse(
-                            HttpVersion.HTTP_1_1,
-                            HttpResponseStatus.CONTINUE,
-                            Unpooled.EMPTY_BUFFER));
-        }
+        received.ifPresent(this::requestReceived);
     }
 
-    private void readContent(HttpContent content) {
-        if (content.decoderResult().isFailure()) {
-            refuseAndClose(decodingFailure(content.decoderResult().cause()));
-            return;
-        }
-        final ByteBuf data = content.content();
-        if (data.isReadable()) {
-            if (body.readableBytes() + data.readableBytes() > limits.maximumBodyBytes()) {
-                refuseAndClose(
-                        ResultException.of(ResultCode.BODY_TOO_LARGE, limits.maximumBodyBytes()));
-                return;
-            }
-            if (body == Unpooled.EMPTY_BUFFER) {
-                body = Unpooled.buffer(data.readableBytes());
+    private Optional<ReceivedRequest> assemble(Object message) {
+        if (message instanceof HttpRequest request) {
+            assembly.begin(request);
+            if (HttpUtil.is100ContinueExpected(request)) {
+                channel.writeAndFlush(
+                        new DefaultFullHttpResponse(
+                                HttpVersion.HTTP_1_1,
+                                HttpResponseStatus.CONTINUE,
+                                Unpooled.EMPTY_BUFFER));
             }
-            body.writeBytes(data);
-        }
-        if (content instanceof LastHttpContent) {
-            final ReceivedRequest received = new ReceivedRequest(head, body);
-            head = null;
-            body = Unpooled.EMPTY_BUFFER;
-            activity.requestCompleted();
-            requestReceived(received);
         }
+        return message instanceof HttpContent content && assembly.isUnderWay()
+                ? assembly.add(content)
+                : Optional.empty();
     }
 
     private void requestReceived(ReceivedRequest received) {
+        activity.requestCompleted();
         if (current == null) {
             serve(received);
             return;
@@ -233,10 +205,10 @@
 
     private void serve(ReceivedRequest received) {
         final ClientExchange exchange =
-                new ClientExchange(this, channel, HttpUtil.isKeepAlive(received.head));
+                new ClientExchange(this, channel, HttpUtil.isKeepAlive(received.head()));
         current = exchange;
         if (server.isRefusing()) {
-            received.body.release();
+            received.body().release();
             final ResultException refusal =
                     ResultException.of(ResultCode.STOPPING).withRetryAfter(STOPPING_RETRY_DELAY);
             server.environment()
@@ -247,16 +219,16 @@
         }
         final IngressRequest request;
         try {
-            request = server.environment().dialect().decodeRequest(received.head);
+            request = server.environment().dialect().decodeRequest(received.head());
         } catch (ResultException refusal) {
-            received.body.release();
+            received.body().release();
             server.environment()
                     .observer()
                     .refusedBeforeDecoding(refusal.code(), refusal.getMessage(), false);
             exchange.refuse(refusal);
             return;
         } catch (RuntimeException fault) {
-            received.body.release();
+            received.body().release();
             server.environment().observer().faulted(fault, true);
             exchange.refuse(
                     ResultException.of(ResultCode.INTERNAL, fault.getClass().getSimpleName())
@@ -264,7 +236,7 @@
             return;
         }
         final RequestForwarding started =
-                RequestForwarding.start(server.environment(), request, received.body, exchange);
+                RequestForwarding.start(server.environment(), request, received.body(), exchange);
         if (current == exchange) {
             forwarding = started;
         }
@@ -286,14 +258,4 @@
         HttpUtil.setKeepAlive(response, false);
         channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
     }
-
-    private ResultException decodingFailure(Throwable cause) {
-        if (cause instanceof TooLongHttpHeaderException
-                || cause instanceof TooLongHttpLineException) {
-            return ResultException.of(ResultCode.HEADERS_TOO_LARGE, limits.maximumHeaderBytes());
-        }
-        return ResultException.of(ResultCode.MALFORMED_REQUEST, cause.getClass().getSimpleName());
-    }
-
-    private record ReceivedRequest(HttpRequest head, ByteBuf body) {}
 }
