Say what a stopping gateway leaves, and which connections it closes as idle

What callers saw: a request on a gateway that stops got neither an answer nor a refusal; what the gateway knew of it is in no line. The stop moves from Gateway into GracefulStop, unchanged in what it does.

--- a/daemon/src/main/java/org/crocushaven/forwarding/ForwardingObserver.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/ForwardingObserver.java
@@ -70,4 +70,20 @@
      * @param answerUnderWay whether a request of the connection was unanswered
      */
     void faulted(Throwable fault, boolean answerUnderWay);
+
+    /**
+     * Called when a connection without a request is closed.
+     *
+     * @param idleMillis time since its last byte
+     * @param limitMillis the idle timeout that was applied
+     */
+    void closedIdle(long idleMillis, long limitMillis);
+
+    /**
+     * Called for what a stopping gateway leaves unfinished.
+     *
+     * @param requestId the request; "-" where none is known
+     * @param ageMillis time since the request arrived; 0 where none is known
+     */
+    void leftUnfinished(String requestId, UnfinishedWork work, long ageMillis);
 }
--- a/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
@@ -28,13 +28,6 @@
  */
 public final class Gateway {
     private static final long CHECK_MILLIS = 500;
-    private static final long STOP_CHECK_MILLIS = 50;
-
-    /**
-     * Time for the load balancer to notice that an instance is not ready: two readiness checks of
-     * one second each, and a margin.
-     */
-    private static final long BALANCER_DETECTION_MILLIS = 2_600;
 
     private final GatewaySettings settings;
     private final EventLoopGroup group;
@@ -161,36 +154,20 @@
      */
     public CompletableFuture<Void> stop(long graceMillis) {
         final CompletableFuture<Void> stopped = new CompletableFuture<>();
-        final long startNanos = clock.nanoTime();
         loop.execute(
                 () -> {
                     stopping = true;
                     ready = false;
-                    server.startStopping();
-                    stopWhenIdle(stopped, startNanos, graceMillis);
+                    GracefulStop.start(server, loop, clock, graceMillis)
+                            .thenRun(
+                                    () -> {
+                                        link.stop();
+                                        stopped.complete(null);
+                                    });
                 });
         return stopped;
     }
 
-    private void stopWhenIdle(CompletableFuture<Void> stopped, long startNanos, long graceMillis) {
-        final long passedMillis = TimeUnit.NANOSECONDS.toMillis(clock.nanoTime() - startNanos);
-        final boolean balancerInformed = passedMillis >= BALANCER_DETECTION_MILLIS;
-        if (balancerInformed) {
-            server.startRefusing();
-        }
-        final boolean idle = balancerInformed && server.closeIdle();
-        if (idle || passedMillis >= graceMillis) {
-            server.closeListener();
-            link.stop();
-            stopped.complete(null);
-        } else {
-            loop.schedule(
-                    () -> stopWhenIdle(stopped, startNanos, graceMillis),
-                    STOP_CHECK_MILLIS,
-                    TimeUnit.MILLISECONDS);
-        }
-    }
-
     private GatewayReport createReport(long nowNanos) {
         checkSuspension(nowNanos);
         return new GatewayReport(
--- a/daemon/src/main/java/org/crocushaven/forwarding/IngressConnection.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/IngressConnection.java
@@ -91,6 +91,27 @@
         }
     }
 
+    /** Reports what a gateway that ends now leaves of this connection. */
+    void reportUnfinished() {
+        if (!channel.isActive()) {
+            return;
+        }
+        final ForwardingObserver observer = server.environment().observer();
+        if (forwarding != null) {
+            observer.leftUnfinished(
+                    forwarding.request().requestId(),
+                    forwarding.eventCount() > 0 ? UnfinishedWork.STREAM : UnfinishedWork.UNANSWERED,
+                    TimeUnit.NANOSECONDS.toMillis(
+                            server.environment().nowNanos() - forwarding.arrivedNanos()));
+        } else if (pendingBytes() > 0) {
+            observer.leftUnfinished("-", UnfinishedWork.UNWRITTEN, 0);
+        }
+        pipelined.forEach(queued -> observer.leftUnfinished("-", UnfinishedWork.QUEUED, 0));
+        if (assembly.isUnderWay()) {
+            observer.leftUnfinished("-", UnfinishedWork.INCOMPLETE, 0);
+        }
+    }
+
     /**
      * Closes the connection when its client takes too long to send a request head, or when it has
      * been idle for too long.
@@ -107,6 +128,7 @@
             refuseAndClose(
                     ResultException.of(ResultCode.REQUEST_TIMEOUT, limits.headerTimeoutMillis()));
         } else if (current == null && idleMillis > limits.idleTimeoutMillis()) {
+            server.environment().observer().closedIdle(idleMillis, limits.idleTimeoutMillis());
             channel.close();
         }
     }
--- a/daemon/src/main/java/org/crocushaven/forwarding/IngressServer.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/IngressServer.java
@@ -73,6 +73,11 @@
         return !busy;
     }
 
+    /** Reports what is left of the connections that are busy. */
+    void reportUnfinished() {
+        connections.forEach(IngressConnection::reportUnfinished);
+    }
+
     /** Stops accepting connections. */
     void closeListener() {
         listener.closeThen(() -> {});
--- a/daemon/src/main/java/org/crocushaven/instance/ForwardingLog.java
+++ b/daemon/src/main/java/org/crocushaven/instance/ForwardingLog.java
@@ -8,10 +8,12 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
+import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import org.crocushaven.fleet.BackendRecord;
 import org.crocushaven.forwarding.ForwardingObserver;
 import org.crocushaven.forwarding.ForwardingSummary;
+import org.crocushaven.forwarding.UnfinishedWork;
 import org.crocushaven.ingress.IngressRequest;
 import org.crocushaven.observability.EventLine;
 import org.crocushaven.result.ResultCode;
@@ -71,6 +73,17 @@
                     .name("crocushaven_gateway_foreign_answers")
                     .help("Answers that came where another request's was awaited.")
                     .register(registry);
+    private final Counter idleCloses =
+            Counter.builder()
+                    .name("crocushaven_gateway_idle_closes")
+                    .help("Connections of clients that were closed as idle.")
+                    .register(registry);
+    private final Counter unfinished =
+            Counter.builder()
+                    .name("crocushaven_gateway_left_unfinished")
+                    .help("What a stopping gateway left of its connections, by kind.")
+                    .labelNames("work")
+                    .register(registry);
     private final Histogram waits =
             Histogram.builder()
                     .name("crocushaven_gateway_wait_seconds")
@@ -244,4 +257,23 @@
         faults.labelValues(Boolean.toString(answerUnderWay)).inc();
         EventLine.fault(fault).with("answer_under_way", answerUnderWay).error();
     }
+
+    @Override
+    public void closedIdle(long idleMillis, long limitMillis) {
+        idleCloses.inc();
+        EventLine.of("connection-idle")
+                .with("idle_ms", idleMillis)
+                .with("limit_ms", limitMillis)
+                .info();
+    }
+
+    @Override
+    public void leftUnfinished(String requestId, UnfinishedWork work, long ageMillis) {
+        unfinished.labelValues(work.name().toLowerCase(Locale.ROOT)).inc();
+        EventLine.of("left-unfinished")
+                .with("request", requestId)
+                .with("work", work.name().toLowerCase(Locale.ROOT))
+                .with("age_ms", ageMillis)
+                .warn();
+    }
 }
--- a/daemon/src/test/java/org/crocushaven/forwarding/IgnoringObserver.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/IgnoringObserver.java
@@ -46,4 +46,10 @@
 
     @Override
     public void faulted(Throwable fault, boolean answerUnderWay) {}
+
+    @Override
+    public void closedIdle(long idleMillis, long limitMillis) {}
+
+    @Override
+    public void leftUnfinished(String requestId, UnfinishedWork work, long ageMillis) {}
 }
