Answer the requests under way before a stopping gateway ends

What callers saw: a request on a gateway that stops got neither an answer nor a refusal; its connection ended with the process. Cause: at the end of the grace period the stop completed whether or not requests were under way (class: the end of a process is no owner of the work that it ends). Requests that wait for tokens, a stream's origin, the leader's choice or an adapter had not been sent, so a refusal would have been true and retried elsewhere at once; those whose backend server had not answered lost a 504. Change: at 0.88 of the grace the gateway ends each request: 1601 (503, not run) if nothing was sent or what was sent did not run, 1603 (new, 504, may have run) if it was, the backend server's own failure if one is held, and 1408 with a line for a stream, which is closed as broken off and its backend server's connection with it. Then clients have 0.04 of the grace to take what is written; whatever they leave is reported.

--- a/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
@@ -149,16 +149,20 @@
 
     /**
      * Stops the gateway. Requests are still served until the load balancer has noticed that it is
-     * not ready, and refused after that. The future completes when no connection is busy or the
-     * grace period has passed.
+     * not ready, and refused after that. The future completes when no connection is busy, or when
+     * both times have passed.
+     *
+     * @param graceMillis time after which requests under way are ended, with an answer or a refusal
+     *     unless a stream has begun
+     * @param writeMillis time after that within which clients may take their answers
      */
-    public CompletableFuture<Void> stop(long graceMillis) {
+    public CompletableFuture<Void> stop(long graceMillis, long writeMillis) {
         final CompletableFuture<Void> stopped = new CompletableFuture<>();
         loop.execute(
                 () -> {
                     stopping = true;
                     ready = false;
-                    GracefulStop.start(server, loop, clock, graceMillis)
+                    GracefulStop.start(server, loop, clock, graceMillis, writeMillis)
                             .thenRun(
                                     () -> {
                                         link.stop();
--- a/daemon/src/main/java/org/crocushaven/forwarding/GracefulStop.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/GracefulStop.java
@@ -1,14 +1,19 @@
 package org.crocushaven.forwarding;
 
 import io.netty.channel.EventLoop;
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.agrona.concurrent.NanoClock;
 import org.crocushaven.observability.EventLine;
+import org.crocushaven.result.ResultCode;
+import org.crocushaven.result.ResultException;
 
 /**
  * Stops serving clients: serves requests until the load balancer has noticed, refuses later ones,
- * and ends when no connection is busy or the grace period has passed. Used on one event loop only.
+ * and ends when no connection is busy. When the grace period has passed, it answers the requests
+ * under way itself, and gives clients a short time to take their answers. Used on one event loop
+ * only.
  */
 final class GracefulStop {
     private static final long CHECK_MILLIS = 50;
@@ -19,44 +24,75 @@
      */
     private static final long BALANCER_DETECTION_MILLIS = 2_600;
 
+    /** Retry delay for clients, whom another gateway can serve. */
+    private static final Duration RETRY_DELAY = Duration.ofMillis(20);
+
     private final IngressServer server;
     private final EventLoop loop;
     private final NanoClock clock;
     private final long startNanos;
     private final long graceMillis;
+    private final long writeMillis;
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
 
-    private GracefulStop(IngressServer server, EventLoop loop, NanoClock clock, long graceMillis) {
+    private GracefulStop(
+            IngressServer server,
+            EventLoop loop,
+            NanoClock clock,
+            long graceMillis,
+            long writeMillis) {
         this.server = server;
         this.loop = loop;
         this.clock = clock;
         this.startNanos = clock.nanoTime();
         this.graceMillis = graceMillis;
+        this.writeMillis = writeMillis;
     }
 
-    /** Starts a stop; the future completes on the event loop when the gateway may end. */
+    /**
+     * Starts a stop; the future completes on the event loop when the gateway may end.
+     *
+     * @param graceMillis time after which requests under way are ended
+     * @param writeMillis time after that within which clients may take their answers
+     */
     static CompletableFuture<Void> start(
-            IngressServer server, EventLoop loop, NanoClock clock, long graceMillis) {
-        final GracefulStop stop = new GracefulStop(server, loop, clock, graceMillis);
+            IngressServer server,
+            EventLoop loop,
+            NanoClock clock,
+            long graceMillis,
+            long writeMillis) {
+        final GracefulStop stop = new GracefulStop(server, loop, clock, graceMillis, writeMillis);
         server.startStopping();
         stop.check();
         return stop.stopped;
     }
 
+    /** Returns the refusal of a request that a stopping gateway has not sent. */
+    static ResultException refusal() {
+        return ResultException.of(ResultCode.STOPPING).withRetryAfter(RETRY_DELAY);
+    }
+
     private void check() {
         final long passedMillis = TimeUnit.NANOSECONDS.toMillis(clock.nanoTime() - startNanos);
-        final boolean balancerInformed = passedMillis >= BALANCER_DETECTION_MILLIS;
-        if (balancerInformed) {
-            server.startRefusing();
-        }
-        final boolean idle = balancerInformed && server.closeIdle();
-        if (idle || passedMillis >= graceMillis) {
+        final boolean idle = advance(passedMillis);
+        if (idle || passedMillis >= graceMillis + writeMillis) {
             end(passedMillis, idle);
         } else {
             loop.schedule(this::check, CHECK_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
 
+    /** Returns whether no connection is busy any more. */
+    private boolean advance(long passedMillis) {
+        if (passedMillis >= Math.min(BALANCER_DETECTION_MILLIS, graceMillis)) {
+            server.startRefusing();
+        }
+        if (passedMillis >= graceMillis) {
+            server.endRequests();
+        }
+        return server.isRefusing() && server.closeIdle();
+    }
+
     private void end(long passedMillis, boolean idle) {
         server.reportUnfinished();
         EventLine.of("gateway-stopped").with("passed_ms", passedMillis).with("idle", idle).info();
--- a/daemon/src/main/java/org/crocushaven/forwarding/IngressConnection.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/IngressConnection.java
@@ -15,7 +15,6 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
-import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
@@ -31,9 +30,6 @@
     /** Number of pipelined requests at which reading from the connection stops. */
     private static final int MAXIMUM_PIPELINED = 16;
 
-    /** Retry delay for clients of a stopping gateway; another gateway can serve them. */
-    private static final Duration STOPPING_RETRY_DELAY = Duration.ofMillis(20);
-
     private final IngressServer server;
     private final ReadActivityHandler activity;
     private final IngressLimits limits;
@@ -91,6 +87,13 @@
         }
     }
 
+    /** Ends the request under way, since the gateway ends. */
+    void endRequest() {
+        if (forwarding != null) {
+            forwarding.gatewayStops();
+        }
+    }
+
     /** Reports what a gateway that ends now leaves of this connection. */
     void reportUnfinished() {
         if (!channel.isActive()) {
@@ -231,8 +234,7 @@
         current = exchange;
         if (server.isRefusing()) {
             received.body().release();
-            final ResultException refusal =
-                    ResultException.of(ResultCode.STOPPING).withRetryAfter(STOPPING_RETRY_DELAY);
+            final ResultException refusal = GracefulStop.refusal();
             server.environment()
                     .observer()
                     .refusedBeforeDecoding(refusal.code(), refusal.getMessage(), false);
--- a/daemon/src/main/java/org/crocushaven/forwarding/IngressServer.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/IngressServer.java
@@ -73,6 +73,11 @@
         return !busy;
     }
 
+    /** Ends all requests under way; those that arrive later must be refused. */
+    void endRequests() {
+        List.copyOf(connections).forEach(IngressConnection::endRequest);
+    }
+
     /** Reports what is left of the connections that are busy. */
     void reportUnfinished() {
         connections.forEach(IngressConnection::reportUnfinished);
--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestEnd.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestEnd.java
@@ -136,6 +136,31 @@
         }
     }
 
+    /**
+     * Ends the request because the gateway ends: refuses it if it did not run, else says that it
+     * may have run, or breaks its stream off.
+     */
+    void gatewayStops() {
+        if (served.isDone()) {
+            return;
+        }
+        final BackendAttempt current = served.attempts().current();
+        final boolean sent = current != null && current.wasSent();
+        if (current != null) {
+            served.reportFailedAttempt(current, sent, "gateway stopped");
+        }
+        if (served.isStreamStarted()) {
+            client.abort();
+            finish(ResultCode.ANSWER_INCOMPLETE, 0, "gateway stopped within a stream");
+        } else if (lastFailure != null) {
+            deliver(lastFailure, "backend server failed");
+        } else if (sent || retries.mayHaveRun()) {
+            refuse(ResultException.of(ResultCode.STOPPED_DURING_REQUEST, served.lastBackend()));
+        } else {
+            refuse(GracefulStop.refusal());
+        }
+    }
+
     private ResultException incompleteAnswer() {
         return ResultException.of(
                 ResultCode.BACKEND_SERVER_FAILED, served.lastBackend(), "no complete answer");
--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
@@ -64,6 +64,11 @@
         }
     }
 
+    /** Called when the gateway ends; ends the request. */
+    void gatewayStops() {
+        end.gatewayStops();
+    }
+
     /**
      * Called when the client resumes or stops reading; pauses the backend server's answer
      * accordingly.
--- a/daemon/src/main/java/org/crocushaven/instance/Instance.java
+++ b/daemon/src/main/java/org/crocushaven/instance/Instance.java
@@ -48,10 +48,14 @@
      */
     private static final double CONTROL_STATE_AGE_FRACTION = 0.8;
 
+    /** Fraction of the stop grace time for finishing requests. */
+    private static final double STOP_GRACE_FRACTION = 0.88;
+
     /**
-     * Fraction of the stop grace time for finishing requests; the rest is for ending the process.
+     * Fraction of the stop grace time for clients to take the last answers; the rest is for ending
+     * the process.
      */
-    private static final double STOP_GRACE_FRACTION = 0.88;
+    private static final double STOP_WRITE_FRACTION = 0.04;
 
     private final InstanceSettings settings;
     private final NanoClock clock = SystemNanoClock.INSTANCE;
@@ -113,7 +117,10 @@
     public void stop() {
         EventLine.of("stopping").with("instance", settings.instance()).info();
         final long graceMillis = (long) (settings.stopGraceMillis() * STOP_GRACE_FRACTION);
-        gateway.ifPresent(running -> await(running.stop(graceMillis), graceMillis));
+        final long writeMillis = (long) (settings.stopGraceMillis() * STOP_WRITE_FRACTION);
+        gateway.ifPresent(
+                running ->
+                        await(running.stop(graceMillis, writeMillis), graceMillis + writeMillis));
         control.ifPresent(ControlInstance::close);
         transport.close();
         EventLine.of("stopped").with("instance", settings.instance()).info();
--- a/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
@@ -41,6 +41,7 @@
 import org.crocushaven.ingress.IngressRequest;
 import org.crocushaven.ingress.IngressRoute;
 import org.crocushaven.ingress.KeyedOrganisation;
+import org.crocushaven.ingress.ModelReference;
 import org.crocushaven.ingress.RouteKind;
 import org.crocushaven.ingress.WeightedService;
 import org.crocushaven.outbound.BackendPool;
@@ -66,6 +67,7 @@
     private final GatewayBackends view = new GatewayBackends();
     private final BlockingQueue<String> sent = new LinkedBlockingQueue<>();
     private final BlockingQueue<ResultCode> ended = new LinkedBlockingQueue<>();
+    private final BlockingQueue<UnfinishedWork> unfinished = new LinkedBlockingQueue<>();
     private final BlockingQueue<String> missing = new LinkedBlockingQueue<>();
     private final RouteKind kind;
     private final long timeoutMillis;
@@ -73,6 +75,11 @@
     private final List<BackendRecord> records = new ArrayList<>();
     private final List<KeyedOrganisation> organisations = new ArrayList<>();
     private ForwardingEnvironment environment;
+    private LeaderRequests leader = new NoLeader();
+    private Optional<ModelReference> model = Optional.empty();
+    private Optional<String> lastEventId = Optional.empty();
+    private boolean sharesGranted = true;
+    private volatile IngressConfiguration configuration;
     private volatile boolean headersFail;
     private volatile boolean searchesFail;
 
@@ -121,6 +128,65 @@
                         ORGANISATION, List.of(KEY), OptionalInt.empty(), false, 1, 1, 1));
     }
 
+    /** Lets requests wait for tokens, since the leader has granted none yet. */
+    void grantNoTokens() {
+        allowOneRequest();
+        sharesGranted = false;
+    }
+
+    /** Makes all requests name an adapter. */
+    void requireAdapter() {
+        model = Optional.of(new ModelReference("base", "a1"));
+    }
+
+    /** Makes all requests take up a stream of which this gateway knows nothing. */
+    void takeUpStreams() {
+        lastEventId = Optional.of("1");
+    }
+
+    /** Leaves the answers of the leader to the test. */
+    HeldLeader holdLeader() {
+        final HeldLeader held = new HeldLeader();
+        leader = held;
+        return held;
+    }
+
+    /** Waits until a request waits for an answer of the leader. */
+    void awaitWait(HeldLeader held) throws Exception {
+        final long startNanos = System.nanoTime();
+        while (loop.submit(held::awaited).get() == 0) {
+            if (System.nanoTime() - startNanos > TimeUnit.MILLISECONDS.toNanos(AWAIT_MILLIS)) {
+                throw new AssertionError("no request waits for the leader");
+            }
+        }
+    }
+
+    /** Puts a configuration in force that has no route, no key and no service. */
+    void removeAllRoutes() {
+        configuration =
+                IngressConfiguration.of(2, List.of(), List.of(), List.of(), IngressLimits.DEFAULT);
+    }
+
+    /** Withdraws all backend servers. */
+    void removeAllBackendServers() throws Exception {
+        records.clear();
+        loop.submit(() -> view.apply(update(2), System.nanoTime())).get();
+    }
+
+    /** Stops the server of client connections; the future completes when it may end. */
+    CompletableFuture<Void> stop(IngressServer server, long graceMillis, long writeMillis)
+            throws Exception {
+        return loop.submit(
+                        () ->
+                                GracefulStop.start(
+                                        server,
+                                        loop,
+                                        SystemNanoClock.INSTANCE,
+                                        graceMillis,
+                                        writeMillis))
+                .get();
+    }
+
     /** Spends the retry budget of the service. */
     void spendRetries() throws Exception {
         loop.submit(
@@ -211,6 +277,11 @@
         return ended.poll(AWAIT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    /** Returns what a stopping gateway has left unfinished. */
+    List<UnfinishedWork> unfinished() {
+        return List.copyOf(unfinished);
+    }
+
     /** Returns the number of sends that {@link #awaitSend} has not returned yet. */
     int pendingSends() {
         return sent.size();
@@ -223,17 +294,17 @@
 
     private ForwardingEnvironment environment() {
         if (environment == null) {
-            view.apply(update(), System.nanoTime());
+            view.apply(update(1), System.nanoTime());
             environment = createEnvironment();
         }
         return environment;
     }
 
-    private GatewayUpdate update() {
+    private GatewayUpdate update(long revision) {
         return new GatewayUpdate(
                 1,
-                1,
-                false,
+                revision,
+                true,
                 0,
                 1,
                 new byte[0],
@@ -262,7 +333,7 @@
                         MAXIMUM_ATTEMPTS,
                         organisations.isEmpty(),
                         kind == RouteKind.STREAM);
-        final IngressConfiguration configuration =
+        configuration =
                 IngressConfiguration.of(
                         1, List.of(route), List.of(), organisations, IngressLimits.DEFAULT);
         final ControlFreshness freshness =
@@ -294,12 +365,15 @@
                 freshness,
                 new PromptReaders(),
                 new BegunStreamMemory(),
-                new NoLeader(),
+                leader,
                 new Recorder());
     }
 
     private KeyedAdmission admission(ControlFreshness freshness) {
         final KeyedAdmission admission = KeyedAdmission.of(freshness, 1);
+        if (!sharesGranted) {
+            return admission;
+        }
         final long nowNanos = System.nanoTime();
         final long report = admission.report(nowNanos).reportSequence();
         final List<ShareChange> shares =
@@ -311,7 +385,7 @@
         return admission;
     }
 
-    private static IngressRequest request() {
+    private IngressRequest request() {
         return new IngressRequest(
                 "request",
                 HttpMethod.POST,
@@ -321,10 +395,10 @@
                 new DefaultHttpHeaders(),
                 OptionalLong.empty(),
                 Optional.of(KEY),
-                Optional.empty(),
+                model,
                 Optional.empty(),
                 List.of(),
-                Optional.empty(),
+                lastEventId,
                 Optional.empty());
     }
 
@@ -395,6 +469,11 @@
         public void ended(ForwardingSummary summary) {
             ended.add(summary.code());
         }
+
+        @Override
+        public void leftUnfinished(String requestId, UnfinishedWork work, long ageMillis) {
+            unfinished.add(work);
+        }
     }
 
     private static final class NoLeader implements LeaderRequests {
