--- a/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
@@ -31,13 +31,6 @@
  */
 public final class Gateway {
     private static final long CHECK_MILLIS = 500;
-    private static final long STOP_CHECK_MILLIS = 50;
-
-    /**
-     * Time for the load balancer to notice that an instance is not ready: two readiness checks of
-     * one second each, and a margin.
-     */
-    private static final long BALANCER_DETECTION_MILLIS = 2_600;
 
     private final GatewaySettings settings;
     private final EventLoopGroup group;
@@ -162,41 +155,29 @@
 
     /**
      * Stops the gateway. Requests are still served until the load balancer has noticed that it is
-     * not ready, and refused after that. The future completes when no connection is busy or the
-     * grace period has passed.
+     * not ready, and refused after that. The future completes when no connection is busy, or when
+     * both times have passed.
+     *
+     * @param graceMillis time after which requests under way are ended, with an answer or a refusal
+     *     unless a stream has begun
+     * @param writeMillis time after that within which clients may take their answers
      */
-    public CompletableFuture<Void> stop(long graceMillis) {
+    public CompletableFuture<Void> stop(long graceMillis, long writeMillis) {
         final CompletableFuture<Void> stopped = new CompletableFuture<>();
-        final long startNanos = clock.nanoTime();
         loop.execute(
                 () -> {
                     stopping = true;
                     ready = false;
-                    server.startStopping();
-                    stopWhenIdle(stopped, startNanos, graceMillis);
+                    GracefulStop.start(server, loop, clock, graceMillis, writeMillis)
+                            .thenRun(
+                                    () -> {
+                                        link.stop();
+                                        stopped.complete(null);
+                                    });
                 });
         return stopped;
     }
 
-    private void stopWhenIdle(CompletableFuture<Void> stopped, long startNanos, long graceMillis) {
-        final long passedMillis = TimeUnit.NANOSECONDS.toMillis(clock.nanoTime() - startNanos);
-        final boolean balancerInformed = passedMillis >= BALANCER_DETECTION_MILLIS;
-        if (balancerInformed) {
-            server.startRefusing();
-        }
-        final boolean idle = balancerInformed && server.closeIdle();
-        if (idle || passedMillis >= graceMillis) {
-            server.closeListener();
-            link.stop();
-            stopped.complete(null);
-        } else {
-            loop.schedule(
-                    () -> stopWhenIdle(stopped, startNanos, graceMillis),
-                    STOP_CHECK_MILLIS,
-                    TimeUnit.MILLISECONDS);
-        }
-    }
-
     private GatewayReport createReport(long nowNanos) {
         checkSuspension(nowNanos);
         return new GatewayReport(
