Decide refused and unsigned answers by their heads

What callers saw: an answer that says "not run", or one of success without a signature, was read to its end before anything followed. Without an end the request was held to its time limit, and nothing was tried elsewhere, though the head said all.

The connection of an unsigned answer is closed at its head. A "not run" head whose body is cut off still counts as not run, as before, and now as the backend server's word instead of a lost connection.

--- a/daemon/src/main/java/org/crocushaven/forwarding/BackendAttempt.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/BackendAttempt.java
@@ -96,9 +96,11 @@
             forwarding.noticesReceived(this, decoded);
         }
         if (decoded.notRun() || status.code() == MISDIRECTED) {
-            answerKind = AnswerKind.NOT_RUN;
+            channel.drain();
+            forwarding.requestNotRun(this);
         } else if (success && !decoded.signed()) {
-            answerKind = AnswerKind.UNSIGNED;
+            abort();
+            forwarding.handleFailure(this, true, "unsigned answer");
         } else if (success && forwarding.isStream()) {
             answerKind = AnswerKind.EVENT_STREAM;
             forwarding.streamAnswered(this);
@@ -129,23 +131,20 @@
     @Override
     public void complete() {
         switch (answerKind) {
-            case NOT_RUN -> forwarding.requestNotRun(this);
             case EVENT_STREAM -> forwarding.streamEnded(this);
             case COMPLETE_BODY -> forwarding.completeAnswerReceived(this);
-            default -> forwarding.handleFailure(this, true, "unsigned answer");
+            default -> throw new IllegalStateException("an answer without a head is complete");
         }
     }
 
     @Override
     public void failed(boolean mayHaveRun, String reason) {
         discardBody();
-        forwarding.handleFailure(this, mayHaveRun && answerKind != AnswerKind.NOT_RUN, reason);
+        forwarding.handleFailure(this, mayHaveRun, reason);
     }
 
     private enum AnswerKind {
         AWAITING_HEAD,
-        NOT_RUN,
-        UNSIGNED,
         EVENT_STREAM,
         COMPLETE_BODY
     }
--- a/daemon/src/main/java/org/crocushaven/outbound/BackendChannel.java
+++ b/daemon/src/main/java/org/crocushaven/outbound/BackendChannel.java
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -85,6 +86,22 @@
         close();
     }
 
+    /**
+     * Ends the request in flight, whose answer is decided by its head. The connection is reused if
+     * the rest of the answer is short.
+     */
+    public void drain() {
+        if (reusable) {
+            listener = new DrainedAnswer(this);
+        } else {
+            abort();
+        }
+    }
+
+    EventLoop eventLoop() {
+        return channel.eventLoop();
+    }
+
     /** Pauses or resumes reading of the backend server's answer. */
     public void setAutoRead(boolean autoRead) {
         channel.config().setAutoRead(autoRead);
--- a/daemon/src/test/java/org/crocushaven/forwarding/EndlessAnswersTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/EndlessAnswersTest.java
@@ -65,7 +65,7 @@
         void largestAllowedIsForwardedWhole() throws Exception {
             use(RouteKind.NON_IDEMPOTENT, "HTTP/1.1 200 OK\r\n\r\n", "x");
             addSound();
-            fixture.occupy("endless", SLOTS);
+            fixture.occupy("endless", 2 * SLOTS);
             final String body = "y".repeat((int) AnswerMemory.MAXIMUM_ANSWER_BYTES);
             final ForwardingFixture.RecordedAnswer answer = fixture.start();
 
@@ -118,4 +118,61 @@
             assertEquals(0, fixture.answerBytes());
         }
     }
+
+    @Nested
+    class AnswersDecidedByTheirHead {
+        @Test
+        void notRunAnswerWithoutEndIsSentElsewhereAtOnce() throws Exception {
+            use(
+                    RouteKind.NON_IDEMPOTENT,
+                    "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\n" + CHUNKED,
+                    CHUNK_OF_X);
+            addSound();
+            final ForwardingFixture.RecordedAnswer answer = fixture.start();
+
+            sound.awaitRequest().answer(200, "", "whole");
+
+            assertEquals("200 whole", answer.awaitEnd());
+            assertCut(1 << 20);
+        }
+
+        @Test
+        void unsignedAnswerWithoutEndIsFailedAtOnce() throws Exception {
+            use(RouteKind.NON_IDEMPOTENT, "HTTP/1.1 200 OK\r\nUnsigned: 1\r\n\r\n", "x");
+
+            assertRefusedAndCut(1 << 20);
+        }
+
+        @Test
+        void notRunAnswerThatStallsIsSentElsewhereAtOnceAndClosedSoon() throws Exception {
+            use(RouteKind.NON_IDEMPOTENT, "", "x");
+            try (StandInServer stalling = StandInServer.start("stalling")) {
+                fixture.announce(stalling, SLOTS);
+                addSound();
+                fixture.occupy("endless", 2 * SLOTS);
+                final ForwardingFixture.RecordedAnswer answer = fixture.start();
+                final StandInServer.Exchange stalled = stalling.awaitRequest();
+
+                stalled.write("HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 9\r\n\r\nbusy");
+                sound.awaitRequest().answer(200, "", "whole");
+
+                assertEquals("200 whole", answer.awaitEnd());
+                stalled.awaitClosed();
+            }
+        }
+
+        @Test
+        void connectionOfNotRunAnswerIsUsedAgainWhenItsShortBodyFollowsLater() throws Exception {
+            use(RouteKind.NON_IDEMPOTENT, "", "x");
+            addSound();
+            fixture.occupy("endless", 2 * SLOTS);
+            final ForwardingFixture.RecordedAnswer refused = fixture.start();
+            final StandInServer.Exchange connection = sound.awaitRequest();
+            connection.write("HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 4\r\n\r\n");
+            assertEquals("refused QUEUE_FULL", refused.awaitEnd());
+
+            connection.write("busy");
+            connection.awaitNextRequest(fixture);
+        }
+    }
 }
--- a/daemon/src/test/java/org/crocushaven/forwarding/StandInServer.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/StandInServer.java
@@ -7,6 +7,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -70,6 +71,8 @@
     /** One request, on a connection of its own. */
     static final class Exchange {
         private static final String LAST_EVENT_ID = "last-event-id: ";
+        private static final int RETRY_MILLIS = 200;
+        private static final int RETRIES = 20;
 
         private final Socket socket;
         private final BufferedReader reader;
@@ -158,6 +161,23 @@
             socket.close();
         }
 
+        /** Starts requests until one comes on this connection. */
+        void awaitNextRequest(ForwardingFixture fixture) throws Exception {
+            socket.setSoTimeout(RETRY_MILLIS);
+            for (int request = 0; request < RETRIES; request++) {
+                fixture.start();
+                try {
+                    if (reader.read() >= 0) {
+                        return;
+                    }
+                    throw new AssertionError("the connection was closed");
+                } catch (SocketTimeoutException notYet) {
+                    continue;
+                }
+            }
+            throw new AssertionError("no further request came on the connection");
+        }
+
         /** Waits until the gateway closes the connection. */
         void awaitClosed() throws IOException {
             socket.setSoTimeout((int) ForwardingFixture.AWAIT_MILLIS);
@@ -166,7 +186,8 @@
             }
         }
 
-        private void write(String text) throws IOException {
+        /** Sends the given text as it is. */
+        void write(String text) throws IOException {
             out.write(text.getBytes(StandardCharsets.UTF_8));
             out.flush();
         }
