Bound the answers to other requests that are skipped

What callers saw: an answer that carries the identifier of another request is skipped until its end, so that the own one may follow. One without end held the request to its time limit, and so did such answers one after the other.

The own answer may come any time after a skipped one, which a test shows.

--- a/daemon/src/main/java/org/crocushaven/outbound/BackendChannel.java
+++ b/daemon/src/main/java/org/crocushaven/outbound/BackendChannel.java
@@ -30,6 +30,7 @@
     private final Consumer<BackendChannel> onReusable;
     private Channel channel;
     private BackendAnswerListener listener;
+    private ForeignAnswers foreignAnswers;
     private boolean skippingForeignAnswer;
     private boolean informational;
     private boolean reusable;
@@ -71,6 +72,10 @@
         reusable = true;
         headReceived = false;
         skippingForeignAnswer = false;
+        foreignAnswers =
+                new ForeignAnswers(
+                        channel.eventLoop(),
+                        () -> failAndClose("another request's answer too long"));
         channel.writeAndFlush(request)
                 .addListener(
                         written -> {
@@ -141,20 +146,21 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
+        if (foreignAnswers != null) {
+            foreignAnswers.end();
+        }
         fail(headReceived ? "closed during the answer" : "closed before the answer");
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        fail("connection failed: " + cause.getClass().getSimpleName());
-        close();
+        failAndClose("connection failed: " + cause.getClass().getSimpleName());
     }
 
     private void read(Object message) {
         if (message instanceof io.netty.handler.codec.DecoderResultProvider decoded
                 && decoded.decoderResult().isFailure()) {
-            fail("unreadable answer");
-            close();
+            failAndClose("unreadable answer");
             return;
         }
         if (message instanceof HttpResponse head) {
@@ -175,12 +181,28 @@
         skippingForeignAnswer = !listener.head(head);
         headReceived |= !skippingForeignAnswer;
         if (skippingForeignAnswer) {
-            reusable = false;
+            skipForeignAnswer(isDelimited(head));
+        }
+    }
+
+    private void skipForeignAnswer(boolean delimited) {
+        reusable = false;
+        if (!delimited) {
+            failAndClose("another request's answer without length");
+        } else if (!foreignAnswers.tryBegin()) {
+            failAndClose("too many answers to other requests");
         }
     }
 
     private void readContent(HttpContent content) {
         final boolean last = content instanceof LastHttpContent;
+        if (skippingForeignAnswer && !foreignAnswers.tryAdd(content.content().readableBytes())) {
+            failAndClose("another request's answer too large");
+            return;
+        }
+        if (skippingForeignAnswer && last) {
+            foreignAnswers.end();
+        }
         if (informational || skippingForeignAnswer) {
             informational &= !last;
             skippingForeignAnswer &= !last;
@@ -208,6 +230,11 @@
         finished.complete();
     }
 
+    private void failAndClose(String reason) {
+        fail(reason);
+        close();
+    }
+
     private void fail(String reason) {
         final BackendAnswerListener failed = listener;
         listener = null;
--- a/daemon/src/test/java/org/crocushaven/forwarding/EndlessAnswersTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/EndlessAnswersTest.java
@@ -175,4 +175,62 @@
             connection.awaitNextRequest(fixture);
         }
     }
+
+    @Nested
+    class ForeignAnswers {
+        @Test
+        void ownAnswerMayComeLongAfterForeignOne() throws Exception {
+            use(RouteKind.NON_IDEMPOTENT, "", "x");
+            addSound();
+            fixture.occupy("endless", 2 * SLOTS);
+            final ForwardingFixture.RecordedAnswer answer = fixture.start();
+            final StandInServer.Exchange exchange = sound.awaitRequest();
+
+            exchange.write("HTTP/1.1 200 OK\r\nRequest-Id: another\r\nContent-Length: 1\r\n\r\nx");
+            fixture.passOnLoop(CUT_MILLIS + 500);
+            exchange.answer(200, "", "own");
+
+            assertEquals("200 own", answer.awaitEnd());
+        }
+
+        @Test
+        void foreignAnswerInChunksWithoutEndIsCut() throws Exception {
+            use(
+                    RouteKind.NON_IDEMPOTENT,
+                    "HTTP/1.1 200 OK\r\nRequest-Id: another\r\n" + CHUNKED,
+                    CHUNK_OF_X);
+
+            assertRefusedAndCut(AnswerMemory.MAXIMUM_ANSWER_BYTES);
+        }
+
+        @Test
+        void foreignAnswerThatStallsIsCut() throws Exception {
+            use(RouteKind.NON_IDEMPOTENT, "", "x");
+            addSound();
+            fixture.occupy("endless", 2 * SLOTS);
+            final ForwardingFixture.RecordedAnswer answer = fixture.start();
+
+            sound.awaitRequest()
+                    .write("HTTP/1.1 200 OK\r\nRequest-Id: another\r\nContent-Length: 9\r\n\r\nx");
+
+            assertEquals("refused BACKEND_SERVER_FAILED", answer.awaitEnd());
+        }
+
+        @Test
+        void foreignAnswersWithoutEndAreCut() throws Exception {
+            use(
+                    RouteKind.NON_IDEMPOTENT,
+                    "",
+                    "HTTP/1.1 200 OK\r\nRequest-Id: another\r\nContent-Length: 0\r\n\r\n");
+
+            assertRefusedAndCut(AnswerMemory.MAXIMUM_ANSWER_BYTES);
+        }
+
+        @Test
+        void foreignAnswerThatEndsWithItsConnectionIsCut() throws Exception {
+            use(RouteKind.NON_IDEMPOTENT, "HTTP/1.1 200 OK\r\nRequest-Id: another\r\n\r\n", "x");
+
+            assertRefusedAndCut(1 << 20);
+        }
+    }
 }
