Bound the bytes of an answer that are no body

What callers saw: informational heads without end, and chunks of one byte with long extensions, held a request to its time limit while the gateway read at full speed. Single lines and the headers of one head or trailer were bounded by the decoder already. Empty lines between two requests left the connection in the pool.

The five tests of single heads, lines and trailers, and of empty lines in small pieces, passed before and guard what the decoder does.

Change: what comes on a connection for one request may exceed its bodies by 1 MiB and 16 bytes for each of theirs (AnswerOverhead); bytes that come while no request is in flight close the connection, also when the decoder skips them.

RequestForwardingTest and PauseNoticesTest pass.

--- a/daemon/src/main/java/org/crocushaven/outbound/BackendChannel.java
+++ b/daemon/src/main/java/org/crocushaven/outbound/BackendChannel.java
@@ -28,6 +28,7 @@
     private static final String TIMEOUT_PARAMETER = "timeout=";
 
     private final Consumer<BackendChannel> onReusable;
+    private final AnswerOverhead overhead;
     private Channel channel;
     private BackendAnswerListener listener;
     private ForeignAnswers foreignAnswers;
@@ -42,9 +43,11 @@
     /**
      * Creates the handler of a connection.
      *
+     * @param overhead counts what is received
      * @param onReusable is called when the connection can carry another request
      */
-    BackendChannel(Consumer<BackendChannel> onReusable) {
+    BackendChannel(AnswerOverhead overhead, Consumer<BackendChannel> onReusable) {
+        this.overhead = overhead;
         this.onReusable = onReusable;
     }
 
@@ -71,6 +74,7 @@
         listener = answerListener;
         reusable = true;
         headReceived = false;
+        overhead.begin();
         skippingForeignAnswer = false;
         foreignAnswers =
                 new ForeignAnswers(
@@ -139,7 +143,11 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
-        if (listener != null) {
+        if (listener == null && overhead.hasBytes()) {
+            close();
+        } else if (listener != null && overhead.isExceeded()) {
+            failAndClose("too many bytes beside the answer's body");
+        } else if (listener != null) {
             listener.readComplete();
         }
     }
@@ -196,6 +204,7 @@
 
     private void readContent(HttpContent content) {
         final boolean last = content instanceof LastHttpContent;
+        overhead.addBody(content.content().readableBytes());
         if (skippingForeignAnswer && !foreignAnswers.tryAdd(content.content().readableBytes())) {
             failAndClose("another request's answer too large");
             return;
@@ -219,6 +228,7 @@
     private void finish() {
         final BackendAnswerListener finished = listener;
         listener = null;
+        overhead.begin();
         answered = true;
         idleSinceNanos = System.nanoTime();
         if (reusable && channel.isActive()) {
--- a/daemon/src/main/java/org/crocushaven/outbound/BackendPool.java
+++ b/daemon/src/main/java/org/crocushaven/outbound/BackendPool.java
@@ -114,14 +114,16 @@
 
     private CompletableFuture<BackendChannel> connect(InetSocketAddress address) {
         final CompletableFuture<BackendChannel> opened = new CompletableFuture<>();
-        final BackendChannel handler = new BackendChannel(channel -> release(address, channel));
+        final AnswerOverhead overhead = new AnswerOverhead();
+        final BackendChannel handler =
+                new BackendChannel(overhead, channel -> release(address, channel));
         final Bootstrap bootstrap =
                 new Bootstrap()
                         .group(loop)
                         .channel(NioSocketChannel.class)
                         .option(ChannelOption.TCP_NODELAY, true)
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-                        .handler(initializer(handler));
+                        .handler(initializer(overhead, handler));
         bootstrap
                 .connect(address)
                 .addListener(
@@ -144,12 +146,14 @@
         idle.computeIfAbsent(address, key -> new ArrayDeque<>()).addLast(channel);
     }
 
-    private static ChannelInitializer<Channel> initializer(BackendChannel handler) {
+    private static ChannelInitializer<Channel> initializer(
+            AnswerOverhead overhead, BackendChannel handler) {
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel channel) {
                 channel.pipeline()
                         .addLast(new HttpRequestEncoder())
+                        .addLast(overhead)
                         .addLast(
                                 new HttpResponseDecoder(
                                         new HttpDecoderConfig()
--- a/daemon/src/test/java/org/crocushaven/forwarding/EndlessAnswersTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/EndlessAnswersTest.java
@@ -1,8 +1,10 @@
 package org.crocushaven.forwarding;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import org.crocushaven.ingress.RouteKind;
@@ -20,6 +22,7 @@
     private static final long BUFFERED_BYTES = 12L << 20;
 
     private static final long CUT_MILLIS = 2_000;
+    private static final int SMALL_PIECES = 4 << 10;
     private static final int SLOTS = 16;
 
     private ForwardingFixture fixture;
@@ -233,4 +236,90 @@
             assertRefusedAndCut(1 << 20);
         }
     }
+
+    @Nested
+    class BytesThatAreNoBody {
+        @Test
+        void informationalHeadsWithoutEndAreCut() throws Exception {
+            use(RouteKind.NON_IDEMPOTENT, "", "HTTP/1.1 102 Processing\r\n\r\n");
+
+            assertRefusedAndCut(1 << 20);
+        }
+
+        @Test
+        void emptyLinesWithoutEndInSmallPiecesAreCut() throws Exception {
+            use(RouteKind.NON_IDEMPOTENT, "", "x");
+            addSound();
+            fixture.occupy("endless", 2 * SLOTS);
+            final ForwardingFixture.RecordedAnswer answer = fixture.start();
+            final StandInServer.Exchange exchange = sound.awaitRequest();
+
+            assertThrows(
+                    IOException.class,
+                    () -> {
+                        for (int piece = 0; piece < SMALL_PIECES; piece++) {
+                            exchange.write("\r\n".repeat(512));
+                            fixture.passOnLoop(0);
+                        }
+                    });
+
+            assertEquals("refused BACKEND_SERVER_FAILED", answer.awaitEnd());
+        }
+
+        @Test
+        void connectionIsClosedWhenEmptyLinesComeBetweenRequests() throws Exception {
+            use(RouteKind.NON_IDEMPOTENT, "", "x");
+            addSound();
+            fixture.occupy("endless", 2 * SLOTS);
+            final ForwardingFixture.RecordedAnswer answer = fixture.start();
+            final StandInServer.Exchange exchange = sound.awaitRequest();
+            exchange.write("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown");
+            assertEquals("200 own", answer.awaitEnd());
+
+            exchange.write("\r\n");
+
+            exchange.awaitClosed();
+        }
+
+        @Test
+        void headerFieldWithoutEndIsCut() throws Exception {
+            use(RouteKind.NON_IDEMPOTENT, "HTTP/1.1 200 OK\r\nField: ", "x");
+
+            assertRefusedAndCut(1 << 20);
+        }
+
+        @Test
+        void headerFieldsWithoutEndAreCut() throws Exception {
+            use(RouteKind.NON_IDEMPOTENT, "HTTP/1.1 200 OK\r\n", "Field: x\r\n");
+
+            assertRefusedAndCut(1 << 20);
+        }
+
+        @Test
+        void emptyLinesBeforeTheHeadWithoutEndAreCut() throws Exception {
+            use(RouteKind.NON_IDEMPOTENT, "", "\r\n");
+
+            assertRefusedAndCut(1 << 20);
+        }
+
+        @Test
+        void chunkExtensionsWithoutEndAreCut() throws Exception {
+            use(
+                    RouteKind.NON_IDEMPOTENT,
+                    "HTTP/1.1 200 OK\r\n" + CHUNKED,
+                    "1;extension=" + "x".repeat(3_000) + "\r\nx\r\n");
+
+            assertRefusedAndCut(4 << 20);
+        }
+
+        @Test
+        void trailersWithoutEndAreCut() throws Exception {
+            use(
+                    RouteKind.NON_IDEMPOTENT,
+                    "HTTP/1.1 200 OK\r\n" + CHUNKED + "0\r\n",
+                    "Field: x\r\n");
+
+            assertRefusedAndCut(1 << 20);
+        }
+    }
 }
