--- a/daemon/src/main/java/org/crocushaven/outbound/BackendChannel.java
+++ b/daemon/src/main/java/org/crocushaven/outbound/BackendChannel.java
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -27,8 +28,10 @@
     private static final String TIMEOUT_PARAMETER = "timeout=";
 
     private final Consumer<BackendChannel> onReusable;
+    private final AnswerOverhead overhead;
     private Channel channel;
     private BackendAnswerListener listener;
+    private ForeignAnswers foreignAnswers;
     private boolean skippingForeignAnswer;
     private boolean informational;
     private boolean reusable;
@@ -40,9 +43,11 @@
     /**
      * Creates the handler of a connection.
      *
+     * @param overhead counts what is received
      * @param onReusable is called when the connection can carry another request
      */
-    BackendChannel(Consumer<BackendChannel> onReusable) {
+    BackendChannel(AnswerOverhead overhead, Consumer<BackendChannel> onReusable) {
+        this.overhead = overhead;
         this.onReusable = onReusable;
     }
 
@@ -69,7 +74,12 @@
         listener = answerListener;
         reusable = true;
         headReceived = false;
+        overhead.begin();
         skippingForeignAnswer = false;
+        foreignAnswers =
+                new ForeignAnswers(
+                        channel.eventLoop(),
+                        () -> failAndClose("another request's answer too long"));
         channel.writeAndFlush(request)
                 .addListener(
                         written -> {
@@ -85,6 +95,22 @@
         close();
     }
 
+    /**
+     * Ends the request in flight, whose answer is decided by its head. The connection is reused if
+     * the rest of the answer is short.
+     */
+    public void drain() {
+        if (reusable) {
+            listener = new DrainedAnswer(this);
+        } else {
+            abort();
+        }
+    }
+
+    EventLoop eventLoop() {
+        return channel.eventLoop();
+    }
+
     /** Pauses or resumes reading of the backend server's answer. */
     public void setAutoRead(boolean autoRead) {
         channel.config().setAutoRead(autoRead);
@@ -117,13 +143,20 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
-        if (listener != null) {
+        if (listener == null && overhead.hasBytes()) {
+            close();
+        } else if (listener != null && overhead.isExceeded()) {
+            failAndClose("too many bytes beside the answer's body");
+        } else if (listener != null) {
             listener.readComplete();
         }
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
+        if (foreignAnswers != null) {
+            foreignAnswers.end();
+        }
         failAtEnd(headReceived ? "closed during the answer" : "closed before the answer");
     }
 
@@ -136,8 +169,7 @@
     private void read(Object message) {
         if (message instanceof io.netty.handler.codec.DecoderResultProvider decoded
                 && decoded.decoderResult().isFailure()) {
-            fail("unreadable answer");
-            close();
+            failAndClose("unreadable answer");
             return;
         }
         if (message instanceof HttpResponse head) {
@@ -158,12 +190,29 @@
         skippingForeignAnswer = !listener.head(head);
         headReceived |= !skippingForeignAnswer;
         if (skippingForeignAnswer) {
-            reusable = false;
+            skipForeignAnswer(isDelimited(head));
+        }
+    }
+
+    private void skipForeignAnswer(boolean delimited) {
+        reusable = false;
+        if (!delimited) {
+            failAndClose("another request's answer without length");
+        } else if (!foreignAnswers.tryBegin()) {
+            failAndClose("too many answers to other requests");
         }
     }
 
     private void readContent(HttpContent content) {
         final boolean last = content instanceof LastHttpContent;
+        overhead.addBody(content.content().readableBytes());
+        if (skippingForeignAnswer && !foreignAnswers.tryAdd(content.content().readableBytes())) {
+            failAndClose("another request's answer too large");
+            return;
+        }
+        if (skippingForeignAnswer && last) {
+            foreignAnswers.end();
+        }
         if (informational || skippingForeignAnswer) {
             informational &= !last;
             skippingForeignAnswer &= !last;
@@ -180,6 +229,7 @@
     private void finish() {
         final BackendAnswerListener finished = listener;
         listener = null;
+        overhead.begin();
         answered = true;
         idleSinceNanos = System.nanoTime();
         if (reusable && channel.isActive()) {
@@ -198,6 +248,11 @@
         fail(reason);
     }
 
+    private void failAndClose(String reason) {
+        fail(reason);
+        close();
+    }
+
     private void fail(String reason) {
         final BackendAnswerListener failed = listener;
         listener = null;
