Let a voter change wait for a new leader's first commit instead of refusing it

What operators saw: `voters add` or `voters remove` answered 409, "Another voter change of group 0 is in progress", while nobody had asked for one. An operator's tool is told to come back later for a reason that is not there; the fleet's own maintenance of voters lost a turn.

Cause: a leader refused every change until the first entry of its term, or the last configuration, was committed, and said so with the code of another change. Just after an election this is one round trip, or longer where a machine starves. `foreignVoters` names a voter without its disk from that voter's first answer on, which may come before the answer of the other voter that commits: who reacts to it at once, as GroupHostTest does, is refused.

Evidence: three of the four new tests of ReplicaCoreTest failed before: removal and addition were answered with VOTER_CHANGE_IN_PROGRESS while the term's first entry was not committed; the addition is the state in which GroupHostTest was refused (a foreign voter known, nothing committed). The fourth guards that a second change is refused as before.

Change: such a change is the pending one and waits for that commit; it ends as NOT_LEADER (nothing proposed, so it did not run, and LeaderClient asks the next leader) when the leadership ends, which without a quorum is after the lease.

--- a/daemon/src/main/java/org/crocushaven/consensus/VoterChanges.java
+++ b/daemon/src/main/java/org/crocushaven/consensus/VoterChanges.java
@@ -10,6 +10,10 @@
 /**
  * Changes the voters of a group, one voter at a time.
  *
+ * <p>A change asked of a leader whose term has not begun to commit, or whose configuration is not
+ * committed, waits until it has: nobody else has asked for a change then. It ends with the
+ * leadership at the latest.
+ *
  * <p>A new instance first receives the log as a learner and becomes a voter only once it has synced
  * the leader's entries. If a voter of the same name lost its disk, a separate entry removes that
  * voter first.
@@ -28,34 +32,28 @@
 
     /** Starts to add an instance as a voter. */
     void add(long changeId, String name, long nowNanos) {
-        if (rejectUnlessReady(changeId)) {
-            return;
-        }
-        if (name.equals(state.name())) {
-            report(changeId, Optional.empty());
-            return;
-        }
-        replication.setLearner(Optional.of(name));
-        start(
-                PendingChange.of(
-                        changeId, name, Phase.CATCH_UP, nowNanos, lastIndex(), state.term()));
-        advance(nowNanos);
+        request(changeId, name, Phase.WAITING_TO_ADD, nowNanos);
     }
 
     /** Starts to remove a voter. */
     void remove(long changeId, String name, long nowNanos) {
-        if (rejectUnlessReady(changeId)) {
-            return;
-        }
-        final VoterConfiguration configuration = state.log().configuration();
-        if (configuration.find(name).isEmpty()) {
-            report(changeId, Optional.empty());
-        } else if (configuration.voters().size() == 1) {
-            final String detail = name + " is the only voter";
-            report(changeId, invalid(detail));
+        request(changeId, name, Phase.WAITING_TO_REMOVE, nowNanos);
+    }
+
+    private void request(long changeId, String name, Phase phase, long nowNanos) {
+        if (state.role() != Role.LEADER) {
+            report(changeId, Optional.of(notLeader()));
+        } else if (pending.isPresent()) {
+            final int groupId = state.settings().groupId();
+            report(
+                    changeId,
+                    Optional.of(ResultException.of(ResultCode.VOTER_CHANGE_IN_PROGRESS, groupId)));
         } else {
-            final long index = propose(configuration.without(name));
-            start(PendingChange.of(changeId, name, Phase.REMOVING, nowNanos, index, state.term()));
+            final long index = Math.max(state.termStartIndex(), state.log().configurationIndex());
+            pending =
+                    Optional.of(
+                            PendingChange.of(changeId, name, phase, nowNanos, index, state.term()));
+            advance(nowNanos);
         }
     }
 
@@ -77,6 +75,8 @@
     private void step(PendingChange change, long nowNanos) {
         final PeerProgress peer = replication.peer(change.name());
         switch (change.phase()) {
+            case WAITING_TO_ADD -> startAdding(change, nowNanos);
+            case WAITING_TO_REMOVE -> startRemoving(change);
             case CATCH_UP -> catchUp(change, peer, nowNanos);
             case REMOVING_OLD_VOTER -> addAfterRemoval(change, peer);
             case ADDING -> finishAdding(change, peer, nowNanos);
@@ -89,6 +89,33 @@
         }
     }
 
+    private void startAdding(PendingChange change, long nowNanos) {
+        if (state.commitIndex() < change.index()) {
+            return;
+        }
+        if (change.name().equals(state.name())) {
+            finish(Optional.empty());
+            return;
+        }
+        replication.setLearner(Optional.of(change.name()));
+        pending = Optional.of(change.startCatchUp(nowNanos, lastIndex()));
+    }
+
+    private void startRemoving(PendingChange change) {
+        if (state.commitIndex() < change.index()) {
+            return;
+        }
+        final VoterConfiguration configuration = state.log().configuration();
+        if (configuration.find(change.name()).isEmpty()) {
+            finish(Optional.empty());
+        } else if (configuration.voters().size() == 1) {
+            finish(invalid(change.name() + " is the only voter"));
+        } else {
+            final long index = propose(configuration.without(change.name()));
+            pending = Optional.of(change.inPhase(Phase.REMOVING, index, Voter.UNBOUND));
+        }
+    }
+
     /**
      * Replicates to the learner in rounds; a round ends when the learner has synced the entry that
      * was the last one when the round began. The last round is one that took at most the minimum
@@ -153,24 +180,6 @@
         }
     }
 
-    private boolean rejectUnlessReady(long changeId) {
-        if (state.role() != Role.LEADER) {
-            report(changeId, Optional.of(notLeader()));
-            return true;
-        }
-        final boolean busy =
-                pending.isPresent()
-                        || state.commitIndex() < state.termStartIndex()
-                        || state.commitIndex() < state.log().configurationIndex();
-        if (busy) {
-            final ResultException failure =
-                    ResultException.of(
-                            ResultCode.VOTER_CHANGE_IN_PROGRESS, state.settings().groupId());
-            report(changeId, Optional.of(failure));
-        }
-        return busy;
-    }
-
     private long propose(VoterConfiguration configuration) {
         return state.append(EntryKind.CONFIGURATION, configuration.encode()).index();
     }
@@ -187,10 +196,6 @@
         return state.log().lastIndex();
     }
 
-    private void start(PendingChange change) {
-        pending = Optional.of(change);
-    }
-
     private void finish(Optional<ResultException> failure) {
         final long changeId = pending.orElseThrow().changeId();
         pending = Optional.empty();
@@ -213,10 +218,10 @@
 
     private Optional<ResultException> lostLeadership(PendingChange change) {
         return Optional.of(
-                change.phase() == Phase.CATCH_UP
-                        ? notLeader()
-                        : ResultException.of(
-                                ResultCode.PROPOSAL_OUTCOME_UNKNOWN, state.settings().groupId()));
+                change.phase().hasProposed()
+                        ? ResultException.of(
+                                ResultCode.PROPOSAL_OUTCOME_UNKNOWN, state.settings().groupId())
+                        : notLeader());
     }
 
     private ResultException notLeader() {
@@ -233,10 +238,17 @@
     }
 
     private enum Phase {
+        WAITING_TO_ADD,
+        WAITING_TO_REMOVE,
         CATCH_UP,
         REMOVING_OLD_VOTER,
         ADDING,
-        REMOVING
+        REMOVING;
+
+        /** Returns whether an entry has been appended, so that the change may yet happen. */
+        boolean hasProposed() {
+            return this == REMOVING_OLD_VOTER || this == ADDING || this == REMOVING;
+        }
     }
 
     /**
@@ -261,6 +273,10 @@
                     changeId, name, phase, nowNanos, nowNanos, index, term, Voter.UNBOUND);
         }
 
+        PendingChange startCatchUp(long nowNanos, long target) {
+            return of(changeId, name, Phase.CATCH_UP, nowNanos, target, term);
+        }
+
         PendingChange nextRound(long nowNanos, long target) {
             return new PendingChange(
                     changeId, name, phase, startNanos, nowNanos, target, term, identity);
--- a/daemon/src/test/java/org/crocushaven/consensus/ReplicaCoreTest.java
+++ b/daemon/src/test/java/org/crocushaven/consensus/ReplicaCoreTest.java
@@ -27,6 +27,7 @@
 
     private final List<Envelope> sent = new ArrayList<>();
     private final List<LogEntry> committed = new ArrayList<>();
+    private final List<VoterChangeResult> changes = new ArrayList<>();
     private long nowNanos = 5_000 * NANOS_PER_MILLI;
 
     /** Creates replica a of the voters a, b and c, whose storage identities are 1, 2 and 3. */
@@ -58,6 +59,7 @@
         while (!output.isEmpty()) {
             sent.addAll(output.messages());
             committed.addAll(output.committed());
+            changes.addAll(output.changeResults());
             if (output.awaitsSync()) {
                 core.onSynced(nowNanos);
             }
@@ -254,6 +256,81 @@
         }
     }
 
+    @Nested
+    class ChangingVoters {
+        private static final long CHANGE_ID = 7;
+
+        @Test
+        void newLeaderDoesNotRefuseRemovalBeforeItsTermBeganToCommit() {
+            final ReplicaCore core = replica(1);
+            elect(core);
+            core.removeVoter(CHANGE_ID, "c", nowNanos);
+            drainOutput(core);
+            assertEquals(List.of(), changes);
+            assertEquals(3, core.configuration().voters().size(), "nothing proposed yet");
+
+            core.receive("b", acknowledgement(core, 2, 2), nowNanos);
+            drainOutput(core);
+            assertEquals(List.of("a", "b"), core.configuration().names());
+            core.receive("b", acknowledgement(core, 2, 3), nowNanos);
+            drainOutput(core);
+            assertEquals(List.of(new VoterChangeResult(CHANGE_ID, Optional.empty())), changes);
+        }
+
+        @Test
+        void newLeaderDoesNotRefuseAdditionBeforeItsTermBeganToCommit() {
+            final ReplicaCore core = replica(1);
+            elect(core);
+            core.receive("c", acknowledgement(core, 99, 0), nowNanos);
+            core.addVoter(CHANGE_ID, "c", nowNanos);
+            drainOutput(core);
+            assertEquals(List.of("c"), core.foreignVoters());
+            assertEquals(List.of(), changes);
+
+            core.receive("b", acknowledgement(core, 2, 2), nowNanos);
+            core.receive("c", acknowledgement(core, 99, 2), nowNanos);
+            drainOutput(core);
+            core.receive("b", acknowledgement(core, 2, 3), nowNanos);
+            drainOutput(core);
+            core.receive("b", acknowledgement(core, 2, 4), nowNanos);
+            core.receive("c", acknowledgement(core, 99, 4), nowNanos);
+            drainOutput(core);
+            assertEquals(List.of(new VoterChangeResult(CHANGE_ID, Optional.empty())), changes);
+            assertEquals(List.of(), core.foreignVoters());
+        }
+
+        @Test
+        void changeThatWaitsForItsTermFailsAsNotRunWhenTheLeaderIsLost() {
+            final ReplicaCore core = replica(1);
+            elect(core);
+            core.removeVoter(CHANGE_ID, "c", nowNanos);
+            advance(core, 501);
+
+            assertFalse(core.isLeader());
+            assertEquals(ResultCode.NOT_LEADER, codeOf(changes.get(0)));
+            assertEquals(3, core.configuration().voters().size());
+        }
+
+        @Test
+        void refusesSecondChangeWhileTheFirstWaitsOrRuns() {
+            final ReplicaCore core = replica(1);
+            elect(core);
+            core.removeVoter(CHANGE_ID, "c", nowNanos);
+            core.removeVoter(CHANGE_ID + 1, "b", nowNanos);
+            drainOutput(core);
+            assertEquals(ResultCode.VOTER_CHANGE_IN_PROGRESS, codeOf(changes.get(0)));
+
+            core.receive("b", acknowledgement(core, 2, 2), nowNanos);
+            core.addVoter(CHANGE_ID + 2, "d", nowNanos);
+            drainOutput(core);
+            assertEquals(ResultCode.VOTER_CHANGE_IN_PROGRESS, codeOf(changes.get(1)));
+        }
+
+        private static ResultCode codeOf(VoterChangeResult change) {
+            return change.failure().orElseThrow().code();
+        }
+    }
+
     @Nested
     class Following {
         @Test
