--- a/daemon/src/main/java/org/crocushaven/consensus/VoterChanges.java
+++ b/daemon/src/main/java/org/crocushaven/consensus/VoterChanges.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.crocushaven.consensus.PendingVoterChange.Phase;
 import org.crocushaven.consensus.ReplicaState.Role;
 import org.crocushaven.result.ResultCode;
 import org.crocushaven.result.ResultException;
@@ -23,7 +24,7 @@
 
     private final ReplicaState state;
     private final LeaderReplication replication;
-    private Optional<PendingChange> pending = Optional.empty();
+    private Optional<PendingVoterChange> pending = Optional.empty();
 
     VoterChanges(ReplicaState state, LeaderReplication replication) {
         this.state = state;
@@ -52,7 +53,8 @@
             final long index = Math.max(state.termStartIndex(), state.log().configurationIndex());
             pending =
                     Optional.of(
-                            PendingChange.of(changeId, name, phase, nowNanos, index, state.term()));
+                            PendingVoterChange.of(
+                                    changeId, name, phase, nowNanos, index, state.term()));
             advance(nowNanos);
         }
     }
@@ -60,7 +62,7 @@
     /** Advances the pending change as far as possible. */
     void advance(long nowNanos) {
         while (pending.isPresent()) {
-            final PendingChange before = pending.get();
+            final PendingVoterChange before = pending.get();
             if (state.role() != Role.LEADER) {
                 finish(hasRemovedItself(before) ? Optional.empty() : lostLeadership(before));
             } else {
@@ -72,7 +74,7 @@
         }
     }
 
-    private void step(PendingChange change, long nowNanos) {
+    private void step(PendingVoterChange change, long nowNanos) {
         final PeerProgress peer = replication.peer(change.name());
         switch (change.phase()) {
             case WAITING_TO_ADD -> startAdding(change, nowNanos);
@@ -89,7 +91,7 @@
         }
     }
 
-    private void startAdding(PendingChange change, long nowNanos) {
+    private void startAdding(PendingVoterChange change, long nowNanos) {
         if (state.commitIndex() < change.index()) {
             return;
         }
@@ -101,7 +103,7 @@
         pending = Optional.of(change.startCatchUp(nowNanos, lastIndex()));
     }
 
-    private void startRemoving(PendingChange change) {
+    private void startRemoving(PendingVoterChange change) {
         if (state.commitIndex() < change.index()) {
             return;
         }
@@ -121,7 +123,7 @@
      * was the last one when the round began. The last round is one that took at most the minimum
      * election timeout or left nothing to send; the learner can then become a voter without delay.
      */
-    private void catchUp(PendingChange change, PeerProgress peer, long nowNanos) {
+    private void catchUp(PendingVoterChange change, PeerProgress peer, long nowNanos) {
         if (!isInContact(change, peer, nowNanos)) {
             finish(timeout(change));
             return;
@@ -148,7 +150,7 @@
         }
     }
 
-    private void addAfterRemoval(PendingChange change, PeerProgress peer) {
+    private void addAfterRemoval(PendingVoterChange change, PeerProgress peer) {
         if (state.commitIndex() < change.index()) {
             return;
         }
@@ -163,13 +165,13 @@
         addLearnerAsVoter(change, peer);
     }
 
-    private void addLearnerAsVoter(PendingChange change, PeerProgress peer) {
+    private void addLearnerAsVoter(PendingVoterChange change, PeerProgress peer) {
         final Voter voter = new Voter(peer.name(), peer.identity());
         final long index = propose(state.log().configuration().with(voter));
         pending = Optional.of(change.inPhase(Phase.ADDING, index, peer.identity()));
     }
 
-    private void finishAdding(PendingChange change, PeerProgress peer, long nowNanos) {
+    private void finishAdding(PendingVoterChange change, PeerProgress peer, long nowNanos) {
         if (state.commitIndex() < change.index()) {
             return;
         }
@@ -184,7 +186,7 @@
         return state.append(EntryKind.CONFIGURATION, configuration.encode()).index();
     }
 
-    private boolean isInContact(PendingChange change, PeerProgress peer, long nowNanos) {
+    private boolean isInContact(PendingVoterChange change, PeerProgress peer, long nowNanos) {
         final long since =
                 peer.hasContact()
                         ? Math.max(peer.answeredSentNanos(), change.startNanos())
@@ -208,7 +210,7 @@
     }
 
     /** Returns whether the replica stepped down because its own removal was committed. */
-    private boolean hasRemovedItself(PendingChange change) {
+    private boolean hasRemovedItself(PendingVoterChange change) {
         return change.phase() == Phase.REMOVING
                 && change.name().equals(state.name())
                 && state.commitIndex() >= change.index()
@@ -216,7 +218,7 @@
                 && state.log().termAt(change.index()) == change.term();
     }
 
-    private Optional<ResultException> lostLeadership(PendingChange change) {
+    private Optional<ResultException> lostLeadership(PendingVoterChange change) {
         return Optional.of(
                 change.phase().hasProposed()
                         ? ResultException.of(
@@ -228,7 +230,7 @@
         return ResultException.of(ResultCode.NOT_LEADER, state.settings().groupId());
     }
 
-    private static Optional<ResultException> timeout(PendingChange change) {
+    private static Optional<ResultException> timeout(PendingVoterChange change) {
         return Optional.of(
                 ResultException.of(ResultCode.PEER_TIMEOUT, change.name(), CONTACT_TIMEOUT_MILLIS));
     }
@@ -236,62 +238,4 @@
     private static Optional<ResultException> invalid(String detail) {
         return Optional.of(ResultException.of(ResultCode.VOTER_CHANGE_INVALID, detail));
     }
-
-    private enum Phase {
-        WAITING_TO_ADD,
-        WAITING_TO_REMOVE,
-        CATCH_UP,
-        REMOVING_OLD_VOTER,
-        ADDING,
-        REMOVING;
-
-        /** Returns whether an entry has been appended, so that the change may yet happen. */
-        boolean hasProposed() {
-            return this == REMOVING_OLD_VOTER || this == ADDING || this == REMOVING;
-        }
-    }
-
-    /**
-     * The pending change.
-     *
-     * @param index index that must be replicated or committed to complete this phase
-     * @param term term in which the change was requested
-     * @param identity storage identity of the caught-up learner
-     */
-    private record PendingChange(
-            long changeId,
-            String name,
-            Phase phase,
-            long startNanos,
-            long roundStartNanos,
-            long index,
-            long term,
-            long identity) {
-        static PendingChange of(
-                long changeId, String name, Phase phase, long nowNanos, long index, long term) {
-            return new PendingChange(
-                    changeId, name, phase, nowNanos, nowNanos, index, term, Voter.UNBOUND);
-        }
-
-        PendingChange startCatchUp(long nowNanos, long target) {
-            return of(changeId, name, Phase.CATCH_UP, nowNanos, target, term);
-        }
-
-        PendingChange nextRound(long nowNanos, long target) {
-            return new PendingChange(
-                    changeId, name, phase, startNanos, nowNanos, target, term, identity);
-        }
-
-        PendingChange inPhase(Phase next, long target, long learnerIdentity) {
-            return new PendingChange(
-                    changeId,
-                    name,
-                    next,
-                    startNanos,
-                    roundStartNanos,
-                    target,
-                    term,
-                    learnerIdentity);
-        }
-    }
 }
