Let a repeated voter change end with the first instead of refusing it

What operators saw: 409, "Another voter change of group 0 is in progress", for the one change that they had asked for.

Cause: `LeaderClient` sends its message again when an attempt fails without an answer (a connection that breaks, a peer that counts as unreachable), as messages to the leader are idempotent. The leader compared nothing and refused the repetition because of the first; a code that is not retried, with "not run", for a change that was running.

Evidence: both new tests of ReplicaCoreTest failed before (the repetition was answered with VOTER_CHANGE_IN_PROGRESS).

Change: a request for the change that is pending is noted and gets that change's result. Any other is refused as before, and the test holds that too.

--- a/daemon/src/main/java/org/crocushaven/consensus/PendingVoterChange.java
+++ b/daemon/src/main/java/org/crocushaven/consensus/PendingVoterChange.java
@@ -22,6 +22,11 @@
                 changeId, name, phase, nowNanos, nowNanos, index, term, Voter.UNBOUND);
     }
 
+    /** Returns whether a request for a phase's change of an instance asks for this change again. */
+    boolean isSame(String otherName, Phase otherPhase) {
+        return name.equals(otherName) && phase.removes() == otherPhase.removes();
+    }
+
     PendingVoterChange startCatchUp(long nowNanos, long target) {
         return of(changeId, name, Phase.CATCH_UP, nowNanos, target, term);
     }
@@ -45,6 +50,11 @@
         ADDING,
         REMOVING;
 
+        /** Returns whether this is a phase of a removal. */
+        boolean removes() {
+            return this == WAITING_TO_REMOVE || this == REMOVING;
+        }
+
         /** Returns whether an entry has been appended, so that the change may yet happen. */
         boolean hasProposed() {
             return this == REMOVING_OLD_VOTER || this == ADDING || this == REMOVING;
--- a/daemon/src/main/java/org/crocushaven/consensus/VoterChanges.java
+++ b/daemon/src/main/java/org/crocushaven/consensus/VoterChanges.java
@@ -1,5 +1,7 @@
 package org.crocushaven.consensus;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.crocushaven.consensus.PendingVoterChange.Phase;
@@ -13,7 +15,8 @@
  *
  * <p>A change asked of a leader whose term has not begun to commit, or whose configuration is not
  * committed, waits until it has: nobody else has asked for a change then. It ends with the
- * leadership at the latest.
+ * leadership at the latest. A request for the change that is pending is a repetition, of a sender
+ * that missed the answer, and ends with that change.
  *
  * <p>A new instance first receives the log as a learner and becomes a voter only once it has synced
  * the leader's entries. If a voter of the same name lost its disk, a separate entry removes that
@@ -24,6 +27,7 @@
 
     private final ReplicaState state;
     private final LeaderReplication replication;
+    private final List<Long> repeatedChangeIds = new ArrayList<>();
     private Optional<PendingVoterChange> pending = Optional.empty();
 
     VoterChanges(ReplicaState state, LeaderReplication replication) {
@@ -44,6 +48,8 @@
     private void request(long changeId, String name, Phase phase, long nowNanos) {
         if (state.role() != Role.LEADER) {
             report(changeId, Optional.of(notLeader()));
+        } else if (pending.filter(change -> change.isSame(name, phase)).isPresent()) {
+            repeatedChangeIds.add(changeId);
         } else if (pending.isPresent()) {
             final int groupId = state.settings().groupId();
             report(
@@ -203,6 +209,8 @@
         pending = Optional.empty();
         replication.setLearner(Optional.empty());
         report(changeId, failure);
+        repeatedChangeIds.forEach(repeated -> report(repeated, failure));
+        repeatedChangeIds.clear();
     }
 
     private void report(long changeId, Optional<ResultException> failure) {
--- a/daemon/src/test/java/org/crocushaven/consensus/ReplicaCoreTest.java
+++ b/daemon/src/test/java/org/crocushaven/consensus/ReplicaCoreTest.java
@@ -326,6 +326,48 @@
             assertEquals(ResultCode.VOTER_CHANGE_IN_PROGRESS, codeOf(changes.get(1)));
         }
 
+        @Test
+        void repeatedRemovalIsNotRefusedAsAnotherChange() {
+            final ReplicaCore core = replica(1);
+            elect(core);
+            core.receive("b", acknowledgement(core, 2, 2), nowNanos);
+            core.removeVoter(CHANGE_ID, "c", nowNanos);
+            drainOutput(core);
+            core.removeVoter(CHANGE_ID + 1, "c", nowNanos);
+            core.addVoter(CHANGE_ID + 2, "c", nowNanos);
+            drainOutput(core);
+            assertEquals(1, changes.size());
+            assertEquals(CHANGE_ID + 2, changes.get(0).changeId());
+            assertEquals(ResultCode.VOTER_CHANGE_IN_PROGRESS, codeOf(changes.get(0)));
+
+            core.receive("b", acknowledgement(core, 2, 3), nowNanos);
+            drainOutput(core);
+            assertEquals(
+                    List.of(
+                            new VoterChangeResult(CHANGE_ID, Optional.empty()),
+                            new VoterChangeResult(CHANGE_ID + 1, Optional.empty())),
+                    changes.subList(1, 3));
+        }
+
+        @Test
+        void repeatedAdditionOfSilentVoterEndsWithTheFirst() {
+            final ReplicaCore core = replica(1);
+            elect(core);
+            core.receive("b", acknowledgement(core, 2, 2), nowNanos);
+            core.addVoter(CHANGE_ID, "d", nowNanos);
+            core.addVoter(CHANGE_ID + 1, "d", nowNanos);
+            drainOutput(core);
+            assertEquals(List.of(), changes);
+            nowNanos += 10_000 * NANOS_PER_MILLI;
+            core.receive("b", acknowledgement(core, 2, 2), nowNanos);
+            drainOutput(core);
+
+            assertEquals(
+                    List.of(CHANGE_ID, CHANGE_ID + 1),
+                    changes.stream().map(VoterChangeResult::changeId).toList());
+            changes.forEach(change -> assertEquals(ResultCode.PEER_TIMEOUT, codeOf(change)));
+        }
+
         private static ResultCode codeOf(VoterChangeResult change) {
             return change.failure().orElseThrow().code();
         }
