Let the two tests of voter changes follow leaders and wait for the product's bound

Once "removed" was refused: 409, code 3004, "Another voter change of group 1 is in progress". The test kills a voter that does not lead group 0; it may lead group 1, whose new leader refused until its first commit. Three times the client gave up after 5 s while the voter was being added: the voter's process has just been started, and an addition waits for it up to 10 s for each attempt and 30 s in all (`FleetControlPlane`). The product kept its bound; the test's client had a shorter one.

Changes to the tests. VoterFailureTest's client waits for the product's bound of 30 s for a voter change; the 20 s for the addition stay, and a refusal says its code. OperatorClient's 5 s stay for everything else. GroupHostTest asks the present leader and asks again when a leader was lost, with the codes that LeaderClient repeats; 3004 still fails it. In place of the number of commands at the repaired voter it holds that it has the same commands in the same order as the third voter, and that they are exactly those proposed. A second test cuts the first leader off for longer than its lease on purpose.

--- a/bench/src/main/java/org/crocushaven/bench/process/OperatorClient.java
+++ b/bench/src/main/java/org/crocushaven/bench/process/OperatorClient.java
@@ -25,13 +25,21 @@
                     .build();
     private final String key;
 
-    private OperatorClient(String key) {
+    private final Duration timeout;
+
+    private OperatorClient(String key, Duration timeout) {
         this.key = key;
+        this.timeout = timeout;
     }
 
     /** Returns a client that presents the given operator key. */
     public static OperatorClient withKey(String key) {
-        return new OperatorClient(key);
+        return new OperatorClient(key, TIMEOUT);
+    }
+
+    /** Returns a client for operations whose answers may take longer than those of changes. */
+    public OperatorClient withTimeout(Duration answerTimeout) {
+        return new OperatorClient(key, answerTimeout);
     }
 
     /** Sends a change and returns its answer, whatever it says. */
@@ -60,7 +68,7 @@
 
     private HttpRequest.Builder request(String address, String path) {
         return HttpRequest.newBuilder(URI.create("http://" + address + ROOT + path))
-                .timeout(TIMEOUT)
+                .timeout(timeout)
                 .header("Authorization", "Bearer " + key);
     }
 
--- a/bench/src/test/java/org/crocushaven/bench/failure/VoterFailureTest.java
+++ b/bench/src/test/java/org/crocushaven/bench/failure/VoterFailureTest.java
@@ -46,6 +46,9 @@
     private static final double ACCEPTED_AGAIN_BOUND_MILLIS = 2_000;
     private static final Duration TIMEOUT = Duration.ofSeconds(20);
 
+    /** The time within which the product answers a change of voters. */
+    private static final Duration VOTER_CHANGE_BOUND = Duration.ofSeconds(30);
+
     @TempDir private static Path folder;
     private FailureFixture fixture;
     private int grants;
@@ -96,6 +99,7 @@
     private OperatorClient.Answer voter(String operation) throws Exception {
         return fixture.fleet()
                 .operator()
+                .withTimeout(VOTER_CHANGE_BOUND)
                 .post(
                         fixture.instances().instance(OTHER).operatorAddress(),
                         "voters/" + operation,
@@ -179,7 +183,8 @@
             final String name = instances.instance(lost).name();
             instances.process(lost).kill();
             delete(instances.instance(lost).dataFolder().orElseThrow());
-            assertTrue(voter(name + "/remove").accepted(), "removed");
+            final OperatorClient.Answer removal = voter(name + "/remove");
+            assertTrue(removal.accepted(), () -> "removed: " + removal);
             awaitVoters(VOTERS - 1);
             instances.start(lost);
             Probe.await("the voter is added", TIMEOUT, () -> voter(name + "/add").accepted());
--- a/daemon/src/test/java/org/crocushaven/consensus/GroupHostTest.java
+++ b/daemon/src/test/java/org/crocushaven/consensus/GroupHostTest.java
@@ -8,9 +8,11 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -28,12 +30,18 @@
     private static final long TIMEOUT_SECONDS = 20;
     private static final List<String> VOTERS = List.of("a", "b", "c");
     private static final int COMPACTION_ENTRIES = 200;
+    private static final Set<ResultCode> CODES_OF_LOST_LEADERS =
+            EnumSet.of(
+                    ResultCode.NOT_LEADER,
+                    ResultCode.NO_QUORUM,
+                    ResultCode.PROPOSAL_OUTCOME_UNKNOWN);
 
     private final MemoryNetwork network = new MemoryNetwork();
     private final Map<String, GroupHost> hosts = new HashMap<>();
     private final Map<String, RecordingMachine> machines = new HashMap<>();
 
     @TempDir private Path folder;
+    private int nextCommand;
 
     @AfterEach
     void stopAll() {
@@ -118,17 +126,45 @@
         @Test
         void toleratesSecondLossAfterReplacingVoterThatLostItsDisk() throws Exception {
             startVoters();
+            final List<String> acknowledged = proposeToLeaders(COMPACTION_ENTRIES * 3);
+            final String lost = nameOfOtherThan(leader());
+            hosts.remove(lost).close();
+            startHost(lost, lost + "-new-disk", VOTERS);
+            await(() -> leader().foreignVoters().equals(List.of(lost)));
+            addVoterAtLeaders(lost);
             final GroupHost leader = leader();
-            proposeMany(leader, COMPACTION_ENTRIES * 3);
-            final String lost = nameOfOtherThan(leader);
+            final String second =
+                    nameOf(leader).equals(lost) ? nameOfOtherThan(leader) : nameOf(leader);
+            hosts.remove(second).close();
+            acknowledged.addAll(proposeToLeaders(1));
+
+            final String third =
+                    VOTERS.stream()
+                            .filter(name -> !name.equals(lost) && !name.equals(second))
+                            .findFirst()
+                            .get();
+            await(
+                    () ->
+                            commandsOf(lost).containsAll(acknowledged)
+                                    && commandsOf(lost).equals(commandsOf(third)));
+            assertEquals(Set.copyOf(acknowledged), Set.copyOf(commandsOf(lost)));
+        }
+
+        @Test
+        void addsVoterThatLostItsDiskWhileTheLeaderIsCutOffForLongerThanItsLease()
+                throws Exception {
+            startVoters();
+            final GroupHost first = leader();
+            final String lost = nameOfOtherThan(first);
             hosts.remove(lost).close();
             startHost(lost, lost + "-new-disk", VOTERS);
-            await(() -> leader.foreignVoters().equals(List.of(lost)));
-            leader.addVoter(lost).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
-            hosts.remove(nameOf(leader)).close();
-            proposeMany(leader(), 1);
+            await(() -> first.foreignVoters().equals(List.of(lost)));
+            network.isolate(nameOf(first));
+            await(() -> !first.holdsLeaderLease());
+            network.reconnect(nameOf(first));
 
-            await(() -> commandsOf(lost).size() == COMPACTION_ENTRIES * 3 + 1);
+            addVoterAtLeaders(lost);
+            await(() -> leader().foreignVoters().isEmpty());
         }
 
         @Test
@@ -209,6 +245,54 @@
         }
     }
 
+    /** Commits new commands; those whose leader was lost are proposed again, to the next one. */
+    private List<String> proposeToLeaders(int count) throws Exception {
+        final List<String> commands = new ArrayList<>();
+        for (int number = 0; number < count; number++) {
+            commands.add("to-leaders-" + nextCommand++);
+        }
+        List<String> missing = commands;
+        final long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
+        while (!missing.isEmpty()) {
+            assertTrue(System.nanoTime() < deadline, "commands not committed in time");
+            final GroupHost leader = leader();
+            final List<CompletableFuture<byte[]>> results =
+                    missing.stream()
+                            .map(command -> command.getBytes(StandardCharsets.UTF_8))
+                            .map(leader::propose)
+                            .toList();
+            final List<String> unknown = new ArrayList<>();
+            for (int position = 0; position < results.size(); position++) {
+                if (!isDoneByLeader(results.get(position))) {
+                    unknown.add(missing.get(position));
+                }
+            }
+            missing = unknown;
+        }
+        return commands;
+    }
+
+    /** Adds a voter as {@code LeaderClient} does, whichever voter leads. */
+    private void addVoterAtLeaders(String name) throws Exception {
+        final long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
+        while (!isDoneByLeader(leader().addVoter(name))) {
+            assertTrue(System.nanoTime() < deadline, "voter not added in time");
+        }
+    }
+
+    /** Returns whether a request is done; false if its leader was lost; throws on a refusal. */
+    private static boolean isDoneByLeader(CompletableFuture<?> result) throws Exception {
+        try {
+            result.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+            return true;
+        } catch (ExecutionException failure) {
+            if (CODES_OF_LOST_LEADERS.contains(((ResultException) failure.getCause()).code())) {
+                return false;
+            }
+            throw failure;
+        }
+    }
+
     private static ResultCode codeOf(CompletableFuture<?> result) {
         final ExecutionException failure =
                 assertThrows(
