--- a/daemon/src/main/java/org/crocushaven/consensus/VoterChanges.java
+++ b/daemon/src/main/java/org/crocushaven/consensus/VoterChanges.java
@@ -1,7 +1,10 @@
 package org.crocushaven.consensus;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.crocushaven.consensus.PendingVoterChange.Phase;
 import org.crocushaven.consensus.ReplicaState.Role;
 import org.crocushaven.result.ResultCode;
 import org.crocushaven.result.ResultException;
@@ -10,6 +13,11 @@
 /**
  * Changes the voters of a group, one voter at a time.
  *
+ * <p>A change asked of a leader whose term has not begun to commit, or whose configuration is not
+ * committed, waits until it has: nobody else has asked for a change then. It ends with the
+ * leadership at the latest. A request for the change that is pending is a repetition, of a sender
+ * that missed the answer, and ends with that change.
+ *
  * <p>A new instance first receives the log as a learner and becomes a voter only once it has synced
  * the leader's entries. If a voter of the same name lost its disk, a separate entry removes that
  * voter first.
@@ -19,7 +27,8 @@
 
     private final ReplicaState state;
     private final LeaderReplication replication;
-    private Optional<PendingChange> pending = Optional.empty();
+    private final List<Long> repeatedChangeIds = new ArrayList<>();
+    private Optional<PendingVoterChange> pending = Optional.empty();
 
     VoterChanges(ReplicaState state, LeaderReplication replication) {
         this.state = state;
@@ -28,41 +37,38 @@
 
     /** Starts to add an instance as a voter. */
     void add(long changeId, String name, long nowNanos) {
-        if (rejectUnlessReady(changeId)) {
-            return;
-        }
-        if (name.equals(state.name())) {
-            report(changeId, Optional.empty());
-            return;
-        }
-        replication.setLearner(Optional.of(name));
-        start(
-                PendingChange.of(
-                        changeId, name, Phase.CATCH_UP, nowNanos, lastIndex(), state.term()));
-        advance(nowNanos);
+        request(changeId, name, Phase.WAITING_TO_ADD, nowNanos);
     }
 
     /** Starts to remove a voter. */
     void remove(long changeId, String name, long nowNanos) {
-        if (rejectUnlessReady(changeId)) {
-            return;
-        }
-        final VoterConfiguration configuration = state.log().configuration();
-        if (configuration.find(name).isEmpty()) {
-            report(changeId, Optional.empty());
-        } else if (configuration.voters().size() == 1) {
-            final String detail = name + " is the only voter";
-            report(changeId, invalid(detail));
+        request(changeId, name, Phase.WAITING_TO_REMOVE, nowNanos);
+    }
+
+    private void request(long changeId, String name, Phase phase, long nowNanos) {
+        if (state.role() != Role.LEADER) {
+            report(changeId, Optional.of(notLeader()));
+        } else if (pending.filter(change -> change.isSame(name, phase)).isPresent()) {
+            repeatedChangeIds.add(changeId);
+        } else if (pending.isPresent()) {
+            final int groupId = state.settings().groupId();
+            report(
+                    changeId,
+                    Optional.of(ResultException.of(ResultCode.VOTER_CHANGE_IN_PROGRESS, groupId)));
         } else {
-            final long index = propose(configuration.without(name));
-            start(PendingChange.of(changeId, name, Phase.REMOVING, nowNanos, index, state.term()));
+            final long index = Math.max(state.termStartIndex(), state.log().configurationIndex());
+            pending =
+                    Optional.of(
+                            PendingVoterChange.of(
+                                    changeId, name, phase, nowNanos, index, state.term()));
+            advance(nowNanos);
         }
     }
 
     /** Advances the pending change as far as possible. */
     void advance(long nowNanos) {
         while (pending.isPresent()) {
-            final PendingChange before = pending.get();
+            final PendingVoterChange before = pending.get();
             if (state.role() != Role.LEADER) {
                 finish(hasRemovedItself(before) ? Optional.empty() : lostLeadership(before));
             } else {
@@ -74,9 +80,11 @@
         }
     }
 
-    private void step(PendingChange change, long nowNanos) {
+    private void step(PendingVoterChange change, long nowNanos) {
         final PeerProgress peer = replication.peer(change.name());
         switch (change.phase()) {
+            case WAITING_TO_ADD -> startAdding(change, nowNanos);
+            case WAITING_TO_REMOVE -> startRemoving(change);
             case CATCH_UP -> catchUp(change, peer, nowNanos);
             case REMOVING_OLD_VOTER -> addAfterRemoval(change, peer);
             case ADDING -> finishAdding(change, peer, nowNanos);
@@ -89,12 +97,39 @@
         }
     }
 
+    private void startAdding(PendingVoterChange change, long nowNanos) {
+        if (state.commitIndex() < change.index()) {
+            return;
+        }
+        if (change.name().equals(state.name())) {
+            finish(Optional.empty());
+            return;
+        }
+        replication.setLearner(Optional.of(change.name()));
+        pending = Optional.of(change.startCatchUp(nowNanos, lastIndex()));
+    }
+
+    private void startRemoving(PendingVoterChange change) {
+        if (state.commitIndex() < change.index()) {
+            return;
+        }
+        final VoterConfiguration configuration = state.log().configuration();
+        if (configuration.find(change.name()).isEmpty()) {
+            finish(Optional.empty());
+        } else if (configuration.voters().size() == 1) {
+            finish(invalid(change.name() + " is the only voter"));
+        } else {
+            final long index = propose(configuration.without(change.name()));
+            pending = Optional.of(change.inPhase(Phase.REMOVING, index, Voter.UNBOUND));
+        }
+    }
+
     /**
      * Replicates to the learner in rounds; a round ends when the learner has synced the entry that
      * was the last one when the round began. The last round is one that took at most the minimum
      * election timeout or left nothing to send; the learner can then become a voter without delay.
      */
-    private void catchUp(PendingChange change, PeerProgress peer, long nowNanos) {
+    private void catchUp(PendingVoterChange change, PeerProgress peer, long nowNanos) {
         if (!isInContact(change, peer, nowNanos)) {
             finish(timeout(change));
             return;
@@ -121,7 +156,7 @@
         }
     }
 
-    private void addAfterRemoval(PendingChange change, PeerProgress peer) {
+    private void addAfterRemoval(PendingVoterChange change, PeerProgress peer) {
         if (state.commitIndex() < change.index()) {
             return;
         }
@@ -136,13 +171,13 @@
         addLearnerAsVoter(change, peer);
     }
 
-    private void addLearnerAsVoter(PendingChange change, PeerProgress peer) {
+    private void addLearnerAsVoter(PendingVoterChange change, PeerProgress peer) {
         final Voter voter = new Voter(peer.name(), peer.identity());
         final long index = propose(state.log().configuration().with(voter));
         pending = Optional.of(change.inPhase(Phase.ADDING, index, peer.identity()));
     }
 
-    private void finishAdding(PendingChange change, PeerProgress peer, long nowNanos) {
+    private void finishAdding(PendingVoterChange change, PeerProgress peer, long nowNanos) {
         if (state.commitIndex() < change.index()) {
             return;
         }
@@ -153,29 +188,11 @@
         }
     }
 
-    private boolean rejectUnlessReady(long changeId) {
-        if (state.role() != Role.LEADER) {
-            report(changeId, Optional.of(notLeader()));
-            return true;
-        }
-        final boolean busy =
-                pending.isPresent()
-                        || state.commitIndex() < state.termStartIndex()
-                        || state.commitIndex() < state.log().configurationIndex();
-        if (busy) {
-            final ResultException failure =
-                    ResultException.of(
-                            ResultCode.VOTER_CHANGE_IN_PROGRESS, state.settings().groupId());
-            report(changeId, Optional.of(failure));
-        }
-        return busy;
-    }
-
     private long propose(VoterConfiguration configuration) {
         return state.append(EntryKind.CONFIGURATION, configuration.encode()).index();
     }
 
-    private boolean isInContact(PendingChange change, PeerProgress peer, long nowNanos) {
+    private boolean isInContact(PendingVoterChange change, PeerProgress peer, long nowNanos) {
         final long since =
                 peer.hasContact()
                         ? Math.max(peer.answeredSentNanos(), change.startNanos())
@@ -187,15 +204,13 @@
         return state.log().lastIndex();
     }
 
-    private void start(PendingChange change) {
-        pending = Optional.of(change);
-    }
-
     private void finish(Optional<ResultException> failure) {
         final long changeId = pending.orElseThrow().changeId();
         pending = Optional.empty();
         replication.setLearner(Optional.empty());
         report(changeId, failure);
+        repeatedChangeIds.forEach(repeated -> report(repeated, failure));
+        repeatedChangeIds.clear();
     }
 
     private void report(long changeId, Optional<ResultException> failure) {
@@ -203,7 +218,7 @@
     }
 
     /** Returns whether the replica stepped down because its own removal was committed. */
-    private boolean hasRemovedItself(PendingChange change) {
+    private boolean hasRemovedItself(PendingVoterChange change) {
         return change.phase() == Phase.REMOVING
                 && change.name().equals(state.name())
                 && state.commitIndex() >= change.index()
@@ -211,19 +226,19 @@
                 && state.log().termAt(change.index()) == change.term();
     }
 
-    private Optional<ResultException> lostLeadership(PendingChange change) {
+    private Optional<ResultException> lostLeadership(PendingVoterChange change) {
         return Optional.of(
-                change.phase() == Phase.CATCH_UP
-                        ? notLeader()
-                        : ResultException.of(
-                                ResultCode.PROPOSAL_OUTCOME_UNKNOWN, state.settings().groupId()));
+                change.phase().hasProposed()
+                        ? ResultException.of(
+                                ResultCode.PROPOSAL_OUTCOME_UNKNOWN, state.settings().groupId())
+                        : notLeader());
     }
 
     private ResultException notLeader() {
         return ResultException.of(ResultCode.NOT_LEADER, state.settings().groupId());
     }
 
-    private static Optional<ResultException> timeout(PendingChange change) {
+    private static Optional<ResultException> timeout(PendingVoterChange change) {
         return Optional.of(
                 ResultException.of(ResultCode.PEER_TIMEOUT, change.name(), CONTACT_TIMEOUT_MILLIS));
     }
@@ -231,51 +246,4 @@
     private static Optional<ResultException> invalid(String detail) {
         return Optional.of(ResultException.of(ResultCode.VOTER_CHANGE_INVALID, detail));
     }
-
-    private enum Phase {
-        CATCH_UP,
-        REMOVING_OLD_VOTER,
-        ADDING,
-        REMOVING
-    }
-
-    /**
-     * The pending change.
-     *
-     * @param index index that must be replicated or committed to complete this phase
-     * @param term term in which the change was requested
-     * @param identity storage identity of the caught-up learner
-     */
-    private record PendingChange(
-            long changeId,
-            String name,
-            Phase phase,
-            long startNanos,
-            long roundStartNanos,
-            long index,
-            long term,
-            long identity) {
-        static PendingChange of(
-                long changeId, String name, Phase phase, long nowNanos, long index, long term) {
-            return new PendingChange(
-                    changeId, name, phase, nowNanos, nowNanos, index, term, Voter.UNBOUND);
-        }
-
-        PendingChange nextRound(long nowNanos, long target) {
-            return new PendingChange(
-                    changeId, name, phase, startNanos, nowNanos, target, term, identity);
-        }
-
-        PendingChange inPhase(Phase next, long target, long learnerIdentity) {
-            return new PendingChange(
-                    changeId,
-                    name,
-                    next,
-                    startNanos,
-                    roundStartNanos,
-                    target,
-                    term,
-                    learnerIdentity);
-        }
-    }
 }
