Keep a gateway's timers alive after an exception

What callers saw (by reading; in no play): after one exception in a check, connections were never closed as idle or slow again and readiness was checked only with the leader's updates; in a stop, the gateway never reported its end and was killed with its requests. Cause: the event loop ends a periodic task that throws, and swallows the exception of a scheduled one (class: a failure without an owner ends work in silence). Change: the periodic checks and the steps of the stop are guarded, each step and each connection by itself, so that one connection's fault does not leave the others unchecked.

--- a/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
@@ -18,6 +18,7 @@
 import org.crocushaven.ingress.IngressConfiguration;
 import org.crocushaven.network.SuspensionDetector;
 import org.crocushaven.observability.EventLine;
+import org.crocushaven.observability.GuardedTask;
 import org.crocushaven.outbound.BackendPool;
 import org.crocushaven.protocol.PeerTransport;
 
@@ -134,7 +135,10 @@
                     link.start();
                 });
         loop.scheduleAtFixedRate(
-                this::runPeriodicChecks, CHECK_MILLIS, CHECK_MILLIS, TimeUnit.MILLISECONDS);
+                GuardedTask.of(this::runPeriodicChecks),
+                CHECK_MILLIS,
+                CHECK_MILLIS,
+                TimeUnit.MILLISECONDS);
     }
 
     /** Adds instances that may hold control state. */
@@ -221,9 +225,9 @@
 
     private void runPeriodicChecks() {
         final long nowNanos = clock.nanoTime();
-        checkSuspension(nowNanos);
-        server.checkAllTimeouts();
-        pool.closeExpired();
+        GuardedTask.of(() -> checkSuspension(nowNanos)).run();
+        GuardedTask.of(server::checkAllTimeouts).run();
+        GuardedTask.of(pool::closeExpired).run();
         updateReadiness(nowNanos);
     }
 
--- a/daemon/src/main/java/org/crocushaven/forwarding/GracefulStop.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/GracefulStop.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import org.agrona.concurrent.NanoClock;
 import org.crocushaven.observability.EventLine;
+import org.crocushaven.observability.GuardedTask;
 import org.crocushaven.result.ResultCode;
 import org.crocushaven.result.ResultException;
 
@@ -74,7 +75,7 @@
 
     private void check() {
         final long passedMillis = TimeUnit.NANOSECONDS.toMillis(clock.nanoTime() - startNanos);
-        final boolean idle = advance(passedMillis);
+        final boolean idle = advanceGuarded(passedMillis);
         if (idle || passedMillis >= graceMillis + writeMillis) {
             end(passedMillis, idle);
         } else {
@@ -82,6 +83,15 @@
         }
     }
 
+    private boolean advanceGuarded(long passedMillis) {
+        try {
+            return advance(passedMillis);
+        } catch (RuntimeException fault) {
+            EventLine.fault(fault).error();
+            return false;
+        }
+    }
+
     /** Returns whether no connection is busy any more. */
     private boolean advance(long passedMillis) {
         if (passedMillis >= Math.min(BALANCER_DETECTION_MILLIS, graceMillis)) {
@@ -94,9 +104,9 @@
     }
 
     private void end(long passedMillis, boolean idle) {
-        server.reportUnfinished();
+        GuardedTask.of(server::reportUnfinished).run();
         EventLine.of("gateway-stopped").with("passed_ms", passedMillis).with("idle", idle).info();
-        server.closeListener();
+        GuardedTask.of(server::closeListener).run();
         stopped.complete(null);
     }
 }
--- a/daemon/src/main/java/org/crocushaven/forwarding/IngressServer.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/IngressServer.java
@@ -11,6 +11,7 @@
 import org.crocushaven.ingress.IngressConfiguration;
 import org.crocushaven.ingress.IngressLimits;
 import org.crocushaven.network.Listener;
+import org.crocushaven.observability.GuardedTask;
 
 /** Accepts client connections. Used on one event loop only. */
 final class IngressServer {
@@ -75,7 +76,8 @@
 
     /** Ends all requests under way; those that arrive later must be refused. */
     void endRequests() {
-        List.copyOf(connections).forEach(IngressConnection::endRequest);
+        List.copyOf(connections)
+                .forEach(connection -> GuardedTask.of(connection::endRequest).run());
     }
 
     /** Reports what is left of the connections that are busy. */
@@ -92,7 +94,7 @@
     void checkAllTimeouts() {
         final long nowNanos = environment.nowNanos();
         for (final IngressConnection connection : List.copyOf(connections)) {
-            connection.checkTimeouts(nowNanos);
+            GuardedTask.of(() -> connection.checkTimeouts(nowNanos)).run();
         }
     }
 
--- a/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
@@ -80,6 +80,9 @@
     private Optional<String> lastEventId = Optional.empty();
     private boolean sharesGranted = true;
     private volatile IngressConfiguration configuration;
+    private volatile long passedNanos;
+    private volatile boolean requestEndsFail;
+    private volatile int idleReportsToFail;
     private volatile boolean headersFail;
     private volatile boolean searchesFail;
 
@@ -220,6 +223,21 @@
         headersFail = true;
     }
 
+    /** Makes the report of the end of a request fail unexpectedly. */
+    void failWhenRequestsEnd() {
+        requestEndsFail = true;
+    }
+
+    /** Makes the next report of a connection that is closed as idle fail unexpectedly. */
+    void failNextIdleReport() {
+        idleReportsToFail = 1;
+    }
+
+    /** Lets time pass for connections, but not for timers. */
+    void passTime(long millis) {
+        passedNanos += TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+
     /** Makes searches for a backend server fail unexpectedly from now on. */
     void failSearches() {
         searchesFail = true;
@@ -352,7 +370,7 @@
                 };
         return new ForwardingEnvironment(
                 loop,
-                SystemNanoClock.INSTANCE,
+                () -> System.nanoTime() + passedNanos,
                 random,
                 new TestDialect(),
                 () -> Optional.of(configuration),
@@ -468,6 +486,17 @@
         @Override
         public void ended(ForwardingSummary summary) {
             ended.add(summary.code());
+            if (requestEndsFail) {
+                throw new IllegalStateException("injected");
+            }
+        }
+
+        @Override
+        public void closedIdle(long idleMillis, long limitMillis) {
+            if (idleReportsToFail > 0) {
+                idleReportsToFail--;
+                throw new IllegalStateException("injected");
+            }
         }
 
         @Override
--- a/daemon/src/test/java/org/crocushaven/forwarding/GracefulStopTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/GracefulStopTest.java
@@ -212,11 +212,12 @@
         @Test
         void nothingIsReportedAsUnfinishedOnceAllHaveTheirAnswer() throws Exception {
             send(REQUEST);
-            backend.awaitRequest();
+            final StandInServer.Exchange exchange = backend.awaitRequest();
 
             stopServer();
 
             assertEquals(List.of(), fixture.unfinished());
+            exchange.awaitClosed();
         }
 
         @Test
@@ -230,4 +231,19 @@
             assertEquals(List.of(UnfinishedWork.UNWRITTEN), fixture.unfinished());
         }
     }
+
+    @Nested
+    class AfterAnUnexpectedException {
+        @Test
+        void stopEndsAllTheSame() throws Exception {
+            send(REQUEST);
+            final StandInServer.Exchange exchange = backend.awaitRequest();
+            fixture.failWhenRequestsEnd();
+
+            stopServer();
+
+            assertStatus(504, receivedAtProcessEnd());
+            exchange.awaitClosed();
+        }
+    }
 }
