Go on reporting after a report that cannot be created

What callers saw (by reading): none yet; one exception while a report is created or handed to the transport left the report in flight for ever, so that the gateway heard of no configuration, lost its freshness and refused all keyed requests until its next start. Failed before: LeaderLinkTest.reportsGoOnAfterOneThatCannotBeCreated. LeaderLinkTest passes (6).

--- a/daemon/src/main/java/org/crocushaven/forwarding/LeaderLink.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/LeaderLink.java
@@ -235,8 +235,7 @@
         lastSentNanos = clock.nanoTime();
         final long sentNanos = lastSentNanos;
         final String recipient = target;
-        transport
-                .request(recipient, reports.apply(sentNanos), REPORT_TIMEOUT)
+        sendReport(recipient, sentNanos)
                 .whenComplete(
                         (answer, failure) ->
                                 loop.execute(
@@ -245,6 +244,15 @@
                                                         number, recipient, sentNanos, answer)));
     }
 
+    private CompletableFuture<Message> sendReport(String recipient, long sentNanos) {
+        try {
+            return transport.request(recipient, reports.apply(sentNanos), REPORT_TIMEOUT);
+        } catch (RuntimeException fault) {
+            EventLine.fault(fault).error();
+            return CompletableFuture.failedFuture(fault);
+        }
+    }
+
     private void handleAnswerIfCurrent(
             long number, String recipient, long sentNanos, Message answer) {
         if (number == reportNumber) {
--- a/daemon/src/test/java/org/crocushaven/forwarding/LeaderLinkTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/LeaderLinkTest.java
@@ -36,12 +36,13 @@
     private final BlockingQueue<Sent> sent = new LinkedBlockingQueue<>();
     private final BlockingQueue<Long> updates = new LinkedBlockingQueue<>();
     private volatile boolean updatesFail;
+    private volatile int reportsToFail;
     private final LeaderLink link =
             new LeaderLink(
                     loop,
                     new SilentTransport(),
                     SystemNanoClock.INSTANCE,
-                    LeaderLinkTest::report,
+                    this::report,
                     (update, sentNanos) -> {
                         updates.add(update.epoch());
                         if (updatesFail) {
@@ -56,7 +57,11 @@
         loop.shutdownGracefully(0, 1, TimeUnit.SECONDS).await();
     }
 
-    private static GatewayReport report(long nowNanos) {
+    private GatewayReport report(long nowNanos) {
+        if (reportsToFail > 0) {
+            reportsToFail--;
+            throw new IllegalStateException("injected");
+        }
         return new GatewayReport(
                 "gateway",
                 0,
@@ -124,6 +129,15 @@
         assertNotNull(nextSent(), "no further report");
     }
 
+    @Test
+    void reportsGoOnAfterOneThatCannotBeCreated() throws InterruptedException {
+        reportsToFail = 1;
+        loop.execute(() -> link.addControlInstances(List.of(NEW_LEADER)));
+        loop.execute(link::start);
+
+        assertNotNull(nextSent(), "no further report");
+    }
+
     @Test
     void requestsThatWaitForTokensGoOnAfterAnUpdateThatCannotBeApplied()
             throws InterruptedException {
