Go on checking callers' time limits after an exception

By reading: one exception in CallerServer.checkTimeouts ended the timer, after which no slow or idle caller was closed any more. Change: a GuardedTask. Failed before: CallerServerTest.TimeoutChecks.goOnAfterOneThatThrows (no second check in 10 s); CallerServerTest passes (19).

--- a/daemon/src/main/java/org/crocushaven/caller/CallerServer.java
+++ b/daemon/src/main/java/org/crocushaven/caller/CallerServer.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.crocushaven.network.Listener;
+import org.crocushaven.observability.GuardedTask;
 import org.crocushaven.result.ResultException;
 
 /** Accepts callers' connections and enforces the limits that all connections share. */
@@ -153,7 +154,7 @@
         timeoutChecker =
                 group.next()
                         .scheduleAtFixedRate(
-                                this::checkTimeouts,
+                                GuardedTask.of(this::checkTimeouts),
                                 TIMEOUT_CHECK_INTERVAL_MILLIS,
                                 TIMEOUT_CHECK_INTERVAL_MILLIS,
                                 TimeUnit.MILLISECONDS);
--- a/daemon/src/test/java/org/crocushaven/caller/CallerServerTest.java
+++ b/daemon/src/test/java/org/crocushaven/caller/CallerServerTest.java
@@ -15,8 +15,10 @@
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import org.agrona.concurrent.NanoClock;
 import org.agrona.concurrent.SystemNanoClock;
 import org.approvaltests.Approvals;
 import org.crocushaven.configuration.KeyHash;
@@ -39,6 +41,7 @@
 
     private final BlockingQueue<Served> served = new LinkedBlockingQueue<>();
     private final StringBuilder session = new StringBuilder();
+    private NanoClock clock = SystemNanoClock.INSTANCE;
     private EventLoopGroup group;
     private CallerServer server;
     private CallerHandler handler =
@@ -58,7 +61,7 @@
                         new CallerEnvironment(
                                 "i1",
                                 limits,
-                                SystemNanoClock.INSTANCE,
+                                clock,
                                 () -> 0L,
                                 (request, response) -> handler.handle(request, response),
                                 key -> List.of("baza", "dyzur@2"),
@@ -440,4 +443,35 @@
             }
         }
     }
+
+    @Nested
+    class TimeoutChecks {
+        private final CountDownLatch checks = new CountDownLatch(2);
+
+        private long timeOfFailingFirstCheck() {
+            final boolean inCheck =
+                    StackWalker.getInstance()
+                            .walk(
+                                    frames ->
+                                            frames.anyMatch(
+                                                    frame ->
+                                                            frame.getMethodName()
+                                                                    .equals("checkTimeouts")));
+            if (inCheck) {
+                checks.countDown();
+                if (checks.getCount() > 0) {
+                    throw new IllegalStateException("injected");
+                }
+            }
+            return System.nanoTime();
+        }
+
+        @Test
+        void goOnAfterOneThatThrows() throws InterruptedException {
+            clock = this::timeOfFailingFirstCheck;
+            restart(LIMITS);
+
+            assertTrue(checks.await(10, TimeUnit.SECONDS), "no second check");
+        }
+    }
 }
