Go on with an engine's orders after an exception in one of them

What callers saw (by reading): an order or a report that cannot be written, or an answer that cannot be read, left the queue of that engine in flight until its next start: no adapter was loaded or unloaded there, and requests that waited for one were refused at their time. Change: what cannot be written counts as not sent (REFUSED), an answer that cannot be read as UNKNOWN, each with event=fault; the next order follows.

--- a/daemon/src/main/java/org/crocushaven/fleet/EngineOrderQueue.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/EngineOrderQueue.java
@@ -1,5 +1,6 @@
 package org.crocushaven.fleet;
 
+import io.netty.handler.codec.http.FullHttpRequest;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -7,8 +8,11 @@
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.crocushaven.observability.EventLine;
 import org.crocushaven.outbound.BackendCall;
+import org.crocushaven.result.Execution;
+import org.crocushaven.result.ResultCode;
 import org.crocushaven.result.ResultException;
 
 /**
@@ -90,15 +94,26 @@
     }
 
     private CompletableFuture<EngineReport> fetchReport() {
-        return BackendCall.send(
-                        context.pool(),
-                        context.loop(),
-                        address(),
-                        context.dialect().encodeReportRequest(backend.backend()),
+        return call(
+                        () -> context.dialect().encodeReportRequest(backend.backend()),
                         REPORT_TIMEOUT_MILLIS)
                 .thenApply(answer -> context.dialect().decodeReport(answer.body()));
     }
 
+    /** Sends a call; the future fails as not run if the call cannot be written. */
+    private CompletableFuture<BackendCall.Answer> call(
+            Supplier<FullHttpRequest> request, long timeoutMillis) {
+        try {
+            return BackendCall.send(
+                    context.pool(), context.loop(), address(), request.get(), timeoutMillis);
+        } catch (RuntimeException fault) {
+            EventLine.fault(fault).error();
+            return CompletableFuture.failedFuture(
+                    ResultException.of(ResultCode.INTERNAL, fault.getClass().getSimpleName())
+                            .withExecution(Execution.NOT_RUN));
+        }
+    }
+
     /** Stops sending orders; queued and later ones complete as fenced. */
     void close() {
         closed = true;
@@ -146,27 +161,25 @@
             finish(order, OrderOutcome.REFUSED);
             return;
         }
-        BackendCall.send(
-                        context.pool(),
-                        context.loop(),
-                        address(),
-                        context.dialect()
-                                .encodeOrder(
-                                        backend.backend(),
-                                        order.order,
-                                        new OrderFence(
-                                                context.holder(),
-                                                context.token(),
-                                                sequence.expected())),
+        final OrderFence fence =
+                new OrderFence(context.holder(), context.token(), sequence.expected());
+        call(
+                        () -> context.dialect().encodeOrder(backend.backend(), order.order, fence),
                         ORDER_TIMEOUT_MILLIS)
                 .whenComplete(
                         (answer, failure) ->
                                 answered(
                                         order,
-                                        failure == null
-                                                ? context.dialect()
-                                                        .decodeOrderAnswer(answer.status())
-                                                : outcomeOf(failure)));
+                                        failure == null ? outcomeOf(answer) : outcomeOf(failure)));
+    }
+
+    private OrderOutcome outcomeOf(BackendCall.Answer answer) {
+        try {
+            return context.dialect().decodeOrderAnswer(answer.status());
+        } catch (RuntimeException fault) {
+            EventLine.fault(fault).error();
+            return OrderOutcome.UNKNOWN;
+        }
     }
 
     /**
@@ -230,7 +243,7 @@
     private static OrderOutcome outcomeOf(Throwable failure) {
         final boolean notSent =
                 failure instanceof ResultException result
-                        && result.execution() == org.crocushaven.result.Execution.NOT_RUN;
+                        && result.execution() == Execution.NOT_RUN;
         return notSent ? OrderOutcome.REFUSED : OrderOutcome.UNKNOWN;
     }
 
