--- a/daemon/src/main/java/org/crocushaven/forwarding/BackendAttempt.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/BackendAttempt.java
@@ -1,7 +1,6 @@
 package org.crocushaven.forwarding;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -24,7 +23,7 @@
     private AnswerKind answerKind = AnswerKind.AWAITING_HEAD;
     private HttpResponseStatus status;
     private HttpHeaders headers;
-    private ByteBuf body = Unpooled.EMPTY_BUFFER;
+    private AnswerBody body;
 
     /**
      * Creates an attempt that is not sent yet.
@@ -65,7 +64,7 @@
 
     /** Returns the complete body and transfers its reference to the caller. */
     ByteBuf body() {
-        return body;
+        return body.bytes();
     }
 
     void opened(BackendChannel opened) {
@@ -82,6 +81,13 @@
         if (channel != null) {
             channel.abort();
         }
+        discardBody();
+    }
+
+    private void discardBody() {
+        if (body != null) {
+            body.discard();
+        }
     }
 
     void setAutoRead(boolean autoRead) {
@@ -117,7 +123,7 @@
             forwarding.streamAnswered(this);
         } else {
             answerKind = AnswerKind.COMPLETE_BODY;
-            body = Unpooled.buffer();
+            body = forwarding.newAnswerBody();
         }
         return true;
     }
@@ -126,8 +132,9 @@
     public void content(ByteBuf data) {
         if (answerKind == AnswerKind.EVENT_STREAM) {
             forwarding.streamDataReceived(this, data);
-        } else if (answerKind == AnswerKind.COMPLETE_BODY) {
-            body.writeBytes(data);
+        } else if (answerKind == AnswerKind.COMPLETE_BODY && !body.tryAdd(data)) {
+            abort();
+            forwarding.handleFailure(this, true, "answer too large");
         }
     }
 
@@ -155,6 +162,7 @@
 
     @Override
     public void failed(boolean mayHaveRun, String reason) {
+        discardBody();
         forwarding.handleFailure(this, mayHaveRun && answerKind != AnswerKind.NOT_RUN, reason);
     }
 
