--- a/daemon/src/main/java/org/crocushaven/forwarding/BackendHealth.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/BackendHealth.java
@@ -1,8 +1,9 @@
 package org.crocushaven.forwarding;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Set;
+import org.crocushaven.fleet.BackendRecord;
 import org.crocushaven.fleet.DecayingCount;
 
 /**
@@ -16,6 +17,7 @@
     private static final double MAXIMUM_SCORE = 8;
 
     private final Map<String, DecayingCount> scores = new HashMap<>();
+    private Map<String, Long> starts = Map.of();
 
     /**
      * Counts a failure.
@@ -43,8 +45,15 @@
         return score == null ? 0 : score.at(nowNanos);
     }
 
-    /** Removes the counts of all backend servers except the given ones. */
-    void retain(Set<String> backends) {
-        scores.keySet().retainAll(backends);
+    /** Removes the counts of all but the given starts of backend servers. */
+    void retain(Collection<BackendRecord> records) {
+        final Map<String, Long> current = new HashMap<>();
+        records.forEach(record -> current.put(record.backend(), record.startedMillis()));
+        scores.keySet()
+                .removeIf(
+                        backend ->
+                                !current.containsKey(backend)
+                                        || !current.get(backend).equals(starts.get(backend)));
+        starts = current;
     }
 }
--- a/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
@@ -229,7 +229,7 @@
         streams.reportAnswered(update.epoch());
         crashes.apply(
                 update, update.hasState() && update.stateRevision() >= stateRevision, nowNanos);
-        health.retain(view.identifiers());
+        health.retain(view.records());
         retryBudget.setGateways(update.gateways());
         update.shares().ifPresent(grant -> admission.apply(grant, nowNanos));
         if (update.hasState() && update.stateRevision() >= stateRevision) {
--- a/daemon/src/main/java/org/crocushaven/forwarding/GatewayBackends.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/GatewayBackends.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -86,9 +87,9 @@
         return revision;
     }
 
-    /** Returns the identifiers of all backend servers. */
-    Set<String> identifiers() {
-        return backends.keySet();
+    /** Returns the records of all backend servers. */
+    Collection<BackendRecord> records() {
+        return backends.values();
     }
 
     /** Returns the backend server with the given identifier. */
--- /dev/null
+++ b/daemon/src/test/java/org/crocushaven/forwarding/CrashGuardTest.java
@@ -0,0 +1,236 @@
+package org.crocushaven.forwarding;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.crocushaven.fleet.BackendRecord;
+import org.crocushaven.fleet.BackendStart;
+import org.crocushaven.fleet.BackendState;
+import org.crocushaven.fleet.BrokenStart;
+import org.crocushaven.fleet.GatewayUpdate;
+import org.crocushaven.fleet.ModelPart;
+import org.crocushaven.fleet.PartSuspect;
+import org.crocushaven.fleet.PartUpdate;
+import org.crocushaven.fleet.PartVerdict;
+import org.crocushaven.ingress.IngressRequest;
+import org.crocushaven.ingress.ModelReference;
+import org.crocushaven.ingress.PromptPart;
+import org.crocushaven.result.ResultCode;
+import org.crocushaven.result.ResultException;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class CrashGuardTest {
+    private static final BackendRecord BACKEND =
+            new BackendRecord(
+                    "b", "engines", "10.0.0.1", 80, "a", BackendState.READY, false, 4, List.of(),
+                    "v1", 7);
+    private static final PartVerdict VERDICT =
+            new PartVerdict(List.of(66L), List.of("base"), List.of("spared"), 3, "leader", 1, 0);
+
+    private final List<BackendStart> checked = new ArrayList<>();
+    private int reportsSoon;
+    private long nowNanos;
+    private final CrashGuard guard =
+            new CrashGuard(
+                    () -> nowNanos,
+                    (start, then) -> {
+                        checked.add(start);
+                        then.accept(true);
+                    },
+                    () -> reportsSoon++);
+
+    private RequestGuard request(long... parts) {
+        return requestAt("base", parts);
+    }
+
+    private RequestGuard requestAt(String model, long... parts) {
+        return guard.of(
+                new IngressRequest(
+                        "request",
+                        HttpMethod.POST,
+                        "/chat/x",
+                        "host",
+                        "/chat/x",
+                        new DefaultHttpHeaders(),
+                        OptionalLong.empty(),
+                        Optional.empty(),
+                        Optional.of(new ModelReference(model, "adapter")),
+                        Optional.empty(),
+                        Arrays.stream(parts).mapToObj(part -> new PromptPart(part, 1)).toList(),
+                        Optional.empty(),
+                        Optional.empty()));
+    }
+
+    private void update(long epoch, PartUpdate parts) {
+        final GatewayUpdate update =
+                new GatewayUpdate(
+                        epoch,
+                        1,
+                        false,
+                        1,
+                        1,
+                        new byte[0],
+                        List.of(),
+                        true,
+                        List.of(),
+                        List.of(),
+                        List.of(),
+                        1,
+                        List.of(),
+                        Optional.empty(),
+                        parts);
+        guard.apply(update, true, nowNanos);
+    }
+
+    private void condemn(PartVerdict... probes) {
+        update(1, new PartUpdate(1, List.of(), List.of(VERDICT), List.of(probes)));
+    }
+
+    private List<BrokenStart> reported() {
+        return guard.report(nowNanos).broken();
+    }
+
+    @Nested
+    class Evidence {
+        @Test
+        void brokenRequestIsReportedWithoutItsLastPartAndItsSoundOnes() {
+            request(1, 2, 99).recordEvents(2);
+
+            request(1, 66, 100).recordConnectionEnded(BACKEND, 1);
+
+            assertEquals(List.of(66L), reported().get(0).parts());
+            assertEquals(List.of(BackendStart.of(BACKEND)), checked);
+            assertEquals(List.of(BackendStart.of(BACKEND)), guard.report(nowNanos).ended());
+            assertTrue(reportsSoon > 0);
+        }
+
+        @Test
+        void requestWhoseAnswerHadGoneOnIsNotReported() {
+            request(1, 66, 100).recordConnectionEnded(BACKEND, 2);
+
+            assertEquals(List.of(), reported());
+        }
+
+        @Test
+        void endIsLookedIntoOnceForEachStart() {
+            request(1, 66, 100).recordConnectionEnded(BACKEND, 0);
+            request(1, 66, 101).recordConnectionEnded(BACKEND, 0);
+
+            assertEquals(1, checked.size());
+        }
+
+        @Test
+        void newLeaderIsToldAgain() {
+            update(1, PartUpdate.EMPTY);
+            request(1, 66, 100).recordConnectionEnded(BACKEND, 0);
+            assertEquals(1, reported().size());
+            update(1, PartUpdate.EMPTY);
+            assertEquals(0, reported().size());
+
+            update(2, PartUpdate.EMPTY);
+
+            assertEquals(1, reported().size());
+            assertEquals(1, guard.report(nowNanos).ended().size());
+        }
+
+        @Test
+        void suspectOnWhichAnAnswerWentOnIsReportedAsSound() {
+            request(66, 100).recordEvents(2);
+
+            update(
+                    1,
+                    new PartUpdate(
+                            5,
+                            List.of(new PartSuspect(66, 1), new PartSuspect(67, 1)),
+                            List.of(),
+                            List.of()));
+
+            assertEquals(List.of(new ModelPart("base", 66)), guard.report(nowNanos).wentOn());
+            assertEquals(5, guard.report(nowNanos).suspectsRevision());
+        }
+
+        /** Guards against a caller that fills the gateway's memory with parts. */
+        @Test
+        void numberOfReportedPartsIsBounded() {
+            for (int number = 0; number < 2_000; number++) {
+                final long[] parts = new long[200];
+                for (int part = 0; part < parts.length; part++) {
+                    parts[part] = number * 1_000L + part;
+                }
+                request(parts).recordConnectionEnded(BACKEND, 0);
+            }
+
+            assertTrue(reported().size() <= 512);
+            assertTrue(reported().stream().allMatch(broken -> broken.parts().size() <= 32));
+        }
+    }
+
+    @Nested
+    class Refusals {
+        @Test
+        void condemnedPromptIsRefused() {
+            condemn();
+
+            final ResultException refusal =
+                    assertThrows(ResultException.class, () -> request(1, 66, 99).requireAllowed());
+
+            assertEquals(ResultCode.PROMPT_PART_CONDEMNED, refusal.code());
+            assertEquals(List.of(List.of(66L)), guard.report(nowNanos).refused());
+        }
+
+        @Test
+        void lastPartAndSparedModelAreNotRefused() {
+            condemn();
+
+            request(1, 66).requireAllowed();
+            requestAt("spared", 1, 66, 99).requireAllowed();
+        }
+
+        @Test
+        void requestThatArrivedBeforeTheVerdictIsRefusedBeforeItsNextSend() {
+            final RequestGuard waiting = request(1, 66, 99);
+            waiting.requireAllowed();
+
+            condemn();
+
+            assertTrue(waiting.refusal().isPresent());
+        }
+
+        @Test
+        void probeIsSentOnceAndNotRepeated() {
+            condemn(VERDICT);
+
+            final RequestGuard probe = request(1, 66, 99);
+            probe.requireAllowed();
+
+            assertTrue(probe.refusal().isEmpty());
+            assertTrue(!probe.mayRepeat());
+            assertThrows(ResultException.class, () -> request(1, 66, 98).requireAllowed());
+        }
+
+        @Test
+        void suspectAfterTwoCrashesIsNotRepeatedUnlessItWentOnHere() {
+            update(
+                    1,
+                    new PartUpdate(
+                            2,
+                            List.of(new PartSuspect(66, 2), new PartSuspect(67, 1)),
+                            List.of(),
+                            List.of()));
+
+            assertTrue(!request(1, 66, 99).mayRepeat());
+            assertTrue(request(1, 67, 99).mayRepeat());
+            request(66, 98).recordEvents(2);
+            assertTrue(request(1, 66, 99).mayRepeat());
+        }
+    }
+}
