--- a/daemon/src/main/java/org/crocushaven/fleet/BackendCrash.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/BackendCrash.java
@@ -1,11 +1,9 @@
 package org.crocushaven.fleet;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.function.Predicate;
 
 /**
  * What is known of the end of one start of a backend server, from all gateways. Not thread-safe.
@@ -61,13 +59,9 @@
     }
 
     /** Returns the verdicts that explain the crash, since a request under them was there. */
-    List<PartVerdict> explainedBy(Collection<PartVerdict> verdicts) {
-        return verdicts.stream()
-                .filter(verdict -> broken.stream().anyMatch(under(verdict)))
-                .toList();
-    }
-
-    private static Predicate<BrokenStart> under(PartVerdict verdict) {
-        return request -> verdict.condemns(request.model(), request.parts());
+    Set<PartVerdict> explainedBy(VerdictIndex verdicts) {
+        final Set<PartVerdict> explaining = new HashSet<>();
+        broken.forEach(request -> explaining.addAll(verdicts.on(request.model(), request.parts())));
+        return explaining;
     }
 }
--- a/daemon/src/main/java/org/crocushaven/fleet/PartSuspicion.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/PartSuspicion.java
@@ -42,9 +42,10 @@
             Collection<PartVerdict> verdicts,
             Predicate<ModelPart> isSound) {
         final Map<Long, Suspect> suspects = new TreeMap<>();
+        final VerdictIndex index = VerdictIndex.of(verdicts);
         for (final BackendCrash crash : crashes) {
             final Set<Long> explaining = new HashSet<>();
-            final List<PartVerdict> explained = crash.explainedBy(verdicts);
+            final Set<PartVerdict> explained = crash.explainedBy(index);
             explained.stream()
                     .filter(verdict -> verdict.parts().size() > 1)
                     .forEach(verdict -> explaining.addAll(verdict.parts()));
--- a/daemon/src/main/java/org/crocushaven/forwarding/CondemnedParts.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/CondemnedParts.java
@@ -1,6 +1,5 @@
 package org.crocushaven.forwarding;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
@@ -12,6 +11,7 @@
 import org.crocushaven.fleet.PartSuspect;
 import org.crocushaven.fleet.PartUpdate;
 import org.crocushaven.fleet.PartVerdict;
+import org.crocushaven.fleet.VerdictIndex;
 
 /**
  * Knows which parts of prompts the leader suspects or has condemned for ending backend servers. Not
@@ -27,12 +27,10 @@
     /** Refused verdicts in one report. */
     private static final int MAXIMUM_REFUSED = 32;
 
-    /** Verdicts by their first part; few have more than one. */
-    private final Map<Long, List<PartVerdict>> verdicts = new HashMap<>();
-
     private final Map<Long, Integer> suspects = new HashMap<>();
     private final Map<List<Long>, Long> probesUntilNanos = new HashMap<>();
     private final Set<List<Long>> refused = new LinkedHashSet<>();
+    private VerdictIndex verdicts = VerdictIndex.of(List.of());
     private long suspectsRevision = -1;
 
     /** Applies what the leader tells. */
@@ -43,11 +41,7 @@
             suspects.put(suspect.part(), suspect.crashes());
         }
         if (hasState) {
-            verdicts.clear();
-            for (final PartVerdict verdict : update.verdicts()) {
-                verdicts.computeIfAbsent(verdict.parts().get(0), part -> new ArrayList<>())
-                        .add(verdict);
-            }
+            verdicts = VerdictIndex.of(update.verdicts());
         }
         for (final PartVerdict probe : update.probes()) {
             probesUntilNanos.put(probe.parts(), nowNanos + PROBE_NANOS);
@@ -56,13 +50,7 @@
 
     /** Returns the verdict under which a request is refused. */
     Optional<PartVerdict> verdictOn(SharedParts request) {
-        if (verdicts.isEmpty()) {
-            return Optional.empty();
-        }
-        return request.parts().stream()
-                .flatMap(part -> verdicts.getOrDefault(part, List.of()).stream())
-                .filter(verdict -> verdict.condemns(request.model(), request.parts()))
-                .findFirst();
+        return verdicts.on(request.model(), request.parts()).stream().findFirst();
     }
 
     /** Records that a request was refused under a verdict. */
@@ -86,7 +74,7 @@
     /** Returns the parts of all suspects and verdicts. */
     Set<Long> parts() {
         final Set<Long> parts = new HashSet<>(suspects.keySet());
-        verdicts.values().forEach(list -> list.forEach(verdict -> parts.addAll(verdict.parts())));
+        verdicts.all().forEach(verdict -> parts.addAll(verdict.parts()));
         return parts;
     }
 
