End a request of the product's path whose callback throws

Cause: exceptions in what follows a charge, a claim, a permit, a failed attempt or a whole answer were swallowed by the future or reached a connection that no longer knew its request (BackendExchange finishes before it calls onEnd and onFailure). Class: a failure without an owner ends work in silence. Not covered: an exception other than a refusal in BackendListener.onSending.

--- a/daemon/src/main/java/org/crocushaven/serving/BackendAttempt.java
+++ b/daemon/src/main/java/org/crocushaven/serving/BackendAttempt.java
@@ -135,6 +135,10 @@
 
     @Override
     public void onEnd(long usedTokens) {
+        execution.orEnd(() -> answerEnded(usedTokens));
+    }
+
+    private void answerEnded(long usedTokens) {
         execution.environment().fleet().succeeded(server.name());
         returnPermit(PermitOutcome.COMPLETED);
         if (!isAnswerBuffered()) {
@@ -148,11 +152,17 @@
         execution
                 .claim()
                 .complete(answer)
-                .whenComplete((done, failure) -> deliverBufferedAnswer(answer, usedTokens));
+                .whenComplete(
+                        (done, failure) ->
+                                execution.orEnd(() -> deliverBufferedAnswer(answer, usedTokens)));
     }
 
     @Override
     public void onFailure(ResultException failure) {
+        execution.orEnd(() -> attemptEnded(failure));
+    }
+
+    private void attemptEnded(ResultException failure) {
         returnPermit(permitOutcome(failure));
         if (failure.code() == ResultCode.BACKEND_SERVER_FAILED
                 || failure.code() == ResultCode.BACKEND_SERVER_TIMEOUT
--- a/daemon/src/main/java/org/crocushaven/serving/RequestExecution.java
+++ b/daemon/src/main/java/org/crocushaven/serving/RequestExecution.java
@@ -8,6 +8,7 @@
 import org.crocushaven.caller.CallerResponse;
 import org.crocushaven.configuration.FleetConfiguration;
 import org.crocushaven.configuration.Organisation;
+import org.crocushaven.observability.EventLine;
 import org.crocushaven.protocol.Failures;
 import org.crocushaven.result.Execution;
 import org.crocushaven.result.ResultCode;
@@ -83,6 +84,8 @@
             charge();
         } catch (ResultException refusal) {
             refuse(refusal);
+        } catch (RuntimeException fault) {
+            faulted(fault);
         }
     }
 
@@ -184,6 +187,31 @@
         refuse(failure.withExecution(Execution.RAN));
     }
 
+    /** Runs a step of this request, which ends if the step throws. */
+    void orEnd(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException fault) {
+            faulted(fault);
+        }
+    }
+
+    /** Ends the request after an unexpected exception, rather than hold it. */
+    private void faulted(RuntimeException fault) {
+        EventLine.fault(fault).error();
+        final BackendAttempt running;
+        synchronized (this) {
+            running = attempt;
+        }
+        final boolean sent = running != null && !running.cancelIfUnsent();
+        if (sent) {
+            running.cancelAfterSending();
+        }
+        refuse(
+                ResultException.of(ResultCode.INTERNAL, fault.getClass().getSimpleName())
+                        .withExecution(sent ? Execution.UNKNOWN : Execution.NOT_RUN));
+    }
+
     private Optional<Organisation> checkKey(FleetConfiguration configuration) {
         final Optional<Organisation> checked =
                 environment.keys().check(configuration, request.key(), target.open());
@@ -204,14 +232,7 @@
             return;
         }
         charge.charge(organisation.get(), target.tokens())
-                .whenComplete(
-                        (charged, failure) -> {
-                            if (failure == null) {
-                                claimThenAttempt();
-                            } else {
-                                refuse(Failures.toResultException(failure));
-                            }
-                        });
+                .whenComplete((charged, failure) -> orRefuse(failure, this::claimThenAttempt));
     }
 
     private void claimThenAttempt() {
@@ -223,17 +244,25 @@
         environment
                 .once()
                 .claim(organisationName(), target.service().name(), request)
-                .whenComplete(
-                        (outcome, failure) -> {
-                            if (failure != null) {
-                                refuse(Failures.toResultException(failure));
-                            } else if (outcome.storedAnswer() != null) {
-                                replay(outcome);
-                            } else {
-                                claim = outcome;
-                                nextAttempt();
-                            }
-                        });
+                .whenComplete((outcome, failure) -> orRefuse(failure, () -> claimed(outcome)));
+    }
+
+    private void claimed(AtMostOnceGate.Claim outcome) {
+        if (outcome.storedAnswer() != null) {
+            replay(outcome);
+        } else {
+            claim = outcome;
+            nextAttempt();
+        }
+    }
+
+    /** Refuses the request if what it waited for failed, else goes on. */
+    private void orRefuse(Throwable failure, Runnable next) {
+        if (failure == null) {
+            orEnd(next);
+        } else {
+            orEnd(() -> refuse(Failures.toResultException(failure)));
+        }
     }
 
     private void replay(AtMostOnceGate.Claim outcome) {
@@ -279,7 +308,9 @@
         if (remainingNanos() > DISPATCHER_WAIT_INTERVAL.toNanos()
                 && retries.mayWaitForDispatcher(expected)) {
             routes.clearExcluded();
-            environment.scheduler().schedule(this::nextAttempt, DISPATCHER_WAIT_INTERVAL);
+            environment
+                    .scheduler()
+                    .schedule(() -> orEnd(this::nextAttempt), DISPATCHER_WAIT_INTERVAL);
         } else {
             refuse(
                     retries.lastFailureOr(
@@ -298,13 +329,15 @@
                         request.urgency(),
                         remainingNanos())
                 .whenComplete(
-                        (hasPermit, failure) -> {
-                            if (failure == null) {
-                                send(route.server(), hasPermit);
-                            } else {
-                                attemptFailed(Failures.toResultException(failure));
-                            }
-                        });
+                        (hasPermit, failure) ->
+                                orEnd(
+                                        () -> {
+                                            if (failure == null) {
+                                                send(route.server(), hasPermit);
+                                            } else {
+                                                attemptFailed(Failures.toResultException(failure));
+                                            }
+                                        }));
     }
 
     private void send(BackendServer server, boolean hasPermit) {
@@ -316,12 +349,10 @@
         claim.startSending()
                 .whenComplete(
                         (done, failure) -> {
-                            if (failure == null) {
-                                startUnlessOver(started);
-                            } else {
+                            if (failure != null) {
                                 started.cancelIfUnsent();
-                                refuse(Failures.toResultException(failure));
                             }
+                            orRefuse(failure, () -> startUnlessOver(started));
                         });
     }
 
@@ -349,11 +380,14 @@
         }
         endClaim(refusal.execution());
         if (finish()) {
-            if (!isCallerGone()) {
-                response.refuse(refusal);
+            try {
+                if (!isCallerGone()) {
+                    response.refuse(refusal);
+                }
+                environment.listener().refused(summary(), refusal);
+            } finally {
+                ended.run();
             }
-            environment.listener().refused(summary(), refusal);
-            ended.run();
         }
     }
 
