Do not hold a request for an adapter at a backend server that has left

What callers saw: a request that waited for its adapter's load waited for all of that time although the backend server was gone, and then began anew with less time. Change: the wait looks each 100 ms whether the backend server still takes requests, and whether the request has ended, so that it no longer counts there.

--- a/daemon/src/main/java/org/crocushaven/forwarding/TargetWait.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/TargetWait.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.crocushaven.fleet.BackendRecord;
 import org.crocushaven.result.ResultException;
 
 /**
@@ -9,6 +10,9 @@
  * the event loop only.
  */
 final class TargetWait {
+    /** Interval at which a wait looks whether its backend server has left. */
+    private static final long WAIT_CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
     private final ForwardedRequest served;
     private final ForwardingEnvironment environment;
     private final RequestEnd end;
@@ -67,15 +71,36 @@
         final String backend = target.backend().backend();
         served.recordAdapterWait(delayMillis);
         environment.view().requestStarted(backend, target.key());
+        checkWait(
+                target,
+                environment.nowNanos() + TimeUnit.MILLISECONDS.toNanos(delayMillis),
+                () -> {
+                    environment.view().requestEnded(backend, target.key());
+                    then.run();
+                });
+    }
+
+    /** Ends a wait when its time has come, the request has ended or the backend server leaves. */
+    private void checkWait(Target target, long endNanos, Runnable then) {
+        final long leftNanos = endNanos - environment.nowNanos();
+        if (leftNanos <= 0 || served.isDone() || hasLeft(target)) {
+            then.run();
+            return;
+        }
         environment
                 .loop()
                 .schedule(
-                        () -> {
-                            environment.view().requestEnded(backend, target.key());
-                            then.run();
-                        },
-                        delayMillis,
-                        TimeUnit.MILLISECONDS);
+                        () -> checkWait(target, endNanos, then),
+                        Math.min(leftNanos, WAIT_CHECK_NANOS),
+                        TimeUnit.NANOSECONDS);
+    }
+
+    private boolean hasLeft(Target target) {
+        return environment
+                .view()
+                .find(target.backend().backend())
+                .filter(BackendRecord::acceptsRequests)
+                .isEmpty();
     }
 
     /** Sends a request to the target that it waited for, or looks for another if that one left. */
