Keep open connections to the limits of the configuration in force

What callers saw: after a change of the limits, an open connection was closed as idle at the old time, at which its client may still send; larger heads and bodies were refused with 413 and 431 though allowed, smaller limits refused nothing, until the client reconnected. Cause: the limits were read once, when the connection was opened (class: a copy of the configuration that outlives it). Change: the decoder is replaced between two requests when the limits have changed; a request that has begun keeps those with which it began; the idle time is the one in force. IngressConnectionTest builds its pipeline with the new handler.

--- a/daemon/src/main/java/org/crocushaven/forwarding/IngressConnection.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/IngressConnection.java
@@ -19,7 +19,6 @@
 import java.util.Deque;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import org.crocushaven.ingress.IngressLimits;
 import org.crocushaven.ingress.IngressRequest;
 import org.crocushaven.result.Execution;
 import org.crocushaven.result.ResultCode;
@@ -32,7 +31,7 @@
 
     private final IngressServer server;
     private final ReadActivityHandler activity;
-    private final IngressLimits limits;
+    private final LimitsInForce limits;
     private final Deque<ReceivedRequest> pipelined = new ArrayDeque<>();
     private final RequestAssembly assembly;
     private Channel channel;
@@ -46,7 +45,7 @@
     /** Refusal of an unreadable request, which follows the answers that are still due. */
     private ResultException finalRefusal;
 
-    IngressConnection(IngressServer server, ReadActivityHandler activity, IngressLimits limits) {
+    IngressConnection(IngressServer server, ReadActivityHandler activity, LimitsInForce limits) {
         this.server = server;
         this.activity = activity;
         this.limits = limits;
@@ -126,12 +125,13 @@
         }
         final long incompleteMillis =
                 TimeUnit.NANOSECONDS.toMillis(activity.incompleteNanos(nowNanos));
+        final long headerTimeoutMillis = limits.ofRequest().headerTimeoutMillis();
         final long idleMillis = TimeUnit.NANOSECONDS.toMillis(activity.idleNanos(nowNanos));
-        if (!assembly.isUnderWay() && incompleteMillis > limits.headerTimeoutMillis() && !closing) {
-            refuseAndClose(
-                    ResultException.of(ResultCode.REQUEST_TIMEOUT, limits.headerTimeoutMillis()));
-        } else if (current == null && idleMillis > limits.idleTimeoutMillis()) {
-            server.environment().observer().closedIdle(idleMillis, limits.idleTimeoutMillis());
+        final long idleTimeoutMillis = limits.now().idleTimeoutMillis();
+        if (!assembly.isUnderWay() && incompleteMillis > headerTimeoutMillis && !closing) {
+            refuseAndClose(ResultException.of(ResultCode.REQUEST_TIMEOUT, headerTimeoutMillis));
+        } else if (current == null && idleMillis > idleTimeoutMillis) {
+            server.environment().observer().closedIdle(idleMillis, idleTimeoutMillis);
             channel.close();
         }
     }
--- a/daemon/src/main/java/org/crocushaven/forwarding/IngressServer.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/IngressServer.java
@@ -103,19 +103,23 @@
     }
 
     private void addConnection(Channel channel) {
-        final IngressLimits limits =
-                environment
-                        .configuration()
-                        .current()
-                        .map(IngressConfiguration::limits)
-                        .orElse(IngressLimits.DEFAULT);
+        final LimitsInForce limits = LimitsInForce.of(this::limits);
         final ReadActivityHandler activity = new ReadActivityHandler(environment.clock());
         final IngressConnection connection = new IngressConnection(this, activity, limits);
         connections.add(connection);
         channel.pipeline()
                 .addLast(activity)
-                .addLast(new StrictRequestDecoder(limits))
+                .addLast(limits)
+                .addLast(limits.decoder())
                 .addLast(new HttpResponseEncoder())
                 .addLast(connection);
     }
+
+    private IngressLimits limits() {
+        return environment
+                .configuration()
+                .current()
+                .map(IngressConfiguration::limits)
+                .orElse(IngressLimits.DEFAULT);
+    }
 }
--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestAssembly.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestAssembly.java
@@ -9,7 +9,6 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import java.util.Optional;
-import org.crocushaven.ingress.IngressLimits;
 import org.crocushaven.result.ResultCode;
 import org.crocushaven.result.ResultException;
 
@@ -18,11 +17,11 @@
  * the event loop only.
  */
 final class RequestAssembly {
-    private final IngressLimits limits;
+    private final LimitsInForce limits;
     private HttpRequest head;
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
 
-    RequestAssembly(IngressLimits limits) {
+    RequestAssembly(LimitsInForce limits) {
         this.limits = limits;
     }
 
@@ -63,8 +62,9 @@
         if (!data.isReadable()) {
             return;
         }
-        if (body.readableBytes() + data.readableBytes() > limits.maximumBodyBytes()) {
-            throw ResultException.of(ResultCode.BODY_TOO_LARGE, limits.maximumBodyBytes());
+        final int maximumBytes = limits.ofRequest().maximumBodyBytes();
+        if (body.readableBytes() + data.readableBytes() > maximumBytes) {
+            throw ResultException.of(ResultCode.BODY_TOO_LARGE, maximumBytes);
         }
         if (body == Unpooled.EMPTY_BUFFER) {
             body = Unpooled.buffer(data.readableBytes());
@@ -78,7 +78,8 @@
         }
         if (result.cause() instanceof TooLongHttpHeaderException
                 || result.cause() instanceof TooLongHttpLineException) {
-            throw ResultException.of(ResultCode.HEADERS_TOO_LARGE, limits.maximumHeaderBytes());
+            throw ResultException.of(
+                    ResultCode.HEADERS_TOO_LARGE, limits.ofRequest().maximumHeaderBytes());
         }
         throw ResultException.of(
                 ResultCode.MALFORMED_REQUEST, result.cause().getClass().getSimpleName());
--- a/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
@@ -52,6 +52,7 @@
 final class ForwardingFixture implements AutoCloseable {
     static final long TIMEOUT_MILLIS = 8_000;
     static final long AWAIT_MILLIS = 10_000;
+    private static final long READ_MILLIS = 50;
     private static final String SERVICE = "engines";
     private static final int OBJECTIVE_MILLIS = 40;
     private static final int PAUSE_MILLIS = 20;
@@ -170,6 +171,13 @@
                 IngressConfiguration.of(2, List.of(), List.of(), List.of(), IngressLimits.DEFAULT);
     }
 
+    /** Puts a configuration in force that has these limits and is the same otherwise. */
+    void limit(IngressLimits limits) {
+        configuration =
+                IngressConfiguration.of(
+                        2, configuration.routes(), List.of(), organisations, limits);
+    }
+
     /** Withdraws all backend servers. */
     void removeAllBackendServers() throws Exception {
         records.clear();
@@ -255,6 +263,11 @@
         loop.schedule(() -> {}, millis, TimeUnit.MILLISECONDS).get();
     }
 
+    /** Waits until the bytes that a client has sent before are read. */
+    void awaitBytes() throws Exception {
+        passOnLoop(READ_MILLIS);
+    }
+
     /** Runs an action on the event loop. */
     void run(Runnable action) throws Exception {
         loop.submit(action).get();
--- a/daemon/src/test/java/org/crocushaven/forwarding/IngressConnectionTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/IngressConnectionTest.java
@@ -56,13 +56,14 @@
     private final EmbeddedChannel channel = new EmbeddedChannel();
     private final IngressServer server = new IngressServer(environment(channel.eventLoop()));
     private final ReadActivityHandler activity = new ReadActivityHandler(() -> nowNanos);
-    private final IngressConnection connection =
-            new IngressConnection(server, activity, IngressLimits.DEFAULT);
+    private final LimitsInForce limits = LimitsInForce.of(() -> IngressLimits.DEFAULT);
+    private final IngressConnection connection = new IngressConnection(server, activity, limits);
 
     IngressConnectionTest() {
         channel.pipeline()
                 .addLast(activity)
-                .addLast(new StrictRequestDecoder(IngressLimits.DEFAULT))
+                .addLast(limits)
+                .addLast(limits.decoder())
                 .addLast(new HttpResponseEncoder())
                 .addLast(connection);
     }
