End a request whose time limit or stream's origin meets an exception

Cause: the timer of the time limit, the last resort of all others, was itself not guarded: one exception in it held the request for ever, its sends too; so was the leader's answer on a stream's origin (held to the time limit). Change: both end the request as after any other exception (9001), as does the end of a stopping gateway; sends are cut before a replacement's end is reported, and the first one even if that throws. Failed before: UnexpectedExceptionTest.requestWhoseTimeLimitThrowsIsEndedAllTheSame (no answer in 10 s, with a time limit of 1.5 s) and requestForWhichTheOriginOfItsStreamCannotBeReadIsNotHeldToItsTimeLimit (1304 at the limit instead of 9001). Pass now, with GracefulStopTest, SilentBackendServerTest, StreamContinuationTest and WaitBesideChangeTest.

--- a/daemon/src/main/java/org/crocushaven/forwarding/AttemptSuccession.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/AttemptSuccession.java
@@ -144,7 +144,14 @@
     /** Ends all attempts when the request ends, and aborts them unless the answer is complete. */
     void endAll(boolean answered) {
         silence.stop();
-        abandonReplacement("request ended");
+        try {
+            abandonReplacement("request ended");
+        } finally {
+            endCurrent(answered);
+        }
+    }
+
+    private void endCurrent(boolean answered) {
         if (!attempts.isEmpty()) {
             final BackendAttempt last = attempts.current();
             retries.recordMayHaveRun(last.wasSent());
@@ -159,9 +166,9 @@
         if (attempts.hasReplacement()) {
             final BackendAttempt unneeded = attempts.replacement();
             retries.recordMayHaveRun(unneeded.wasSent());
-            served.reportFailedAttempt(unneeded, unneeded.wasSent(), reason);
             unneeded.abort();
             end(unneeded);
+            served.reportFailedAttempt(unneeded, unneeded.wasSent(), reason);
         }
     }
 
--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestEnd.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestEnd.java
@@ -55,7 +55,7 @@
                 environment
                         .loop()
                         .schedule(
-                                this::timeLimitReached,
+                                () -> orAfterFault(this::timeLimitReached),
                                 served.remainingMillis(),
                                 TimeUnit.MILLISECONDS);
     }
@@ -89,6 +89,14 @@
         }
     }
 
+    private void orAfterFault(Runnable ending) {
+        try {
+            ending.run();
+        } catch (RuntimeException fault) {
+            afterFault(fault);
+        }
+    }
+
     /** Ends a request that cannot be sent once more. */
     void giveUp() {
         if (served.isStreamStarted()) {
@@ -141,9 +149,12 @@
      * may have run, or breaks its stream off.
      */
     void gatewayStops() {
-        if (served.isDone()) {
-            return;
+        if (!served.isDone()) {
+            orAfterFault(this::endForStop);
         }
+    }
+
+    private void endForStop() {
         final BackendAttempt current = served.attempts().current();
         final boolean sent = current != null && current.wasSent();
         if (current != null) {
--- a/daemon/src/main/java/org/crocushaven/forwarding/StreamContinuation.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/StreamContinuation.java
@@ -8,6 +8,7 @@
 import org.crocushaven.fleet.BackendRecord;
 import org.crocushaven.fleet.StreamIdentifier;
 import org.crocushaven.fleet.StreamOrigin;
+import org.crocushaven.fleet.StreamOriginAnswer;
 import org.crocushaven.fleet.StreamOriginQuery;
 import org.crocushaven.ingress.IngressRequest;
 import org.crocushaven.ingress.RouteKind;
@@ -101,22 +102,40 @@
                 .findStreamOrigin(new StreamOriginQuery(stream, admission.service()))
                 .whenComplete(
                         (answer, failure) -> {
-                            if (failure == null && answer.origin().isPresent()) {
-                                goOnAt(answer.origin().get());
-                                prepared.complete(null);
-                            } else if (queriesLeft > 1) {
-                                askLeaderLater(prepared, queriesLeft - 1);
-                            } else {
-                                prepared.completeExceptionally(refusal(failure));
+                            try {
+                                answered(prepared, queriesLeft, answer, failure);
+                            } catch (RuntimeException fault) {
+                                prepared.completeExceptionally(fault);
                             }
                         });
     }
 
+    private void answered(
+            CompletableFuture<Void> prepared,
+            int queriesLeft,
+            StreamOriginAnswer answer,
+            Throwable failure) {
+        if (failure == null && answer.origin().isPresent()) {
+            goOnAt(answer.origin().get());
+            prepared.complete(null);
+        } else if (queriesLeft > 1) {
+            askLeaderLater(prepared, queriesLeft - 1);
+        } else {
+            prepared.completeExceptionally(refusal(failure));
+        }
+    }
+
     private void askLeaderLater(CompletableFuture<Void> prepared, int queriesLeft) {
         environment
                 .loop()
                 .schedule(
-                        () -> askLeader(prepared, queriesLeft),
+                        () -> {
+                            try {
+                                askLeader(prepared, queriesLeft);
+                            } catch (RuntimeException fault) {
+                                prepared.completeExceptionally(fault);
+                            }
+                        },
                         SECOND_QUERY_DELAY_MILLIS,
                         TimeUnit.MILLISECONDS);
     }
--- a/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
@@ -85,6 +85,7 @@
     private volatile IngressConfiguration configuration;
     private volatile long passedNanos;
     private volatile boolean requestEndsFail;
+    private volatile boolean attemptReportsFail;
     private volatile int idleReportsToFail;
     private volatile boolean headersFail;
     private volatile boolean searchesFail;
@@ -265,6 +266,11 @@
         requestEndsFail = true;
     }
 
+    /** Makes the reports of failed attempts fail unexpectedly. */
+    void failAttemptReports() {
+        attemptReportsFail = true;
+    }
+
     /** Makes the next report of a connection that is closed as idle fail unexpectedly. */
     void failNextIdleReport() {
         idleReportsToFail = 1;
@@ -553,6 +559,18 @@
             }
         }
 
+        @Override
+        public void attemptFailed(
+                IngressRequest request,
+                BackendRecord backend,
+                int attempt,
+                boolean mayHaveRun,
+                String reason) {
+            if (attemptReportsFail) {
+                throw new IllegalStateException("injected");
+            }
+        }
+
         @Override
         public void closedIdle(long idleMillis, long limitMillis) {
             if (idleReportsToFail > 0) {
--- a/daemon/src/test/java/org/crocushaven/forwarding/HeldLeader.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/HeldLeader.java
@@ -48,6 +48,11 @@
         origins.remove().completeExceptionally(failure);
     }
 
+    /** Answers the oldest question for the origin of a stream. */
+    void answerOrigin(StreamOriginAnswer answer) {
+        origins.remove().complete(answer);
+    }
+
     /** Runs the action that has waited longest for a report. */
     void reportAnswered() {
         actions.remove().run();
--- a/daemon/src/test/java/org/crocushaven/forwarding/UnexpectedExceptionTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/UnexpectedExceptionTest.java
@@ -58,4 +58,28 @@
 
         assertEquals("refused INTERNAL", answer.awaitEnd());
     }
+
+    @Test
+    void requestWhoseTimeLimitThrowsIsEndedAllTheSame() throws Exception {
+        fixture.failAttemptReports();
+        final ForwardingFixture.RecordedAnswer answer = fixture.start();
+        final StandInServer.Exchange exchange = first.awaitRequest();
+
+        assertEquals("refused INTERNAL", answer.awaitEnd());
+        exchange.awaitClosed();
+    }
+
+    @Test
+    void requestForWhichTheOriginOfItsStreamCannotBeReadIsNotHeldToItsTimeLimit() throws Exception {
+        fixture.close();
+        fixture = ForwardingFixture.withRetries(RouteKind.STREAM, TIMEOUT_MILLIS);
+        fixture.takeUpStreams();
+        final HeldLeader leader = fixture.holdLeader();
+        final ForwardingFixture.RecordedAnswer answer = fixture.start();
+        fixture.awaitWait(leader);
+
+        fixture.run(() -> leader.answerOrigin(null));
+
+        assertEquals("refused INTERNAL", answer.awaitEnd());
+    }
 }
