--- a/daemon/src/test/java/org/crocushaven/forwarding/SimulatedGateway.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/SimulatedGateway.java
@@ -136,11 +136,11 @@
             time.after(TIMEOUT_MILLIS, () -> ended(current));
             return;
         }
-        time.after(1 + random.nextLong(LATENCY_MILLIS), () -> received(leader.get(), report));
+        time.after(
+                1 + random.nextLong(LATENCY_MILLIS), () -> received(current, leader.get(), report));
     }
 
-    private void received(PartVerdicts leader, GatewayReport report) {
-        final long current = life;
+    private void received(long current, PartVerdicts leader, GatewayReport report) {
         if (scenario.leader().filter(leader::equals).isEmpty()) {
             time.after(TIMEOUT_MILLIS, () -> ended(current));
             return;
