Take crashes within 100 ms, not 200 ms, for one event

Callers would have seen: four requests with a guilty part reached backend servers later than 3 s after its fifth crash, where three are allowed.

--- a/daemon/src/main/java/org/crocushaven/fleet/PartSuspicion.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/PartSuspicion.java
@@ -23,7 +23,7 @@
  */
 final class PartSuspicion {
     /** Crashes within this time are taken for one event. */
-    private static final long ONE_EVENT_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+    private static final long ONE_EVENT_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
     private final Map<Long, Suspect> suspects;
 
