Search the end of an event once

What callers of other streams saw: one backend server that sends an event without end stops a gateway's event loop for seconds. Cause: EventSplitter searched the end of the first event from its front at each piece, so the time grew with the square of the event's size, up to 4 MiB.

Evidence, one run each under load 30: EventSplitterTest.EventWithoutEnd failed with 34.0 s of CPU time for an event of 4 MiB of short lines in pieces of 1 KiB (bound 1 s); EndlessAnswersTest.Streams.eventOfShortLinesIsCut was closed after 8.0 s.

Change: the splitter remembers how far it has searched and where the last line began.

After: both pass, closed after 58 ms.

--- a/daemon/src/main/java/org/crocushaven/forwarding/EventSplitter.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/EventSplitter.java
@@ -19,6 +19,13 @@
     private static final String ID_FIELD = "id:";
 
     private ByteBuf pending = Unpooled.buffer(512);
+
+    /** Number of pending bytes in which no end of an event was found. */
+    private int searchedBytes;
+
+    /** Start of the last line in them, counted from the first pending byte. */
+    private int lineOffset;
+
     private String lastEventId = "";
     private long lastNumber = -1;
     private long eventCount;
@@ -61,6 +68,8 @@
      */
     void discardPartialEvent() {
         pending.clear();
+        searchedBytes = 0;
+        lineOffset = 0;
         eventsMissing = false;
     }
 
@@ -120,20 +129,27 @@
      * incomplete.
      */
     private int endOfEvent() {
-        int lineStart = pending.readerIndex();
-        while (true) {
-            final int feed = pending.indexOf(lineStart, pending.writerIndex(), LINE_FEED);
-            if (feed < 0) {
-                return -1;
-            }
+        final int start = pending.readerIndex();
+        int feed = nextFeed(start + searchedBytes);
+        while (feed >= 0) {
+            final int lineStart = start + lineOffset;
             final int length = feed - lineStart;
             final boolean empty =
                     length == 0 || length == 1 && pending.getByte(lineStart) == CARRIAGE_RETURN;
             if (empty) {
+                searchedBytes = 0;
+                lineOffset = 0;
                 return feed + 1;
             }
-            lineStart = feed + 1;
+            lineOffset = feed + 1 - start;
+            feed = nextFeed(feed + 1);
         }
+        searchedBytes = pending.readableBytes();
+        return -1;
+    }
+
+    private int nextFeed(int from) {
+        return pending.indexOf(from, pending.writerIndex(), LINE_FEED);
     }
 
     private static String idOf(ByteBuf event) {
--- a/daemon/src/test/java/org/crocushaven/forwarding/EndlessAnswersTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/EndlessAnswersTest.java
@@ -322,4 +322,21 @@
             assertRefusedAndCut(1 << 20);
         }
     }
+
+    @Nested
+    class Streams {
+        @Test
+        void oneLineWithoutEndIsCut() throws Exception {
+            use(RouteKind.STREAM, "HTTP/1.1 200 OK\r\n\r\ndata: ", "x");
+
+            assertRefusedAndCut(4 << 20);
+        }
+
+        @Test
+        void eventOfShortLinesIsCut() throws Exception {
+            use(RouteKind.STREAM, "HTTP/1.1 200 OK\r\n\r\n", "data: x\n");
+
+            assertRefusedAndCut(4 << 20);
+        }
+    }
 }
--- a/daemon/src/test/java/org/crocushaven/forwarding/EventSplitterTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/EventSplitterTest.java
@@ -6,6 +6,8 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
 import java.nio.charset.StandardCharsets;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -81,6 +83,25 @@
         }
     }
 
+    @Nested
+    class EventWithoutEnd {
+        private static final String SHORT_LINES = "data: x\n".repeat(128);
+        private static final long MAXIMUM_CPU_NANOS = 1_000_000_000;
+
+        @Test
+        void isSearchedOnce() {
+            final ThreadMXBean threads = ManagementFactory.getThreadMXBean();
+            final long startNanos = threads.getCurrentThreadCpuTime();
+
+            while (!splitter.isBroken()) {
+                add(splitter, SHORT_LINES);
+            }
+
+            final long cpuNanos = threads.getCurrentThreadCpuTime() - startNanos;
+            assertTrue(cpuNanos <= MAXIMUM_CPU_NANOS, "CPU time: " + cpuNanos + " ns");
+        }
+    }
+
     @Test
     void acceptsCarriageReturnLineFeed() {
         assertEquals("id: 1\r\ndata: x\r\n\r\n", add(splitter, "id: 1\r\ndata: x\r\n\r\n"));
--- a/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
@@ -171,13 +171,6 @@
         return loop.submit(() -> environment().pool().answerMemory().highestBytes()).get();
     }
 
-    /** Starts to measure for how long the event loop is held up. */
-    LoopWatch watchLoop() {
-        final LoopWatch watch = new LoopWatch();
-        loop.execute(watch::check);
-        return watch;
-    }
-
     /** Makes the creation of requests to backend servers fail unexpectedly. */
     void failHeaders() {
         headersFail = true;
@@ -408,26 +401,6 @@
         }
     }
 
-    /** Measures for how long the event loop is held up. */
-    final class LoopWatch {
-        private static final long CHECK_MILLIS = 5;
-
-        private long lastNanos = System.nanoTime();
-        private volatile long longestNanos;
-
-        /** Returns the longest time, in milliseconds, between two turns of the event loop. */
-        long longestMillis() {
-            return TimeUnit.NANOSECONDS.toMillis(longestNanos);
-        }
-
-        private void check() {
-            final long nowNanos = System.nanoTime();
-            longestNanos = Math.max(longestNanos, nowNanos - lastNanos);
-            lastNanos = nowNanos;
-            loop.schedule(this::check, CHECK_MILLIS, TimeUnit.MILLISECONDS);
-        }
-    }
-
     private final class Recorder extends IgnoringObserver {
         @Override
         public void sent(
