Cut streams that repeat events without end

What callers saw: a backend server that resumes a stream with events that were forwarded already, again and again, held the stream to its time limit; each was dropped, nothing counted them.

Evidence (EndlessAnswersTest.Streams.repeatedEventsWithoutEndAreCut, one run each, time limit of 8 s): before, 107 MB and 149 MB taken in 8.2 and 8.0 s.

Change: 8 MiB of repeated events in a row fail the attempt, as a missing event does. A new event or attempt starts anew.

After: the test passes, with EventSplitterTest and the others of EndlessAnswersTest.Streams.

--- a/daemon/src/main/java/org/crocushaven/forwarding/EventSplitter.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/EventSplitter.java
@@ -14,6 +14,10 @@
  */
 final class EventSplitter {
     private static final int MAXIMUM_EVENT_BYTES = 4 << 20;
+
+    /** Maximum size of events repeated in a row; a stream that resumes may repeat all of it. */
+    private static final int MAXIMUM_REPEATED_BYTES = 8 << 20;
+
     private static final byte LINE_FEED = '\n';
     private static final byte CARRIAGE_RETURN = '\r';
     private static final String ID_FIELD = "id:";
@@ -29,6 +33,7 @@
     private String lastEventId = "";
     private long lastNumber = -1;
     private long eventCount;
+    private long repeatedBytes;
     private boolean eventsMissing;
 
     /** Returns a splitter that goes on after the last forwarded event of this one. */
@@ -70,6 +75,7 @@
         pending.clear();
         searchedBytes = 0;
         lineOffset = 0;
+        repeatedBytes = 0;
         eventsMissing = false;
     }
 
@@ -79,11 +85,13 @@
     }
 
     /**
-     * Returns whether an event is too long or events are missing, so that no further event may be
-     * forwarded.
+     * Returns whether an event is too long, events are missing or are repeated without end, so that
+     * no further event may be forwarded.
      */
     boolean isBroken() {
-        return eventsMissing || pending.readableBytes() > MAXIMUM_EVENT_BYTES;
+        return eventsMissing
+                || repeatedBytes > MAXIMUM_REPEATED_BYTES
+                || pending.readableBytes() > MAXIMUM_EVENT_BYTES;
     }
 
     /**
@@ -109,6 +117,7 @@
         final long number = numberOf(id);
         if (number >= 0 && lastNumber >= 0) {
             if (number <= lastNumber) {
+                repeatedBytes += event.readableBytes();
                 return false;
             }
             if (number > lastNumber + 1) {
@@ -121,6 +130,7 @@
             lastNumber = number;
         }
         eventCount++;
+        repeatedBytes = 0;
         return true;
     }
 
--- a/daemon/src/main/java/org/crocushaven/forwarding/StreamForwarding.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/StreamForwarding.java
@@ -71,7 +71,7 @@
     void check(BackendAttempt from) {
         if (!served.isStale(from) && succession.splitterOf(from).isBroken()) {
             from.abort();
-            failures.attemptFailed(from, true, "event missing or too long");
+            failures.attemptFailed(from, true, "event missing, too long or repeated without end");
         }
     }
 
--- a/daemon/src/test/java/org/crocushaven/forwarding/EndlessAnswersTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/EndlessAnswersTest.java
@@ -338,5 +338,14 @@
 
             assertRefusedAndCut(4 << 20);
         }
+
+        @Test
+        void repeatedEventsWithoutEndAreCut() throws Exception {
+            use(RouteKind.STREAM, "HTTP/1.1 200 OK\r\n\r\n", "id: 1\n\n");
+
+            final ForwardingFixture.RecordedAnswer answer = fixture.start();
+            assertCut(8 << 20);
+            assertEquals("aborted after id: 1;", answer.awaitEnd());
+        }
     }
 }
