Count long events among the memory of answers

What callers saw: nothing yet; by reading. An event may have 4 MiB before it counts as broken, for each stream: forty streams whose events do not end would fill the heap of a gateway (160 MB in deploy/system.toml).

Evidence: EndlessAnswersTest.Streams.manyEventsAtOnceStayWithinTheSum failed before, since nothing was counted.

Change: the buffer of an event that is not complete counts with the whole answers (AnswerMemory, 64 MiB together), checked when what has arrived is read; without room the attempt fails. A large buffer is given up when it is empty.

After: EndlessAnswersTest, EventSplitterTest and AnswerNotYetWrittenTest pass.

--- a/daemon/src/main/java/org/crocushaven/forwarding/AnswerBody.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/AnswerBody.java
@@ -50,10 +50,4 @@
     ByteBuf bytes() {
         return Unpooled.wrappedBuffer(parts.size() + 1, parts.toArray(ByteBuf[]::new));
     }
-
-    /** Drops the bytes. */
-    void discard() {
-        parts.clear();
-        memory.release();
-    }
 }
--- a/daemon/src/main/java/org/crocushaven/forwarding/BackendAttempt.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/BackendAttempt.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import java.util.Set;
+import org.crocushaven.outbound.AnswerMemory;
 import org.crocushaven.outbound.BackendAnswerListener;
 import org.crocushaven.outbound.BackendChannel;
 
@@ -20,6 +21,7 @@
     private AnswerKind answerKind = AnswerKind.AWAITING_HEAD;
     private HttpResponseStatus status;
     private HttpHeaders headers;
+    private AnswerMemory.Share memory;
     private AnswerBody body;
 
     BackendAttempt(RequestForwarding forwarding, Target target, int number) {
@@ -63,12 +65,20 @@
         if (channel != null) {
             channel.abort();
         }
-        discardBody();
+        releaseMemory();
     }
 
-    private void discardBody() {
-        if (body != null) {
-            body.discard();
+    /**
+     * Changes the memory, in bytes, of the stream's buffer; returns false if there is none left.
+     */
+    boolean tryHold(long bytes) {
+        return memory.tryResize(bytes);
+    }
+
+    private void releaseMemory() {
+        if (memory != null) {
+            memory.release();
+            body = null;
         }
     }
 
@@ -103,10 +113,12 @@
             forwarding.handleFailure(this, true, "unsigned answer");
         } else if (success && forwarding.isStream()) {
             answerKind = AnswerKind.EVENT_STREAM;
+            memory = forwarding.newAnswerShare();
             forwarding.streamAnswered(this);
         } else {
             answerKind = AnswerKind.COMPLETE_BODY;
-            body = forwarding.newAnswerBody();
+            memory = forwarding.newAnswerShare();
+            body = new AnswerBody(memory);
         }
         return true;
     }
@@ -139,7 +151,7 @@
 
     @Override
     public void failed(boolean mayHaveRun, String reason) {
-        discardBody();
+        releaseMemory();
         forwarding.handleFailure(this, mayHaveRun, reason);
     }
 
--- a/daemon/src/main/java/org/crocushaven/forwarding/EventSplitter.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/EventSplitter.java
@@ -22,7 +22,12 @@
     private static final byte CARRIAGE_RETURN = '\r';
     private static final String ID_FIELD = "id:";
 
-    private ByteBuf pending = Unpooled.buffer(512);
+    private static final int SMALL_BUFFER_BYTES = 512;
+
+    /** Capacity above which an empty buffer is replaced by a small one. */
+    private static final int LARGE_BUFFER_BYTES = 64 << 10;
+
+    private ByteBuf pending = Unpooled.buffer(SMALL_BUFFER_BYTES);
 
     /** Number of pending bytes in which no end of an event was found. */
     private int searchedBytes;
@@ -63,6 +68,9 @@
             }
             end = endOfEvent();
         }
+        if (!pending.isReadable() && pending.capacity() > LARGE_BUFFER_BYTES) {
+            pending = Unpooled.buffer(SMALL_BUFFER_BYTES);
+        }
         pending.discardReadBytes();
         return complete;
     }
@@ -72,13 +80,18 @@
      * resumes the stream.
      */
     void discardPartialEvent() {
-        pending.clear();
+        pending = Unpooled.buffer(SMALL_BUFFER_BYTES);
         searchedBytes = 0;
         lineOffset = 0;
         repeatedBytes = 0;
         eventsMissing = false;
     }
 
+    /** Returns the size, in bytes, of the buffer of an incomplete event. */
+    long bufferBytes() {
+        return pending.capacity();
+    }
+
     /** Returns whether an incomplete event is buffered. */
     boolean hasPartialEvent() {
         return pending.isReadable();
--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
@@ -131,8 +131,8 @@
                 .foreignAnswer(request(), from.target().backend().backend(), from.number());
     }
 
-    AnswerBody newAnswerBody() {
-        return new AnswerBody(served.answerShare(AnswerMemory.MAXIMUM_ANSWER_BYTES));
+    AnswerMemory.Share newAnswerShare() {
+        return served.answerShare(AnswerMemory.MAXIMUM_ANSWER_BYTES);
     }
 
     void streamAnswered(BackendAttempt from) {
--- a/daemon/src/main/java/org/crocushaven/forwarding/StreamForwarding.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/StreamForwarding.java
@@ -67,11 +67,21 @@
         }
     }
 
-    /** Fails an attempt when its stream has an event that is too long or missing. */
+    /**
+     * Fails an attempt when its stream has an event that is too long or missing, or for which the
+     * gateway has no memory left.
+     */
     void check(BackendAttempt from) {
-        if (!served.isStale(from) && succession.splitterOf(from).isBroken()) {
+        if (served.isStale(from)) {
+            return;
+        }
+        final EventSplitter splitter = succession.splitterOf(from);
+        if (splitter.isBroken()) {
             from.abort();
             failures.attemptFailed(from, true, "event missing, too long or repeated without end");
+        } else if (!from.tryHold(splitter.bufferBytes())) {
+            from.abort();
+            failures.attemptFailed(from, true, "no memory for a long event");
         }
     }
 
--- a/daemon/src/test/java/org/crocushaven/forwarding/EndlessAnswersTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/EndlessAnswersTest.java
@@ -347,5 +347,22 @@
             assertCut(8 << 20);
             assertEquals("aborted after id: 1;", answer.awaitEnd());
         }
+
+        @Test
+        void manyEventsAtOnceStayWithinTheSum() throws Exception {
+            use(RouteKind.STREAM, "HTTP/1.1 200 OK\r\n\r\ndata: ", "x");
+            final List<ForwardingFixture.RecordedAnswer> answers = new ArrayList<>();
+            for (int request = 0; request < SLOTS / 2; request++) {
+                answers.add(fixture.start());
+            }
+            for (ForwardingFixture.RecordedAnswer answer : answers) {
+                assertEquals("refused BACKEND_SERVER_FAILED", answer.awaitEnd());
+            }
+            assertTrue(fixture.highestAnswerBytes() > 4 << 20, "not counted");
+            assertTrue(
+                    fixture.highestAnswerBytes() <= AnswerMemory.MAXIMUM_BYTES,
+                    "highest: " + fixture.highestAnswerBytes());
+            assertEquals(0, fixture.answerBytes());
+        }
     }
 }
