Test answers that end with their connection, and answers to calls

Not tested in platform/: its fake worker can't send unframed answers; the header there is PlatformIngressDialectTest's.

Answers to calls without end (BackendCallTest.EndlessAnswers): four shapes and silence.

--- a/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
@@ -24,6 +24,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import org.agrona.concurrent.SystemEpochClock;
 import org.agrona.concurrent.SystemNanoClock;
@@ -171,6 +172,16 @@
         return loop.submit(() -> environment().pool().answerMemory().highestBytes()).get();
     }
 
+    /** Waits until the gateway holds bytes of an answer that is not forwarded yet. */
+    void awaitAnswerBytes() throws Exception {
+        final long startNanos = System.nanoTime();
+        while (answerBytes() == 0) {
+            if (System.nanoTime() - startNanos > TimeUnit.MILLISECONDS.toNanos(AWAIT_MILLIS)) {
+                throw new AssertionError("no bytes of an answer");
+            }
+        }
+    }
+
     /** Makes the creation of requests to backend servers fail unexpectedly. */
     void failHeaders() {
         headersFail = true;
@@ -354,6 +365,7 @@
     static final class RecordedAnswer implements ClientAnswer {
         private final StringBuilder received = new StringBuilder();
         private final CompletableFuture<String> end = new CompletableFuture<>();
+        private final Semaphore arrivals = new Semaphore(0);
         private RequestForwarding forwarding;
 
         /** Returns the complete answer, or "refused CODE" or "aborted" with what came before it. */
@@ -361,6 +373,13 @@
             return end.get(AWAIT_MILLIS, TimeUnit.MILLISECONDS);
         }
 
+        /** Waits until events have been received the given number of times. */
+        void awaitEvents(int number) throws InterruptedException {
+            if (!arrivals.tryAcquire(number, AWAIT_MILLIS, TimeUnit.MILLISECONDS)) {
+                throw new AssertionError("fewer than " + number + " events");
+            }
+        }
+
         boolean hasEnded() {
             return end.isDone();
         }
@@ -383,6 +402,7 @@
         public void sendEvents(ByteBuf events) {
             received.append(events.toString(StandardCharsets.UTF_8).replace("\n\n", ";"));
             events.release();
+            arrivals.release();
         }
 
         @Override
--- a/daemon/src/test/java/org/crocushaven/forwarding/StandInServer.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/StandInServer.java
@@ -132,6 +132,11 @@
             socket.close();
         }
 
+        /** Closes the connection in the direction of the gateway alone. */
+        void closeOutput() throws IOException {
+            socket.shutdownOutput();
+        }
+
         /** Ends a stream as complete. */
         void end() throws IOException {
             write("0\r\n\r\n");
--- /dev/null
+++ b/daemon/src/test/java/org/crocushaven/outbound/BackendCallTest.java
@@ -0,0 +1,171 @@
+package org.crocushaven.outbound;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.agrona.concurrent.SystemNanoClock;
+import org.crocushaven.forwarding.EndlessServer;
+import org.crocushaven.result.ResultCode;
+import org.crocushaven.result.ResultException;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class BackendCallTest {
+    private static final long AWAIT_SECONDS = 10;
+    private static final long LONG_TIMEOUT_MILLIS = 8_000;
+    private static final long CUT_MILLIS = 2_000;
+    private static final long MAXIMUM_TAKEN_BYTES = 16 << 20;
+
+    private final EventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = (EventLoop) group.next();
+    private final BackendPool pool = BackendPool.create(loop, SystemNanoClock.INSTANCE);
+
+    @AfterEach
+    void stop() throws Exception {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).await();
+    }
+
+    private CompletableFuture<BackendCall.Answer> call(int port, long timeoutMillis)
+            throws Exception {
+        return loop.submit(
+                        () ->
+                                BackendCall.send(
+                                        pool,
+                                        loop,
+                                        new InetSocketAddress(
+                                                InetAddress.getLoopbackAddress(), port),
+                                        new DefaultFullHttpRequest(
+                                                HttpVersion.HTTP_1_1,
+                                                HttpMethod.GET,
+                                                "/report",
+                                                Unpooled.EMPTY_BUFFER),
+                                        timeoutMillis))
+                .get();
+    }
+
+    private static ResultCode failureOf(CompletableFuture<BackendCall.Answer> call) {
+        final ExecutionException failure =
+                assertThrows(
+                        ExecutionException.class, () -> call.get(AWAIT_SECONDS, TimeUnit.SECONDS));
+        return ((ResultException) failure.getCause()).code();
+    }
+
+    @Nested
+    class UnframedAnswers {
+        /** Answers one call with the given text, and closes or resets the connection. */
+        private CompletableFuture<BackendCall.Answer> answered(String text, boolean reset)
+                throws Exception {
+            try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+                final CompletableFuture<BackendCall.Answer> call =
+                        call(listener.getLocalPort(), LONG_TIMEOUT_MILLIS);
+                try (Socket socket = listener.accept()) {
+                    readRequest(socket);
+                    socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+                    socket.setSoLinger(reset, 0);
+                }
+                return call;
+            }
+        }
+
+        private static void readRequest(Socket socket) throws IOException {
+            final InputStream in = socket.getInputStream();
+            final StringBuilder head = new StringBuilder();
+            while (head.indexOf("\r\n\r\n") < 0) {
+                head.append((char) in.read());
+            }
+        }
+
+        @Test
+        void reportIsWholeWhenItsConnectionIsClosed() throws Exception {
+            final BackendCall.Answer answer =
+                    answered("HTTP/1.1 200 OK\r\n\r\n{}", false)
+                            .get(AWAIT_SECONDS, TimeUnit.SECONDS);
+
+            assertEquals(200, answer.status());
+            assertEquals("{}", new String(answer.body(), StandardCharsets.US_ASCII));
+        }
+
+        @Test
+        void orderIsAnsweredByHeadAndClose() throws Exception {
+            final BackendCall.Answer answer =
+                    answered("HTTP/1.1 202 Accepted\r\n\r\n", false)
+                            .get(AWAIT_SECONDS, TimeUnit.SECONDS);
+
+            assertEquals(202, answer.status());
+        }
+
+        @Test
+        void doesNotLookCompleteWhenItsConnectionIsReset() throws Exception {
+            assertEquals(
+                    ResultCode.BACKEND_SERVER_FAILED,
+                    failureOf(answered("HTTP/1.1 200 OK\r\n\r\n{}", true)));
+        }
+    }
+
+    @Nested
+    class EndlessAnswers {
+        private void assertCut(String beginning, String repeated) throws Exception {
+            try (EndlessServer endless = EndlessServer.start(beginning, repeated)) {
+                final CompletableFuture<BackendCall.Answer> call =
+                        call(endless.port(), LONG_TIMEOUT_MILLIS);
+
+                assertEquals(ResultCode.BACKEND_SERVER_FAILED, failureOf(call));
+                final EndlessServer.Taken taken = endless.awaitClosed();
+                assertTrue(taken.bytes() <= MAXIMUM_TAKEN_BYTES, "taken: " + taken);
+                assertTrue(taken.millis() <= CUT_MILLIS, "taken: " + taken);
+            }
+        }
+
+        @Test
+        void bodyWithoutLengthIsCut() throws Exception {
+            assertCut("HTTP/1.1 200 OK\r\n\r\n", "x");
+        }
+
+        @Test
+        void bodyInChunksIsCut() throws Exception {
+            assertCut(
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                    "400\r\n" + "x".repeat(0x400) + "\r\n");
+        }
+
+        @Test
+        void headIsCut() throws Exception {
+            assertCut("HTTP/1.1 200 OK\r\n", "Field: x\r\n");
+        }
+
+        @Test
+        void informationalHeadsAreCut() throws Exception {
+            assertCut("", "HTTP/1.1 102 Processing\r\n\r\n");
+        }
+
+        @Test
+        void silenceIsCutByTheTimeLimit() throws Exception {
+            try (ServerSocket silent = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+                assertEquals(
+                        ResultCode.BACKEND_SERVER_TIMEOUT,
+                        failureOf(call(silent.getLocalPort(), 300)));
+            }
+        }
+    }
+}
