--- a/daemon/src/main/java/org/crocushaven/forwarding/BackendAttempt.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/BackendAttempt.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import java.util.Set;
+import org.crocushaven.outbound.AnswerMemory;
 import org.crocushaven.outbound.BackendAnswerListener;
 import org.crocushaven.outbound.BackendChannel;
 
@@ -23,6 +24,7 @@
     private AnswerKind answerKind = AnswerKind.AWAITING_HEAD;
     private HttpResponseStatus status;
     private HttpHeaders headers;
+    private AnswerMemory.Share memory;
     private AnswerBody body;
 
     /**
@@ -81,12 +83,20 @@
         if (channel != null) {
             channel.abort();
         }
-        discardBody();
+        releaseMemory();
     }
 
-    private void discardBody() {
-        if (body != null) {
-            body.discard();
+    /**
+     * Changes the memory, in bytes, of the stream's buffer; returns false if there is none left.
+     */
+    boolean tryHold(long bytes) {
+        return memory.tryResize(bytes);
+    }
+
+    private void releaseMemory() {
+        if (memory != null) {
+            memory.release();
+            body = null;
         }
     }
 
@@ -122,10 +132,12 @@
             forwarding.handleFailure(this, true, "unsigned answer");
         } else if (success && forwarding.isStream()) {
             answerKind = AnswerKind.EVENT_STREAM;
+            memory = forwarding.newAnswerShare();
             forwarding.streamAnswered(this);
         } else {
             answerKind = AnswerKind.COMPLETE_BODY;
-            body = forwarding.newAnswerBody();
+            memory = forwarding.newAnswerShare();
+            body = new AnswerBody(memory);
         }
         return true;
     }
@@ -163,7 +175,7 @@
 
     @Override
     public void failed(boolean mayHaveRun, String reason) {
-        discardBody();
+        releaseMemory();
         forwarding.handleFailure(this, mayHaveRun, reason);
     }
 
--- a/daemon/src/main/java/org/crocushaven/forwarding/EventSplitter.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/EventSplitter.java
@@ -14,14 +14,31 @@
  */
 final class EventSplitter {
     private static final int MAXIMUM_EVENT_BYTES = 4 << 20;
+
+    /** Maximum size of events repeated in a row; a stream that resumes may repeat all of it. */
+    private static final int MAXIMUM_REPEATED_BYTES = 8 << 20;
+
     private static final byte LINE_FEED = '\n';
     private static final byte CARRIAGE_RETURN = '\r';
     private static final String ID_FIELD = "id:";
 
-    private ByteBuf pending = Unpooled.buffer(512);
+    private static final int SMALL_BUFFER_BYTES = 512;
+
+    /** Capacity above which an empty buffer is replaced by a small one. */
+    private static final int LARGE_BUFFER_BYTES = 64 << 10;
+
+    private ByteBuf pending = Unpooled.buffer(SMALL_BUFFER_BYTES);
+
+    /** Number of pending bytes in which no end of an event was found. */
+    private int searchedBytes;
+
+    /** Start of the last line in them, counted from the first pending byte. */
+    private int lineOffset;
+
     private String lastEventId = "";
     private long lastNumber = -1;
     private long eventCount;
+    private long repeatedBytes;
     private boolean eventsMissing;
 
     /** Returns a splitter that goes on after the last forwarded event of this one. */
@@ -51,6 +68,9 @@
             }
             end = endOfEvent();
         }
+        if (!pending.isReadable() && pending.capacity() > LARGE_BUFFER_BYTES) {
+            pending = Unpooled.buffer(SMALL_BUFFER_BYTES);
+        }
         pending.discardReadBytes();
         return complete;
     }
@@ -60,21 +80,31 @@
      * resumes the stream.
      */
     void discardPartialEvent() {
-        pending.clear();
+        pending = Unpooled.buffer(SMALL_BUFFER_BYTES);
+        searchedBytes = 0;
+        lineOffset = 0;
+        repeatedBytes = 0;
         eventsMissing = false;
     }
 
+    /** Returns the size, in bytes, of the buffer of an incomplete event. */
+    long bufferBytes() {
+        return pending.capacity();
+    }
+
     /** Returns whether an incomplete event is buffered. */
     boolean hasPartialEvent() {
         return pending.isReadable();
     }
 
     /**
-     * Returns whether an event is too long or events are missing, so that no further event may be
-     * forwarded.
+     * Returns whether an event is too long, events are missing or are repeated without end, so that
+     * no further event may be forwarded.
      */
     boolean isBroken() {
-        return eventsMissing || pending.readableBytes() > MAXIMUM_EVENT_BYTES;
+        return eventsMissing
+                || repeatedBytes > MAXIMUM_REPEATED_BYTES
+                || pending.readableBytes() > MAXIMUM_EVENT_BYTES;
     }
 
     /**
@@ -100,6 +130,7 @@
         final long number = numberOf(id);
         if (number >= 0 && lastNumber >= 0) {
             if (number <= lastNumber) {
+                repeatedBytes += event.readableBytes();
                 return false;
             }
             if (number > lastNumber + 1) {
@@ -112,6 +143,7 @@
             lastNumber = number;
         }
         eventCount++;
+        repeatedBytes = 0;
         return true;
     }
 
@@ -120,20 +152,27 @@
      * incomplete.
      */
     private int endOfEvent() {
-        int lineStart = pending.readerIndex();
-        while (true) {
-            final int feed = pending.indexOf(lineStart, pending.writerIndex(), LINE_FEED);
-            if (feed < 0) {
-                return -1;
-            }
+        final int start = pending.readerIndex();
+        int feed = nextFeed(start + searchedBytes);
+        while (feed >= 0) {
+            final int lineStart = start + lineOffset;
             final int length = feed - lineStart;
             final boolean empty =
                     length == 0 || length == 1 && pending.getByte(lineStart) == CARRIAGE_RETURN;
             if (empty) {
+                searchedBytes = 0;
+                lineOffset = 0;
                 return feed + 1;
             }
-            lineStart = feed + 1;
+            lineOffset = feed + 1 - start;
+            feed = nextFeed(feed + 1);
         }
+        searchedBytes = pending.readableBytes();
+        return -1;
+    }
+
+    private int nextFeed(int from) {
+        return pending.indexOf(from, pending.writerIndex(), LINE_FEED);
     }
 
     private static String idOf(ByteBuf event) {
--- a/daemon/src/test/java/org/crocushaven/forwarding/EndlessAnswersTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/EndlessAnswersTest.java
@@ -322,4 +322,47 @@
             assertRefusedAndCut(1 << 20);
         }
     }
+
+    @Nested
+    class Streams {
+        @Test
+        void oneLineWithoutEndIsCut() throws Exception {
+            use(RouteKind.STREAM, "HTTP/1.1 200 OK\r\n\r\ndata: ", "x");
+
+            assertRefusedAndCut(4 << 20);
+        }
+
+        @Test
+        void eventOfShortLinesIsCut() throws Exception {
+            use(RouteKind.STREAM, "HTTP/1.1 200 OK\r\n\r\n", "data: x\n");
+
+            assertRefusedAndCut(4 << 20);
+        }
+
+        @Test
+        void repeatedEventsWithoutEndAreCut() throws Exception {
+            use(RouteKind.STREAM, "HTTP/1.1 200 OK\r\n\r\n", "id: 1\n\n");
+
+            final ForwardingFixture.RecordedAnswer answer = fixture.start();
+            assertCut(8 << 20);
+            assertEquals("aborted after id: 1;", answer.awaitEnd());
+        }
+
+        @Test
+        void manyEventsAtOnceStayWithinTheSum() throws Exception {
+            use(RouteKind.STREAM, "HTTP/1.1 200 OK\r\n\r\ndata: ", "x");
+            final List<ForwardingFixture.RecordedAnswer> answers = new ArrayList<>();
+            for (int request = 0; request < SLOTS / 2; request++) {
+                answers.add(fixture.start());
+            }
+            for (ForwardingFixture.RecordedAnswer answer : answers) {
+                assertEquals("refused BACKEND_SERVER_FAILED", answer.awaitEnd());
+            }
+            assertTrue(fixture.highestAnswerBytes() > 4 << 20, "not counted");
+            assertTrue(
+                    fixture.highestAnswerBytes() <= AnswerMemory.MAXIMUM_BYTES,
+                    "highest: " + fixture.highestAnswerBytes());
+            assertEquals(0, fixture.answerBytes());
+        }
+    }
 }
