Keep an idle connection as long as its client may rely on it when the idle time is lowered

What callers would see: when a configuration lowers the idle time, connections that had been idle for longer were all closed at once, while their clients may still send on them by the earlier limit; such a request crosses the close. Tests: openOneIsClosedAfterAnIdleTimeThatWasLowered held that an idle connection is closed at once, which is the fault; three take its place: not closed earlier than its client knew, closed at the time that its client knew, and closed at the lower time after a further request. The first fails on the old code by its construction (it inverts the old test).

--- a/daemon/src/main/java/org/crocushaven/forwarding/IngressConnection.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/IngressConnection.java
@@ -127,7 +127,7 @@
                 TimeUnit.NANOSECONDS.toMillis(activity.incompleteNanos(nowNanos));
         final long headerTimeoutMillis = limits.ofRequest().headerTimeoutMillis();
         final long idleMillis = TimeUnit.NANOSECONDS.toMillis(activity.idleNanos(nowNanos));
-        final long idleTimeoutMillis = limits.now().idleTimeoutMillis();
+        final long idleTimeoutMillis = limits.idleTimeoutMillis();
         if (!assembly.isUnderWay() && incompleteMillis > headerTimeoutMillis && !closing) {
             refuseAndClose(ResultException.of(ResultCode.REQUEST_TIMEOUT, headerTimeoutMillis));
         } else if (current == null && idleMillis > idleTimeoutMillis) {
--- a/daemon/src/main/java/org/crocushaven/forwarding/LimitsInForce.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/LimitsInForce.java
@@ -30,9 +30,12 @@
         return decoder;
     }
 
-    /** Returns the limits in force. */
-    IngressLimits now() {
-        return source.get();
+    /**
+     * Returns the time, in milliseconds, after which an idle connection is closed. A lower one holds
+     * from the next request on, because the client may still rely on the earlier one.
+     */
+    long idleTimeoutMillis() {
+        return Math.max(ofRequest.idleTimeoutMillis(), source.get().idleTimeoutMillis());
     }
 
     /** Returns the limits of the request that is being received, or of the last one. */
@@ -42,7 +45,7 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
-        final IngressLimits now = now();
+        final IngressLimits now = source.get();
         if (!now.equals(ofRequest) && decoder.isBetweenRequests()) {
             final StrictRequestDecoder next = new StrictRequestDecoder(now);
             context.pipeline().replace(decoder, null, next);
