Take a stream without length that ends before its first event for broken off

What callers saw: a stream whose backend server crashed at its first event came as complete and empty, status 200, if the answer had neither a length nor chunks and its connection was closed. Cause: the end of the connection was taken for the end of the answer, as for a stream with events (class: an end without a sign is read as a good one). Change: such an attempt has failed, and its end counts as evidence on the parts of its prompt; the request begins elsewhere where its route allows it, else 502. One with an event before its end stays complete. Failed before: UnframedAnswersTest.beginsElsewhereWhenItEndsBeforeItsFirstEvent (no request reached the other backend server). After: UnframedAnswersTest, IdleConnectionsTest and RequestForwardingTest pass, one run.

--- a/daemon/src/main/java/org/crocushaven/forwarding/StreamForwarding.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/StreamForwarding.java
@@ -100,6 +100,11 @@
             failures.attemptFailed(from, true, "stream ended without an event");
             return;
         }
+        if (!served.isStreamStarted() && from.endsWithConnection()) {
+            failures.connectionEnded(from);
+            failures.attemptFailed(from, true, "stream ended without an event");
+            return;
+        }
         if (!served.isStreamStarted()) {
             served.recordStreamStarted();
             client.startStream(from.status(), from.headers());
--- a/daemon/src/test/java/org/crocushaven/forwarding/UnframedAnswersTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/UnframedAnswersTest.java
@@ -52,6 +52,20 @@
             assertEquals("id: 1;id: 2;", answer.awaitEnd());
         }
 
+        @Test
+        void beginsElsewhereWhenItEndsBeforeItsFirstEvent() throws Exception {
+            final ForwardingFixture.RecordedAnswer answer = start(RouteKind.STREAM);
+            final StandInServer.Exchange exchange = first.awaitRequest();
+
+            exchange.write(HEAD);
+            exchange.close();
+            final StandInServer.Exchange next = other.awaitRequest();
+            next.write(HEAD + "id: 1\n\n");
+            next.close();
+
+            assertEquals("id: 1;", answer.awaitEnd());
+        }
+
         @Test
         void goesOnElsewhereWhenItEndsWithinAnEvent() throws Exception {
             final ForwardingFixture.RecordedAnswer answer = start(RouteKind.STREAM);
