Fail a request whose listener throws before it is sent

Cause: BackendExchange caught refusals of its listener only; another exception was swallowed by the connection's event loop. Failed before: HttpBackendClientTest.requestIsFailedAsNotRunWhenItsListenerThrowsUnexpectedly (nothing in 10 s).

--- a/daemon/src/main/java/org/crocushaven/backend/BackendExchange.java
+++ b/daemon/src/main/java/org/crocushaven/backend/BackendExchange.java
@@ -9,6 +9,7 @@
 import java.io.ByteArrayOutputStream;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.crocushaven.observability.EventLine;
 import org.crocushaven.result.Execution;
 import org.crocushaven.result.ResultCode;
 import org.crocushaven.result.ResultException;
@@ -123,6 +124,12 @@
         } catch (ResultException refusal) {
             fail(refusal.withExecution(Execution.NOT_RUN));
             return false;
+        } catch (RuntimeException fault) {
+            EventLine.fault(fault).error();
+            fail(
+                    ResultException.of(ResultCode.INTERNAL, fault.getClass().getSimpleName())
+                            .withExecution(Execution.NOT_RUN));
+            return false;
         }
         connection = chosen;
         if (cancelled) {
--- a/daemon/src/test/java/org/crocushaven/backend/HttpBackendClientTest.java
+++ b/daemon/src/test/java/org/crocushaven/backend/HttpBackendClientTest.java
@@ -412,6 +412,24 @@
             assertFailure(recorder, ResultCode.KEY_WITHDRAWN_DURING_REQUEST, Execution.NOT_RUN);
             assertTrue(engine.hasNoRequest());
         }
+
+        @Test
+        void requestIsFailedAsNotRunWhenItsListenerThrowsUnexpectedly() throws Exception {
+            final Recorder recorder =
+                    new Recorder() {
+                        @Override
+                        public void onSending() {
+                            throw new IllegalStateException("injected");
+                        }
+                    };
+            client.send(
+                    engine.describe(0),
+                    new BackendRequest(
+                            "r1", "GET", "/", Map.of(), new byte[0], Optional.empty(), 20_000, 3),
+                    recorder);
+            assertFailure(recorder, ResultCode.INTERNAL, Execution.NOT_RUN);
+            assertTrue(engine.hasNoRequest());
+        }
     }
 
     @Nested
