--- a/daemon/src/main/java/org/crocushaven/fleet/EngineOrderQueue.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/EngineOrderQueue.java
@@ -173,15 +173,6 @@
                                         failure == null ? outcomeOf(answer) : outcomeOf(failure)));
     }
 
-    private OrderOutcome outcomeOf(BackendCall.Answer answer) {
-        try {
-            return context.dialect().decodeOrderAnswer(answer.status());
-        } catch (RuntimeException fault) {
-            EventLine.fault(fault).error();
-            return OrderOutcome.UNKNOWN;
-        }
-    }
-
     /**
      * Sends an order again with the higher count if it was refused and the count that it expected
      * may have been one too low.
@@ -240,6 +231,15 @@
         }
     }
 
+    private OrderOutcome outcomeOf(BackendCall.Answer answer) {
+        try {
+            return context.dialect().decodeOrderAnswer(answer.status());
+        } catch (RuntimeException fault) {
+            EventLine.fault(fault).error();
+            return OrderOutcome.UNKNOWN;
+        }
+    }
+
     private static OrderOutcome outcomeOf(Throwable failure) {
         final boolean notSent =
                 failure instanceof ResultException result
