--- a/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
@@ -34,6 +34,7 @@
 import org.crocushaven.fleet.BackendRecord;
 import org.crocushaven.fleet.BackendState;
 import org.crocushaven.fleet.GatewayUpdate;
+import org.crocushaven.fleet.PartUpdate;
 import org.crocushaven.fleet.StreamOriginAnswer;
 import org.crocushaven.fleet.StreamOriginQuery;
 import org.crocushaven.ingress.IngressConfiguration;
@@ -381,7 +382,8 @@
                 List.of(),
                 1,
                 List.of(),
-                Optional.empty());
+                Optional.empty(),
+                PartUpdate.EMPTY);
     }
 
     private ForwardingEnvironment createEnvironment() {
@@ -432,6 +434,7 @@
                 new PromptReaders(),
                 new BegunStreamMemory(),
                 leader,
+                IdleCrashGuard.create(),
                 new Recorder());
     }
 
