Do not cut a request's body over an idle time that was lowered meanwhile

What callers saw (by a test; in no play): a request whose body was arriving when a configuration lowered the idle time was cut without an answer once its client paused for longer than the new time, although the class that was added for this (LimitsInForce) says that a request that has begun keeps its limits. Cause: took the idle time of the configuration in force for every connection, also for one with a request under way. Change: that one keeps the limits of its request. Failed before: IdleConnectionsTest.requestWhoseBodyHasBegunIsNotCutOverAnIdleTimeThatWasLowered (-1, closed, instead of 404). IdleConnectionsTest and IngressConnectionTest pass.

--- a/daemon/src/main/java/org/crocushaven/forwarding/IngressConnection.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/IngressConnection.java
@@ -127,7 +127,8 @@
                 TimeUnit.NANOSECONDS.toMillis(activity.incompleteNanos(nowNanos));
         final long headerTimeoutMillis = limits.ofRequest().headerTimeoutMillis();
         final long idleMillis = TimeUnit.NANOSECONDS.toMillis(activity.idleNanos(nowNanos));
-        final long idleTimeoutMillis = limits.now().idleTimeoutMillis();
+        final long idleTimeoutMillis =
+                (assembly.isUnderWay() ? limits.ofRequest() : limits.now()).idleTimeoutMillis();
         if (!assembly.isUnderWay() && incompleteMillis > headerTimeoutMillis && !closing) {
             refuseAndClose(ResultException.of(ResultCode.REQUEST_TIMEOUT, headerTimeoutMillis));
         } else if (current == null && idleMillis > idleTimeoutMillis) {
--- a/daemon/src/test/java/org/crocushaven/forwarding/IdleConnectionsTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/IdleConnectionsTest.java
@@ -162,6 +162,21 @@
             }
         }
 
+        @Test
+        void requestWhoseBodyHasBegunIsNotCutOverAnIdleTimeThatWasLowered() throws Exception {
+            try (RawClient client = connect()) {
+                client.send(head(1, 2) + "x");
+                fixture.awaitBytes();
+                limitIdleTime(SHORT_LIMIT_MILLIS);
+                fixture.passTime(SHORT_LIMIT_MILLIS + 1_000);
+                fixture.run(server::checkAllTimeouts);
+
+                client.send("x");
+
+                assertEquals(NOT_FOUND, client.awaitStatus());
+            }
+        }
+
         @Test
         void requestWhoseHeadHasBegunKeepsItsLimits() throws Exception {
             try (RawClient client = connect()) {
