Go on reporting when the interval of a gateway's reports cannot be decided

By reading, and a test: what follows an update decides whether reports are frequent; an exception there came before the next report was scheduled, so that no further one was sent until a leader announced itself (class: a failure without an owner ends a timer in silence). Change: the regular interval, and event=fault. Failed before: LeaderLinkTest.reportsGoOnWhenTheirIntervalCannotBeDecided (no further report in 5 s). LeaderLinkTest passes.

--- a/daemon/src/main/java/org/crocushaven/forwarding/LeaderLink.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/LeaderLink.java
@@ -324,14 +324,22 @@
     }
 
     private void scheduleNext(boolean actionsRan) {
-        final long regular =
-                needsFrequentReports.getAsBoolean()
-                        ? FREQUENT_REPORT_INTERVAL_MILLIS
-                        : REPORT_INTERVAL_MILLIS;
-        final long delayMillis = actionsRan ? TOKEN_RETURN_REPORT_DELAY_MILLIS : regular;
+        final long delayMillis =
+                actionsRan ? TOKEN_RETURN_REPORT_DELAY_MILLIS : regularIntervalMillis();
         schedule(reportRequested ? MINIMUM_REPORT_INTERVAL_MILLIS : delayMillis);
     }
 
+    private long regularIntervalMillis() {
+        try {
+            return needsFrequentReports.getAsBoolean()
+                    ? FREQUENT_REPORT_INTERVAL_MILLIS
+                    : REPORT_INTERVAL_MILLIS;
+        } catch (RuntimeException fault) {
+            EventLine.fault(fault).error();
+            return REPORT_INTERVAL_MILLIS;
+        }
+    }
+
     private void schedule(long delayMillis) {
         if (timer != null) {
             timer.cancel(false);
--- a/daemon/src/test/java/org/crocushaven/forwarding/LeaderLinkTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/LeaderLinkTest.java
@@ -39,6 +39,7 @@
     private final BlockingQueue<Long> updates = new LinkedBlockingQueue<>();
     private volatile boolean updatesFail;
     private volatile int reportsToFail;
+    private volatile boolean intervalsFail;
     private final LeaderLink link =
             new LeaderLink(
                     loop,
@@ -51,7 +52,7 @@
                             throw new IllegalStateException("injected");
                         }
                     },
-                    () -> false);
+                    this::needsFrequentReports);
 
     @AfterEach
     void stop() throws InterruptedException {
@@ -59,6 +60,13 @@
         loop.shutdownGracefully(0, 1, TimeUnit.SECONDS).await();
     }
 
+    private boolean needsFrequentReports() {
+        if (intervalsFail) {
+            throw new IllegalStateException("injected");
+        }
+        return false;
+    }
+
     private GatewayReport report(long nowNanos) {
         if (reportsToFail > 0) {
             reportsToFail--;
@@ -142,6 +150,16 @@
         assertNotNull(nextSent(), "no further report");
     }
 
+    @Test
+    void reportsGoOnWhenTheirIntervalCannotBeDecided() throws InterruptedException {
+        intervalsFail = true;
+        loop.execute(() -> link.addControlInstances(List.of(NEW_LEADER)));
+        loop.execute(link::start);
+        nextSent().answer().complete(update(1));
+
+        assertNotNull(nextSent(), "no further report");
+    }
+
     @Test
     void requestsThatWaitForTokensGoOnAfterAnUpdateThatCannotBeApplied()
             throws InterruptedException {
