Go on watching elections after a poll that throws

By reading, and a test: an exception while an instance tries to lead left the watch marked as polling for ever; from then on a new leader began with the tick of 200 ms instead of the poll of 20 ms, with no line (class: a failure without an owner ends a timer in silence). Change: the poll is guarded. Failed before: ElectionWatchTest.pollsGoOnAfterOneThatThrows (new class; no second poll in 5 s).

--- a/daemon/src/main/java/org/crocushaven/fleet/ElectionWatch.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/ElectionWatch.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import org.crocushaven.observability.GuardedTask;
 
 /**
  * Polls for a new leader while none is known, so that an elected instance starts its work at once.
@@ -43,7 +44,7 @@
     }
 
     private void pollOnce() {
-        poll.run();
+        GuardedTask.of(poll).run();
         if (settled.getAsBoolean()) {
             polling = false;
         } else {
