End a request whose question for its stream's origin throws

By reading, and a test: the second question to the leader is asked by a timer, and its answer is handled in a future; an exception in either was swallowed, and the request was held to its time limit (class: a failure without an owner ends work in silence). Failed before: StreamContinuationTest.streamIsNotHeldWhenTheSecondQuestionCannotBeAsked (no end in 8 s).

--- a/daemon/src/main/java/org/crocushaven/forwarding/StreamContinuation.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/StreamContinuation.java
@@ -8,6 +8,7 @@
 import org.crocushaven.fleet.BackendRecord;
 import org.crocushaven.fleet.StreamIdentifier;
 import org.crocushaven.fleet.StreamOrigin;
+import org.crocushaven.fleet.StreamOriginAnswer;
 import org.crocushaven.fleet.StreamOriginQuery;
 import org.crocushaven.ingress.IngressRequest;
 import org.crocushaven.ingress.RouteKind;
@@ -100,27 +101,45 @@
                 .leader()
                 .findStreamOrigin(new StreamOriginQuery(stream, admission.service()))
                 .whenComplete(
-                        (answer, failure) -> {
-                            if (failure == null && answer.origin().isPresent()) {
-                                goOnAt(answer.origin().get());
-                                prepared.complete(null);
-                            } else if (queriesLeft > 1) {
-                                askLeaderLater(prepared, queriesLeft - 1);
-                            } else {
-                                prepared.completeExceptionally(refusal(failure));
-                            }
-                        });
+                        (answer, failure) ->
+                                orFail(
+                                        prepared,
+                                        () -> answered(prepared, queriesLeft, answer, failure)));
+    }
+
+    private void answered(
+            CompletableFuture<Void> prepared,
+            int queriesLeft,
+            StreamOriginAnswer answer,
+            Throwable failure) {
+        if (failure == null && answer.origin().isPresent()) {
+            goOnAt(answer.origin().get());
+            prepared.complete(null);
+        } else if (queriesLeft > 1) {
+            askLeaderLater(prepared, queriesLeft - 1);
+        } else {
+            prepared.completeExceptionally(refusal(failure));
+        }
     }
 
     private void askLeaderLater(CompletableFuture<Void> prepared, int queriesLeft) {
         environment
                 .loop()
                 .schedule(
-                        () -> askLeader(prepared, queriesLeft),
+                        () -> orFail(prepared, () -> askLeader(prepared, queriesLeft)),
                         SECOND_QUERY_DELAY_MILLIS,
                         TimeUnit.MILLISECONDS);
     }
 
+    /** Runs a step, whose unexpected exception must not hold the request to its time limit. */
+    private static void orFail(CompletableFuture<Void> prepared, Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException fault) {
+            prepared.completeExceptionally(fault);
+        }
+    }
+
     private ResultException refusal(Throwable failure) {
         return ResultException.of(ResultCode.SOFTWARE_VERSION_UNKNOWN, admission.service())
                 .withRetryAfter(
--- a/daemon/src/test/java/org/crocushaven/forwarding/StreamContinuationTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/StreamContinuationTest.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.NoSuchElementException;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
@@ -236,6 +237,16 @@
             assertEquals(ResultCode.SOFTWARE_VERSION_UNKNOWN, refusalOf(takeUp()).code());
         }
 
+        @Test
+        void streamIsNotHeldWhenTheSecondQuestionCannotBeAsked() {
+            answer(Optional.empty());
+
+            final CompletionException refusal =
+                    assertThrows(CompletionException.class, () -> await(takeUp()));
+
+            assertEquals(NoSuchElementException.class, refusal.getCause().getClass());
+        }
+
         @Test
         void unnamedStreamIsAskedForOnce() {
             answer(Optional.empty());
