Answer pipelined control calls in their order

By a test: of two calls sent one after the other on a connection, the second got its answer first when the first had to wait for a commit or the leader, so that a caller took the one for the other: an operator could take the answer to a read for the acknowledgement of a configuration. An answer that could not be written held its call without a line. Change: each answer follows that of the call before; the calls are still carried out at once. One that cannot be written closes the connection, with event=fault. Failed before: AggregatingHttpServerTest.pipelinedCallsAreAnsweredInOrder (202, the second answer, came first). AggregatingHttpServerTest and ControlInstanceTest pass.

--- a/daemon/src/main/java/org/crocushaven/network/AggregatingHttpServer.java
+++ b/daemon/src/main/java/org/crocushaven/network/AggregatingHttpServer.java
@@ -53,6 +53,9 @@
     private static final class CallHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
         private final Function<FullHttpRequest, CompletableFuture<FullHttpResponse>> handler;
 
+        /** Completes when the call before has its answer: answers follow the order of the calls. */
+        private CompletableFuture<Void> lastAnswered = CompletableFuture.completedFuture(null);
+
         private CallHandler(
                 Function<FullHttpRequest, CompletableFuture<FullHttpResponse>> handler) {
             this.handler = handler;
@@ -61,13 +64,21 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
             final boolean keepOpen = HttpUtil.isKeepAlive(request);
-            answerTo(request)
-                    .whenComplete(
-                            (response, failure) ->
-                                    answer(
-                                            context.channel(),
-                                            failure == null ? response : faultAnswer(failure),
-                                            keepOpen));
+            final CompletableFuture<FullHttpResponse> answer =
+                    answerTo(request).exceptionally(CallHandler::faultAnswer);
+            lastAnswered =
+                    lastAnswered
+                            .thenAcceptBoth(
+                                    answer,
+                                    (before, response) ->
+                                            answer(context.channel(), response, keepOpen))
+                            .exceptionally(fault -> closeAfter(fault, context));
+        }
+
+        private static Void closeAfter(Throwable fault, ChannelHandlerContext context) {
+            EventLine.fault(fault).error();
+            context.close();
+            return null;
         }
 
         private CompletableFuture<FullHttpResponse> answerTo(FullHttpRequest request) {
