--- a/daemon/src/test/java/org/crocushaven/forwarding/GracefulStopTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/GracefulStopTest.java
@@ -221,6 +221,30 @@
             exchange.awaitClosed();
         }
 
+        @Test
+        void requestWhoseBodyIsStillArrivingIsReported() throws Exception {
+            send(REQUEST.replace("Length: 0", "Length: 2") + "x");
+            fixture.awaitBytes();
+
+            stopServer();
+
+            assertEquals(List.of(UnfinishedWork.INCOMPLETE), fixture.unfinished());
+        }
+
+        @Test
+        void requestWhoseBodyEndsInTheLastMomentsIsRefusedAsNotRun() throws Exception {
+            send(REQUEST.replace("Length: 0", "Length: 2") + "x");
+            fixture.awaitBytes();
+            final CompletableFuture<Void> stopped =
+                    fixture.stop(server, 0, ForwardingFixture.AWAIT_MILLIS);
+
+            client.getOutputStream().write('x');
+
+            stopped.get(ForwardingFixture.AWAIT_MILLIS, TimeUnit.MILLISECONDS);
+            assertStatus(503, receivedAtProcessEnd());
+            assertFalse(backend.hasRequest());
+        }
+
         @Test
         void answerThatItsClientDoesNotTakeDoesNotHoldTheStopAndIsReported() throws Exception {
             send(REQUEST);
