Count a request of the product's path as ended when its report throws

By reading, and a test: the end of an answered request was counted after its report to the observer, so that an exception there left it under way for ever, and an instance that stops waited for it; since the same exception also cancelled the backend server's call and tried to refuse a request that had its answer. Change: the end is counted whatever the report does, and a fault after the end is logged and ends the claim, no more. Failed before: RequestExecutionTest.answerWhoseReportThrowsIsCountedAsEndedAndNotCancelled (1 in flight instead of 0). RequestExecutionTest (4) passes.

--- a/daemon/src/main/java/org/crocushaven/serving/RequestExecution.java
+++ b/daemon/src/main/java/org/crocushaven/serving/RequestExecution.java
@@ -160,8 +160,11 @@
     void answered(long usedTokens) {
         charge.settle(usedTokens < 0 ? charge.tokens() : usedTokens);
         if (finish()) {
-            environment.listener().answered(summary());
-            ended.run();
+            try {
+                environment.listener().answered(summary());
+            } finally {
+                ended.run();
+            }
         }
     }
 
@@ -199,6 +202,10 @@
     /** Ends the request after an unexpected exception, rather than hold it. */
     private void faulted(RuntimeException fault) {
         EventLine.fault(fault).error();
+        if (isFinished()) {
+            endClaim(Execution.UNKNOWN);
+            return;
+        }
         final BackendAttempt running;
         synchronized (this) {
             running = attempt;
--- a/daemon/src/test/java/org/crocushaven/serving/RequestExecutionTest.java
+++ b/daemon/src/test/java/org/crocushaven/serving/RequestExecutionTest.java
@@ -47,6 +47,7 @@
     private final RequestCoordinator coordinator = RequestCoordinator.create(environment());
     private int cancelled;
     private boolean routingFails;
+    private boolean reportsFail;
 
     private ServingEnvironment environment() {
         final long nowNanos = SystemNanoClock.INSTANCE.nanoTime();
@@ -168,6 +169,18 @@
             assertEnded("refused INTERNAL UNKNOWN");
             assertEquals(1, cancelled);
         }
+
+        @Test
+        void answerWhoseReportThrowsIsCountedAsEndedAndNotCancelled() {
+            final BackendListener listener = send();
+            listener.onHead(200, Map.of());
+            reportsFail = true;
+
+            listener.onEnd(-1);
+
+            assertEnded("answered");
+            assertEquals(0, cancelled);
+        }
     }
 
     private static final class RecordedResponse implements CallerResponse {
@@ -214,10 +227,20 @@
         }
 
         @Override
-        public void answered(RequestSummary summary) {}
+        public void answered(RequestSummary summary) {
+            failReport();
+        }
 
         @Override
-        public void refused(RequestSummary summary, ResultException failure) {}
+        public void refused(RequestSummary summary, ResultException failure) {
+            failReport();
+        }
+
+        private void failReport() {
+            if (reportsFail) {
+                throw new IllegalStateException("injected");
+            }
+        }
     }
 
     private final class HeldClaims implements AtMostOnceGate {
