--- a/daemon/src/main/java/org/crocushaven/fleet/EngineOrderQueue.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/EngineOrderQueue.java
@@ -182,6 +182,13 @@
         }
     }
 
+    private static OrderOutcome outcomeOf(Throwable failure) {
+        final boolean notSent =
+                failure instanceof ResultException result
+                        && result.execution() == Execution.NOT_RUN;
+        return notSent ? OrderOutcome.REFUSED : OrderOutcome.UNKNOWN;
+    }
+
     /**
      * Sends an order again with the higher count if it was refused and the count that it expected
      * may have been one too low.
@@ -240,13 +247,6 @@
         }
     }
 
-    private static OrderOutcome outcomeOf(Throwable failure) {
-        final boolean notSent =
-                failure instanceof ResultException result
-                        && result.execution() == Execution.NOT_RUN;
-        return notSent ? OrderOutcome.REFUSED : OrderOutcome.UNKNOWN;
-    }
-
     private InetSocketAddress address() {
         return new InetSocketAddress(backend.host(), backend.port());
     }
