--- a/daemon/src/main/java/org/crocushaven/forwarding/StreamContinuation.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/StreamContinuation.java
@@ -101,10 +101,13 @@
                 .leader()
                 .findStreamOrigin(new StreamOriginQuery(stream, admission.service()))
                 .whenComplete(
-                        (answer, failure) ->
-                                orFail(
-                                        prepared,
-                                        () -> answered(prepared, queriesLeft, answer, failure)));
+                        (answer, failure) -> {
+                            try {
+                                answered(prepared, queriesLeft, answer, failure);
+                            } catch (RuntimeException fault) {
+                                prepared.completeExceptionally(fault);
+                            }
+                        });
     }
 
     private void answered(
@@ -126,20 +129,17 @@
         environment
                 .loop()
                 .schedule(
-                        () -> orFail(prepared, () -> askLeader(prepared, queriesLeft)),
+                        () -> {
+                            try {
+                                askLeader(prepared, queriesLeft);
+                            } catch (RuntimeException fault) {
+                                prepared.completeExceptionally(fault);
+                            }
+                        },
                         SECOND_QUERY_DELAY_MILLIS,
                         TimeUnit.MILLISECONDS);
     }
 
-    /** Runs a step, whose unexpected exception must not hold the request to its time limit. */
-    private static void orFail(CompletableFuture<Void> prepared, Runnable step) {
-        try {
-            step.run();
-        } catch (RuntimeException fault) {
-            prepared.completeExceptionally(fault);
-        }
-    }
-
     private ResultException refusal(Throwable failure) {
         return ResultException.of(ResultCode.SOFTWARE_VERSION_UNKNOWN, admission.service())
                 .withRetryAfter(
