Test what callers get whose prompts end backend servers

A condemned prompt is neither sent nor charged; one that is condemned after its first send ends with 502 and is not sent again, nor is a suspect one; another is.

--- a/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
@@ -16,6 +16,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -42,6 +43,7 @@
 import org.crocushaven.ingress.IngressRequest;
 import org.crocushaven.ingress.IngressRoute;
 import org.crocushaven.ingress.KeyedOrganisation;
+import org.crocushaven.ingress.PromptPart;
 import org.crocushaven.ingress.RouteKind;
 import org.crocushaven.ingress.WeightedService;
 import org.crocushaven.outbound.BackendPool;
@@ -76,6 +78,7 @@
     private final List<BackendRecord> records = new ArrayList<>();
     private final List<KeyedOrganisation> organisations = new ArrayList<>();
     private ForwardingEnvironment environment;
+    private volatile List<PromptPart> promptParts = List.of();
     private volatile boolean headersFail;
     private volatile boolean searchesFail;
 
@@ -179,6 +182,33 @@
         return watch;
     }
 
+    /** Gives all later requests a prompt with the given parts. */
+    void setPromptParts(long... parts) {
+        promptParts = Arrays.stream(parts).mapToObj(part -> new PromptPart(part, 1)).toList();
+    }
+
+    /** Applies what the leader tells of parts of prompts. */
+    void tellOfParts(PartUpdate parts) throws Exception {
+        final GatewayUpdate update =
+                new GatewayUpdate(
+                        1,
+                        1,
+                        false,
+                        0,
+                        1,
+                        new byte[0],
+                        List.of(),
+                        true,
+                        List.of(),
+                        List.of(),
+                        List.of(),
+                        1,
+                        List.of(),
+                        Optional.empty(),
+                        parts);
+        run(() -> environment().crashes().apply(update, true, System.nanoTime()));
+    }
+
     /** Makes the creation of requests to backend servers fail unexpectedly. */
     void failHeaders() {
         headersFail = true;
@@ -343,7 +373,7 @@
         return admission;
     }
 
-    private static IngressRequest request() {
+    private IngressRequest request() {
         return new IngressRequest(
                 "request",
                 HttpMethod.POST,
@@ -355,7 +385,7 @@
                 Optional.of(KEY),
                 Optional.empty(),
                 Optional.empty(),
-                List.of(),
+                promptParts,
                 Optional.empty(),
                 Optional.empty());
     }
