--- a/daemon/src/main/java/org/crocushaven/forwarding/ForwardedRequest.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/ForwardedRequest.java
@@ -19,8 +19,8 @@
     private final StreamContinuation continuation;
     private final RetryState retries = new RetryState();
     private final AttemptsInFlight attempts;
-    private final RequestGuard guard;
     private final List<AnswerMemory.Share> answerShares = new ArrayList<>();
+    private final RequestGuard guard;
     private String lastBackend = "-";
     private String lastSoftwareVersion = "-";
     private long adapterWaitMillis;
--- a/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
@@ -43,6 +43,7 @@
 import org.crocushaven.ingress.IngressRequest;
 import org.crocushaven.ingress.IngressRoute;
 import org.crocushaven.ingress.KeyedOrganisation;
+import org.crocushaven.ingress.ModelReference;
 import org.crocushaven.ingress.PromptPart;
 import org.crocushaven.ingress.RouteKind;
 import org.crocushaven.ingress.WeightedService;
@@ -71,6 +72,7 @@
     private final GatewayBackends view = new GatewayBackends();
     private final BlockingQueue<String> sent = new LinkedBlockingQueue<>();
     private final BlockingQueue<ResultCode> ended = new LinkedBlockingQueue<>();
+    private final BlockingQueue<UnfinishedWork> unfinished = new LinkedBlockingQueue<>();
     private final BlockingQueue<String> missing = new LinkedBlockingQueue<>();
     private final RouteKind kind;
     private final long timeoutMillis;
@@ -78,6 +80,11 @@
     private final List<BackendRecord> records = new ArrayList<>();
     private final List<KeyedOrganisation> organisations = new ArrayList<>();
     private ForwardingEnvironment environment;
+    private LeaderRequests leader = new NoLeader();
+    private Optional<ModelReference> model = Optional.empty();
+    private Optional<String> lastEventId = Optional.empty();
+    private boolean sharesGranted = true;
+    private volatile IngressConfiguration configuration;
     private volatile List<PromptPart> promptParts = List.of();
     private volatile boolean headersFail;
     private volatile boolean searchesFail;
@@ -132,6 +139,65 @@
                         ORGANISATION, List.of(KEY), OptionalInt.empty(), false, 1, 1, 1));
     }
 
+    /** Lets requests wait for tokens, since the leader has granted none yet. */
+    void grantNoTokens() {
+        allowOneRequest();
+        sharesGranted = false;
+    }
+
+    /** Makes all requests name an adapter. */
+    void requireAdapter() {
+        model = Optional.of(new ModelReference("base", "a1"));
+    }
+
+    /** Makes all requests take up a stream of which this gateway knows nothing. */
+    void takeUpStreams() {
+        lastEventId = Optional.of("1");
+    }
+
+    /** Leaves the answers of the leader to the test. */
+    HeldLeader holdLeader() {
+        final HeldLeader held = new HeldLeader();
+        leader = held;
+        return held;
+    }
+
+    /** Waits until a request waits for an answer of the leader. */
+    void awaitWait(HeldLeader held) throws Exception {
+        final long startNanos = System.nanoTime();
+        while (loop.submit(held::awaited).get() == 0) {
+            if (System.nanoTime() - startNanos > TimeUnit.MILLISECONDS.toNanos(AWAIT_MILLIS)) {
+                throw new AssertionError("no request waits for the leader");
+            }
+        }
+    }
+
+    /** Puts a configuration in force that has no route, no key and no service. */
+    void removeAllRoutes() {
+        configuration =
+                IngressConfiguration.of(2, List.of(), List.of(), List.of(), IngressLimits.DEFAULT);
+    }
+
+    /** Withdraws all backend servers. */
+    void removeAllBackendServers() throws Exception {
+        records.clear();
+        loop.submit(() -> view.apply(update(2), System.nanoTime())).get();
+    }
+
+    /** Stops the server of client connections; the future completes when it may end. */
+    CompletableFuture<Void> stop(IngressServer server, long graceMillis, long writeMillis)
+            throws Exception {
+        return loop.submit(
+                        () ->
+                                GracefulStop.start(
+                                        server,
+                                        loop,
+                                        SystemNanoClock.INSTANCE,
+                                        graceMillis,
+                                        writeMillis))
+                .get();
+    }
+
     /** Spends the retry budget of the service. */
     void spendRetries() throws Exception {
         loop.submit(
@@ -271,6 +337,11 @@
         return ended.poll(AWAIT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    /** Returns what a stopping gateway has left unfinished. */
+    List<UnfinishedWork> unfinished() {
+        return List.copyOf(unfinished);
+    }
+
     /** Returns the number of sends that {@link #awaitSend} has not returned yet. */
     int pendingSends() {
         return sent.size();
@@ -283,17 +354,17 @@
 
     private ForwardingEnvironment environment() {
         if (environment == null) {
-            view.apply(update(), System.nanoTime());
+            view.apply(update(1), System.nanoTime());
             environment = createEnvironment();
         }
         return environment;
     }
 
-    private GatewayUpdate update() {
+    private GatewayUpdate update(long revision) {
         return new GatewayUpdate(
                 1,
-                1,
-                false,
+                revision,
+                true,
                 0,
                 1,
                 new byte[0],
@@ -323,7 +394,7 @@
                         MAXIMUM_ATTEMPTS,
                         organisations.isEmpty(),
                         kind == RouteKind.STREAM);
-        final IngressConfiguration configuration =
+        configuration =
                 IngressConfiguration.of(
                         1, List.of(route), List.of(), organisations, IngressLimits.DEFAULT);
         final ControlFreshness freshness =
@@ -355,13 +426,16 @@
                 freshness,
                 new PromptReaders(),
                 new BegunStreamMemory(),
-                new NoLeader(),
+                leader,
                 IdleCrashGuard.create(),
                 new Recorder());
     }
 
     private KeyedAdmission admission(ControlFreshness freshness) {
         final KeyedAdmission admission = KeyedAdmission.of(freshness, 1);
+        if (!sharesGranted) {
+            return admission;
+        }
         final long nowNanos = System.nanoTime();
         final long report = admission.report(nowNanos).reportSequence();
         final List<ShareChange> shares =
@@ -383,10 +457,10 @@
                 new DefaultHttpHeaders(),
                 OptionalLong.empty(),
                 Optional.of(KEY),
-                Optional.empty(),
+                model,
                 Optional.empty(),
                 promptParts,
-                Optional.empty(),
+                lastEventId,
                 Optional.empty());
     }
 
@@ -477,6 +551,11 @@
         public void ended(ForwardingSummary summary) {
             ended.add(summary.code());
         }
+
+        @Override
+        public void leftUnfinished(String requestId, UnfinishedWork work, long ageMillis) {
+            unfinished.add(work);
+        }
     }
 
     private static final class NoLeader implements LeaderRequests {
