--- a/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
@@ -16,6 +16,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -44,6 +45,7 @@
 import org.crocushaven.ingress.IngressRoute;
 import org.crocushaven.ingress.KeyedOrganisation;
 import org.crocushaven.ingress.ModelReference;
+import org.crocushaven.ingress.PromptPart;
 import org.crocushaven.ingress.RouteKind;
 import org.crocushaven.ingress.WeightedService;
 import org.crocushaven.outbound.BackendPool;
@@ -89,6 +91,7 @@
     private volatile boolean requestEndsFail;
     private volatile boolean attemptReportsFail;
     private volatile int idleReportsToFail;
+    private volatile List<PromptPart> promptParts = List.of();
     private volatile boolean headersFail;
     private volatile boolean searchesFail;
 
@@ -261,6 +264,33 @@
         }
     }
 
+    /** Gives all later requests a prompt with the given parts. */
+    void setPromptParts(long... parts) {
+        promptParts = Arrays.stream(parts).mapToObj(part -> new PromptPart(part, 1)).toList();
+    }
+
+    /** Applies what the leader tells of parts of prompts. */
+    void tellOfParts(PartUpdate parts) throws Exception {
+        final GatewayUpdate update =
+                new GatewayUpdate(
+                        1,
+                        1,
+                        false,
+                        0,
+                        1,
+                        new byte[0],
+                        List.of(),
+                        true,
+                        List.of(),
+                        List.of(),
+                        List.of(),
+                        1,
+                        List.of(),
+                        Optional.empty(),
+                        parts);
+        run(() -> environment().crashes().apply(update, true, System.nanoTime()));
+    }
+
     /** Makes the creation of requests to backend servers fail unexpectedly. */
     void failHeaders() {
         headersFail = true;
@@ -470,7 +500,7 @@
                 Optional.of(KEY),
                 model,
                 Optional.empty(),
-                List.of(),
+                promptParts,
                 lastEventId,
                 Optional.empty());
     }
