Replicate the software versions in use, so that a new leader knows them

Cause: "this service has had one version only" was said from the leader's own history, which began with its term. A fact that outlives the leader was kept by the leader.

Change: the versions in use are part of the replicated state. A leader commits a version before it tells gateways of a backend server that has it (until then its record is withheld), and takes it out when none has been known for the longest time a stream may last, or for twice that if this leader never heard of one. Whether these are all is replicated too: true from the start of a fleet, since without a configuration no gateway has a route; false after a term whose leader committed none (older software, or lost at once), which the state learns from the term's first entry (`StateMachine.termBegan`), until a leader has led for the longest time.

Left: each control instance's own history (one that was cut off would say "one version" wrongly, which breaks ORDER); gateways that tell a new leader (a killed one tells nothing).

Evidence: ControlInstanceTest.streamsOfFleetOfOneVersionAreNotRefusedAfterTheLeaderIsLost and versionIsUsedByNoGatewayBeforeItIsCommitted failed before; secondVersionIsKnownToTheNextLeader... guards the wrong answer.

Tests changed: ControlInstanceTest waits until the leader tells of its backend server, which is after a commit now, where it looked once. StreamDirectoryTest's restart case has a second version in the state. StreamOriginFuzzTest drives the replicated state with commits of its own, leaders lost before a commit, proposals of unknown outcome, missed announcements, leaders of older software; its check is the same.

--- a/daemon/src/main/java/org/crocushaven/consensus/AppliedState.java
+++ b/daemon/src/main/java/org/crocushaven/consensus/AppliedState.java
@@ -38,6 +38,8 @@
             history.add(entry.index(), entry.payload());
         } else if (entry.kind() == EntryKind.CONFIGURATION) {
             configuration = VoterConfiguration.decode(entry.payload());
+        } else if (entry.kind() == EntryKind.NO_OP) {
+            machine.termBegan(entry.term());
         }
         appliedTerm = entry.term();
         appliedIndex = entry.index();
--- a/daemon/src/main/java/org/crocushaven/consensus/StateMachine.java
+++ b/daemon/src/main/java/org/crocushaven/consensus/StateMachine.java
@@ -14,4 +14,9 @@
 
     /** Replaces the state by an encoded state that includes all commands up to the index. */
     void restore(long index, byte[] snapshot);
+
+    /** Called in log order when a leader's term begins, before the commands of that term. */
+    default void termBegan(long term) {
+        // Most states don't depend on who leads.
+    }
 }
--- a/daemon/src/main/java/org/crocushaven/fleet/ControlInstance.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/ControlInstance.java
@@ -331,6 +331,10 @@
                         });
     }
 
+    private CompletableFuture<Void> commitSoftwareVersions(FleetCommand change) {
+        return commit(MessageCodec.encodeValue(change)).thenRun(this::applyCommitted);
+    }
+
     /** Passes a committed change on to the gateways. */
     private void applyCommitted() {
         final FleetLeader activeLeader = currentLeader();
@@ -411,7 +415,10 @@
      */
     private void prepareStreams(long term, long nowNanos) {
         if (streams == null || streamsTerm != term) {
-            streams = StreamDirectory.startingAt(nowNanos);
+            streams =
+                    StreamDirectory.of(
+                            SoftwareVersionLog.startingAt(
+                                    state, term, this::commitSoftwareVersions, nowNanos));
             streamsTerm = term;
         } else {
             streams.restartHistory(nowNanos);
--- a/daemon/src/main/java/org/crocushaven/fleet/FleetCommand.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/FleetCommand.java
@@ -13,6 +13,7 @@
  * @param gatewaysRemoved gateways that no longer hold shares
  * @param departuresAdded announcements of backend servers that leave or have left
  * @param departuresRemoved those that no longer have to be remembered
+ * @param softwareVersions software versions in use; null if the command does not change them
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record FleetCommand(
@@ -22,7 +23,8 @@
         List<String> gatewaysAdded,
         List<String> gatewaysRemoved,
         List<BackendAnnouncement> departuresAdded,
-        List<BackendAnnouncement> departuresRemoved) {
+        List<BackendAnnouncement> departuresRemoved,
+        SoftwareVersionsInUse softwareVersions) {
     private static final byte[] NO_DOCUMENT = new byte[0];
 
     public FleetCommand {
@@ -41,23 +43,31 @@
     /** Returns the command that puts a configuration in force. */
     public static FleetCommand configuration(long version, byte[] document) {
         return new FleetCommand(
-                version, document, List.of(), List.of(), List.of(), List.of(), List.of());
+                version, document, List.of(), List.of(), List.of(), List.of(), List.of(), null);
     }
 
     /** Returns the command that requires a version of an adapter. */
     public static FleetCommand adapterVersion(AdapterVersion version) {
         return new FleetCommand(
-                0, NO_DOCUMENT, List.of(version), List.of(), List.of(), List.of(), List.of());
+                0, NO_DOCUMENT, List.of(version), List.of(), List.of(), List.of(), List.of(), null);
     }
 
     /** Returns the command that changes which gateways may hold shares. */
     public static FleetCommand gateways(List<String> added, List<String> removed) {
-        return new FleetCommand(0, NO_DOCUMENT, List.of(), added, removed, List.of(), List.of());
+        return new FleetCommand(
+                0, NO_DOCUMENT, List.of(), added, removed, List.of(), List.of(), null);
     }
 
     /** Returns the command that changes which departures of backend servers are remembered. */
     public static FleetCommand departures(
             List<BackendAnnouncement> added, List<BackendAnnouncement> removed) {
-        return new FleetCommand(0, NO_DOCUMENT, List.of(), List.of(), List.of(), added, removed);
+        return new FleetCommand(
+                0, NO_DOCUMENT, List.of(), List.of(), List.of(), added, removed, null);
+    }
+
+    /** Returns the command that changes which software versions may be in use. */
+    public static FleetCommand softwareVersions(SoftwareVersionsInUse versions) {
+        return new FleetCommand(
+                0, NO_DOCUMENT, List.of(), List.of(), List.of(), List.of(), List.of(), versions);
     }
 }
--- a/daemon/src/main/java/org/crocushaven/fleet/FleetLeader.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/FleetLeader.java
@@ -158,13 +158,14 @@
 
     /** Answers where a stream began. */
     StreamOriginAnswer findStreamOrigin(StreamOriginQuery query) {
-        return new StreamOriginAnswer(streams.find(query, clock.nanoTime()));
+        return new StreamOriginAnswer(streams.find(query));
     }
 
     /** Runs the periodic tasks. */
     void tick() {
         reports.removeExpired(clock.nanoTime());
         refresh();
+        streams.tick(clock.nanoTime());
         lending.tick(clock.nanoTime());
         placement.tick();
         load.tick(reports.gatewayCount(), changes.present().size(), clock.nanoTime());
@@ -209,6 +210,10 @@
     private void updateRecord(BackendAnnouncement announcement, long nowNanos) {
         final String backend = announcement.backend();
         streams.observe(announcement, nowNanos);
+        if (announcement.state() == BackendState.READY && !streams.mayServe(announcement)) {
+            withholdRecord(announcement);
+            return;
+        }
         changes.put(
                 new BackendRecord(
                         backend,
@@ -225,4 +230,11 @@
                         announcement.softwareVersion(),
                         announcement.startedMillis()));
     }
+
+    /** Keeps gateways from a backend server whose software version is not committed. */
+    private void withholdRecord(BackendAnnouncement announcement) {
+        if (changes.present().contains(announcement.backend())) {
+            changes.putGone(announcement.backend());
+        }
+    }
 }
--- a/daemon/src/main/java/org/crocushaven/fleet/FleetState.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/FleetState.java
@@ -11,7 +11,7 @@
 
 /**
  * The replicated state of a fleet: the newest configuration, the newest adapter versions, the
- * gateways that may hold shares, and the backend servers that leave.
+ * gateways that may hold shares, the backend servers that leave, and the software versions in use.
  *
  * <p>A configuration or adapter version that is not higher than the current one changes nothing.
  * Thread-safe; guarded by its own monitor.
@@ -28,6 +28,10 @@
     private final Set<String> gateways = new TreeSet<>();
     private Set<String> gatewaysView = Set.of();
     private final Map<String, BackendAnnouncement> departures = new TreeMap<>();
+    private volatile SoftwareVersionsInUse softwareVersions = SoftwareVersionsInUse.NONE_KNOWN;
+
+    /** The last term that began, as far as applied. */
+    private long currentTerm;
 
     /** Returns a state without configuration. */
     public static FleetState create() {
@@ -49,6 +53,9 @@
         decoded.departuresAdded().forEach(this::applyDeparture);
         decoded.departuresRemoved()
                 .forEach(departure -> departures.remove(departure.backend(), departure));
+        if (decoded.softwareVersions() != null) {
+            applySoftwareVersions(decoded.softwareVersions());
+        }
         return NO_RESULT;
     }
 
@@ -62,7 +69,8 @@
                         List.copyOf(gateways),
                         List.of(),
                         List.copyOf(departures.values()),
-                        List.of()));
+                        List.of(),
+                        softwareVersionsOfSnapshot()));
     }
 
     @Override
@@ -71,6 +79,8 @@
         gateways.clear();
         gatewaysView = Set.of();
         departures.clear();
+        softwareVersions = SoftwareVersionsInUse.NONE_KNOWN;
+        currentTerm = 0;
         configurationVersion = 0;
         document = NO_DOCUMENT;
         apply(index, snapshot);
@@ -88,6 +98,40 @@
         return gatewaysView;
     }
 
+    /**
+     * A leader that has committed no versions may have told gateways of any, since its software did
+     * not know how or it was lost before; those of its predecessors are not all, then.
+     */
+    @Override
+    public synchronized void termBegan(long term) {
+        if (softwareVersions.term() != currentTerm) {
+            softwareVersions = softwareVersions.incomplete();
+        }
+        currentTerm = term;
+    }
+
+    /** A snapshot does not say that a term began after the versions were committed. */
+    private SoftwareVersionsInUse softwareVersionsOfSnapshot() {
+        return softwareVersions.term() == currentTerm
+                ? softwareVersions
+                : softwareVersions.incomplete();
+    }
+
+    /** Without a configuration no gateway has had a route, so that no version was in use. */
+    private void applySoftwareVersions(SoftwareVersionsInUse applied) {
+        softwareVersions =
+                new SoftwareVersionsInUse(
+                        applied.term(),
+                        applied.complete() || configurationVersion == 0,
+                        applied.versions());
+        currentTerm = Math.max(currentTerm, applied.term());
+    }
+
+    /** Returns the software versions at which streams may be under way. */
+    SoftwareVersionsInUse softwareVersions() {
+        return softwareVersions;
+    }
+
     private void applyGateways(List<String> added, List<String> removed) {
         final boolean isLarger = gateways.addAll(added);
         final boolean isSmaller = gateways.removeAll(Set.copyOf(removed));
--- a/daemon/src/main/java/org/crocushaven/fleet/StreamDirectory.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/StreamDirectory.java
@@ -16,24 +16,24 @@
     private static final int CAPACITY = 400_000;
 
     private final StreamOrigins origins = StreamOrigins.ofCapacity(CAPACITY);
-    private SoftwareVersionHistory versions;
+    private final SoftwareVersionLog versions;
     private long longestStreamNanos = DEFAULT_LONGEST_STREAM_NANOS;
 
-    private StreamDirectory(long nowNanos) {
-        this.versions = SoftwareVersionHistory.startingAt(nowNanos);
+    private StreamDirectory(SoftwareVersionLog versions) {
+        this.versions = versions;
     }
 
-    /** Returns the directory of a term that begins now. */
-    public static StreamDirectory startingAt(long nowNanos) {
-        return new StreamDirectory(nowNanos);
+    /** Returns the directory of a term. */
+    public static StreamDirectory of(SoftwareVersionLog versions) {
+        return new StreamDirectory(versions);
     }
 
     /**
-     * Records that the leader has not heard announcements for a while: from now on it can say anew
-     * since when it knows all versions. Streams that were reported before stay known.
+     * Records that the leader has not heard announcements for a while. Streams that were reported
+     * before stay known.
      */
     void restartHistory(long nowNanos) {
-        versions = SoftwareVersionHistory.startingAt(nowNanos);
+        versions.restart(nowNanos);
     }
 
     /** Sets the time for which a stream may last. */
@@ -44,10 +44,27 @@
     /** Records the software version that a backend server announces. */
     public void observe(BackendAnnouncement announcement, long nowNanos) {
         if (!announcement.isDeregistration()) {
-            versions.observe(announcement.service(), announcement.softwareVersion(), nowNanos);
+            versions.observe(versionOf(announcement), nowNanos);
         }
     }
 
+    /**
+     * Returns whether every later leader will know that streams may have begun at the software
+     * version of a backend server; gateways must not use it before.
+     */
+    public boolean mayServe(BackendAnnouncement announcement) {
+        return versions.isCommitted(versionOf(announcement));
+    }
+
+    /** Forgets the software versions at which no stream can be under way any more. */
+    public void tick(long nowNanos) {
+        versions.tick(nowNanos, longestStreamNanos);
+    }
+
+    private static StreamOrigin versionOf(BackendAnnouncement announcement) {
+        return new StreamOrigin(announcement.service(), announcement.softwareVersion());
+    }
+
     /** Remembers the streams that a gateway reports. */
     public void add(List<BegunStreams> reported, long nowNanos) {
         for (final BegunStreams begun : reported) {
@@ -58,14 +75,10 @@
     }
 
     /**
-     * Returns where a stream began; empty if it is not remembered and its service has had more than
-     * one software version while the stream can have lasted.
+     * Returns where a stream began; empty if it is not remembered and its service may have had more
+     * than one software version while the stream can have lasted.
      */
-    public Optional<StreamOrigin> find(StreamOriginQuery query, long nowNanos) {
-        return origins.find(query.stream())
-                .or(
-                        () ->
-                                versions.onlyVersion(query.service(), nowNanos, longestStreamNanos)
-                                        .map(only -> new StreamOrigin(query.service(), only)));
+    public Optional<StreamOrigin> find(StreamOriginQuery query) {
+        return origins.find(query.stream()).or(() -> versions.only(query.service()));
     }
 }
--- a/daemon/src/test/java/org/crocushaven/fleet/ControlFleet.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/ControlFleet.java
@@ -5,6 +5,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -97,6 +98,15 @@
         return isAnswered(answer) ? answer.join() : null;
     }
 
+    /** Returns where an instance says that a stream began of which no gateway told. */
+    Optional<StreamOrigin> unknownStreamOrigin(String instance, String service) {
+        final CompletableFuture<Message> answer =
+                network.ask(instance, new StreamOriginQuery(StreamIdentifier.NONE, service));
+        return isAnswered(answer) && answer.join() instanceof StreamOriginAnswer found
+                ? found.origin()
+                : Optional.empty();
+    }
+
     private static boolean isAnswered(CompletableFuture<?> future) {
         try {
             future.get(CALL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
--- a/daemon/src/test/java/org/crocushaven/fleet/ControlInstanceTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/ControlInstanceTest.java
@@ -74,9 +74,9 @@
         awaitLeader("");
         ControlFleet.VOTERS.forEach(
                 name -> fleet.announce(name, announcement(1, BackendState.READY)));
-        final Led led = awaitLeader("");
-        assertEquals(Optional.of(BackendState.READY), stateOf(led.update()));
-        return led.instance();
+        final String leader = awaitLeader("").instance();
+        awaitBackend(leader, BACKEND);
+        return leader;
     }
 
     /** Announces as a backend server does, again and again until it is answered. */
@@ -153,5 +153,94 @@
      * @param instance its name
      * @param update its answer to a gateway that knows nothing
      */
+    @Nested
+    class SoftwareVersionsInUse {
+        @Test
+        void streamsOfFleetOfOneVersionAreNotRefusedAfterTheLeaderIsLost() {
+            final String leader = leaderThatKnowsBackend();
+            assertEquals(Optional.of(origin("")), fleet.unknownStreamOrigin(leader, "service"));
+
+            fleet.network().isolate(leader);
+
+            final String next = awaitLeader(leader).instance();
+            assertEquals(Optional.of(origin("")), fleet.unknownStreamOrigin(next, "service"));
+        }
+
+        @Test
+        void secondVersionIsKnownToTheNextLeaderThoughItNeverHeardOfIt() {
+            leaderThatKnowsBackend();
+            fleet.network().loseOneWay(BackendAnnouncement.class);
+            final String leader = leaderThatAloneHeardOf("v2");
+
+            fleet.network().isolate(leader);
+
+            final String next = awaitLeader(leader).instance();
+            assertEquals(Optional.empty(), fleet.unknownStreamOrigin(next, "service"));
+        }
+
+        @Test
+        void versionIsUsedByNoGatewayBeforeItIsCommitted() {
+            final String leader = leaderThatKnowsBackend();
+            fleet.network().isolate(leader);
+            fleet.announce(leader, ofVersion("v2"));
+
+            assertTrue(
+                    !(fleet.report(leader) instanceof GatewayUpdate update)
+                            || update.changed().stream()
+                                    .noneMatch(record -> record.softwareVersion().equals("v2")));
+        }
+
+        private static StreamOrigin origin(String softwareVersion) {
+            return new StreamOrigin("service", softwareVersion);
+        }
+
+        private String leaderThatAloneHeardOf(String softwareVersion) {
+            final long startNanos = System.nanoTime();
+            while (true) {
+                final Led led = awaitLeader("");
+                if (led.update().changed().stream()
+                        .anyMatch(record -> record.softwareVersion().equals(softwareVersion))) {
+                    return led.instance();
+                }
+                fleet.announce(led.instance(), ofVersion(softwareVersion));
+                assertTrue(
+                        TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos)
+                                < TIMEOUT_MILLIS,
+                        softwareVersion + " is not told to gateways");
+            }
+        }
+
+        private static BackendAnnouncement ofVersion(String softwareVersion) {
+            return new BackendAnnouncement(
+                    "worker-" + softwareVersion,
+                    "service",
+                    "10.0.0.2",
+                    80,
+                    "a",
+                    BackendState.READY,
+                    4,
+                    1,
+                    1,
+                    false,
+                    List.of(),
+                    softwareVersion);
+        }
+    }
+
+    /** Waits until a leader tells gateways of a backend server that they may use. */
+    private void awaitBackend(String leader, String backend) {
+        final long startNanos = System.nanoTime();
+        while (!(fleet.report(leader) instanceof GatewayUpdate update)
+                || update.changed().stream()
+                        .noneMatch(
+                                record ->
+                                        record.backend().equals(backend)
+                                                && record.state() == BackendState.READY)) {
+            assertTrue(
+                    TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos) < TIMEOUT_MILLIS,
+                    backend + " is not told to gateways");
+        }
+    }
+
     private record Led(String instance, GatewayUpdate update) {}
 }
--- a/daemon/src/test/java/org/crocushaven/fleet/FleetLeaderTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/FleetLeaderTest.java
@@ -7,6 +7,7 @@
 import java.lang.management.ThreadMXBean;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import org.agrona.concurrent.SystemNanoClock;
@@ -46,7 +47,15 @@
                 0,
                 0,
                 command -> {},
-                StreamDirectory.startingAt(System.nanoTime()));
+                StreamDirectory.of(
+                        SoftwareVersionLog.startingAt(
+                                state,
+                                1,
+                                command -> {
+                                    state.apply(2, MessageCodec.encodeValue(command));
+                                    return CompletableFuture.completedFuture(null);
+                                },
+                                System.nanoTime())));
     }
 
     private static BackendAnnouncement announcement(int backend) {
--- a/daemon/src/test/java/org/crocushaven/fleet/StreamDirectoryTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/StreamDirectoryTest.java
@@ -4,7 +4,9 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.crocushaven.protocol.MessageCodec;
 import org.junit.jupiter.api.Test;
 
 class StreamDirectoryTest {
@@ -13,7 +15,21 @@
     private static final long LATER_NANOS = TimeUnit.MILLISECONDS.toNanos(LONGEST_MILLIS);
     private static final StreamOrigin FIRST = new StreamOrigin(SERVICE, "v1");
 
-    private final StreamDirectory directory = StreamDirectory.startingAt(0);
+    private final FleetState state = FleetState.create();
+    private long term;
+    private final StreamDirectory directory = directoryOfNewLeader(0);
+
+    private StreamDirectory directoryOfNewLeader(long nowNanos) {
+        term++;
+        state.termBegan(term);
+        return StreamDirectory.of(
+                SoftwareVersionLog.startingAt(state, term, this::commit, nowNanos));
+    }
+
+    private CompletableFuture<Void> commit(FleetCommand command) {
+        state.apply(1, MessageCodec.encodeValue(command));
+        return CompletableFuture.completedFuture(null);
+    }
 
     private static BackendAnnouncement announcement(String backend, String softwareVersion) {
         return new BackendAnnouncement(
@@ -32,7 +48,7 @@
     }
 
     private Optional<StreamOrigin> find(long stream) {
-        return directory.find(new StreamOriginQuery(stream, SERVICE), LATER_NANOS);
+        return directory.find(new StreamOriginQuery(stream, SERVICE));
     }
 
     @Test
@@ -59,14 +75,30 @@
     @Test
     void reportedStreamStaysKnownWhenTheHistoryOfVersionsIsRestarted() {
         directory.setLongestStreamMillis(LONGEST_MILLIS);
+        directory.observe(announcement("two", "v2"), 0);
         directory.add(List.of(new BegunStreams(FIRST, List.of(7L))), 0);
         directory.restartHistory(LATER_NANOS);
         directory.observe(announcement("one", "v1"), LATER_NANOS);
+        directory.tick(LATER_NANOS + 1);
 
         assertEquals(Optional.of(FIRST), find(7));
         assertEquals(Optional.empty(), find(8));
     }
 
+    @Test
+    void newLeaderCountsVersionThatOnlyItsPredecessorHeardOf() {
+        directory.observe(announcement("one", "v1"), 0);
+        directory.observe(announcement("two", "v2"), 0);
+        final StreamDirectory next = directoryOfNewLeader(1);
+        next.setLongestStreamMillis(LONGEST_MILLIS);
+        next.observe(announcement("one", "v1"), 2 * LATER_NANOS);
+        next.tick(2 * LATER_NANOS + 1);
+        assertEquals(Optional.empty(), next.find(new StreamOriginQuery(8, SERVICE)));
+
+        next.tick(2 * LATER_NANOS + 2);
+        assertEquals(Optional.of(FIRST), next.find(new StreamOriginQuery(8, SERVICE)));
+    }
+
     @Test
     void deregistrationSaysNothingOfVersions() {
         directory.setLongestStreamMillis(LONGEST_MILLIS);
--- a/daemon/src/test/java/org/crocushaven/forwarding/StreamOriginFuzzTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/StreamOriginFuzzTest.java
@@ -3,24 +3,33 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
+import java.util.stream.Collectors;
 import org.crocushaven.fleet.BackendAnnouncement;
 import org.crocushaven.fleet.BackendState;
 import org.crocushaven.fleet.BegunStreams;
+import org.crocushaven.fleet.FleetCommand;
+import org.crocushaven.fleet.FleetState;
+import org.crocushaven.fleet.SoftwareVersionLog;
 import org.crocushaven.fleet.StreamDirectory;
 import org.crocushaven.fleet.StreamIdentifier;
 import org.crocushaven.fleet.StreamOrigin;
 import org.crocushaven.fleet.StreamOriginQuery;
 import org.crocushaven.fuzz.FaultCounts;
 import org.crocushaven.fuzz.FuzzSettings;
+import org.crocushaven.protocol.MessageCodec;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
@@ -54,6 +63,12 @@
         private final RandomGenerator random;
         private final TreeSet<String> serving = new TreeSet<>(List.of("v1"));
         private final List<BegunStreamMemory> gateways = new ArrayList<>();
+
+        /** The versions that each gateway may use, as a leader last told it. */
+        private final List<Set<String>> offered = new ArrayList<>();
+
+        private final FleetState state = FleetState.create();
+        private final Deque<Proposal> proposals = new ArrayDeque<>();
         private final List<Begun> streams = new ArrayList<>();
 
         /** Streams of which the present leader has received a report. */
@@ -64,18 +79,29 @@
         private long nowNanos = TimeUnit.SECONDS.toNanos(1);
         private int versions = 1;
 
+        /** A version whose announcements the leader misses for a while; empty if there is none. */
+        private String missed = "";
+
+        private long missedUntilNanos;
+
         private Case(long seed) {
             random = RandomGeneratorFactory.of("SplittableRandom").create(seed);
             for (int gateway = 0; gateway < GATEWAYS; gateway++) {
                 gateways.add(newMemory());
+                offered.add(Set.of());
+            }
+            if (random.nextInt(4) == 0) {
+                faults.count(StreamOriginFault.OLDER_STATE);
+                configure();
             }
             changeLeader();
+            configure();
         }
 
         private void run() {
             for (int step = 0; step < STEPS; step++) {
                 nowNanos += TimeUnit.MILLISECONDS.toNanos(random.nextLong(1, MAXIMUM_STEP_MILLIS));
-                serving.forEach(this::announce);
+                advanceLeader();
                 streams.removeIf(begun -> nowNanos - begun.nanos() > longestNanos());
                 final double choice = random.nextDouble();
                 if (choice < 0.4) {
@@ -97,12 +123,17 @@
                 changeLeader();
             } else if (choice < 4) {
                 faults.count(StreamOriginFault.GATEWAY_LOST);
-                gateways.set(random.nextInt(GATEWAYS), newMemory());
+                final int lost = random.nextInt(GATEWAYS);
+                gateways.set(lost, newMemory());
+                offered.set(lost, Set.of());
             } else if (choice < 6 && serving.size() < MAXIMUM_VERSIONS) {
                 faults.count(StreamOriginFault.VERSION_STARTED);
                 versions++;
                 serving.add("v" + versions);
                 serving.forEach(this::announce);
+                if (random.nextInt(3) == 0) {
+                    loseLeaderAtNewVersion("v" + versions);
+                }
             } else if (serving.size() > 1) {
                 faults.count(StreamOriginFault.VERSION_ENDED);
                 serving.remove(servingVersion());
@@ -110,13 +141,98 @@
         }
 
         private void changeLeader() {
+            changeLeader(random.nextBoolean() ? servingVersion() : "");
+        }
+
+        private void changeLeader(String missedByNext) {
+            endProposals();
+            if (random.nextInt(8) == 0) {
+                leadWithOlderSoftware();
+            }
             epoch++;
-            leader = StreamDirectory.startingAt(nowNanos);
+            state.termBegan(epoch);
+            leader =
+                    StreamDirectory.of(
+                            SoftwareVersionLog.startingAt(state, epoch, this::propose, nowNanos));
             leader.setLongestStreamMillis(LONGEST_MILLIS);
+            missed = missedByNext;
+            if (!missed.isEmpty()) {
+                faults.count(StreamOriginFault.ANNOUNCEMENTS_MISSED);
+                missedUntilNanos = nowNanos + random.nextLong(longestNanos());
+            }
             serving.forEach(this::announce);
             told.clear();
         }
 
+        /** Lets gateways use every version under a leader that commits none. */
+        private void leadWithOlderSoftware() {
+            faults.count(StreamOriginFault.OLDER_LEADER);
+            epoch++;
+            state.termBegan(epoch);
+            configure();
+            if (serving.size() < MAXIMUM_VERSIONS) {
+                versions++;
+                serving.add("v" + versions);
+            }
+            offered.replaceAll(versionsBefore -> Set.copyOf(serving));
+            for (int stream = 0; stream < GATEWAYS; stream++) {
+                beginStream();
+            }
+        }
+
+        /** Loses the leader between its first announcement of a version and the commit. */
+        private void loseLeaderAtNewVersion(String version) {
+            faults.count(StreamOriginFault.LEADER_LOST_AT_NEW_VERSION);
+            for (int gateway = 0; gateway < GATEWAYS; gateway++) {
+                update(gateway);
+                beginStream();
+            }
+            changeLeader(version);
+            for (int recent = 1; recent <= Math.min(GATEWAYS, streams.size()); recent++) {
+                takeUp(streams.get(streams.size() - recent));
+            }
+            if (random.nextBoolean()) {
+                serving.remove(version);
+            }
+        }
+
+        /** Ends the proposals of a lost leader, each of which may have been committed or not. */
+        private void endProposals() {
+            while (!proposals.isEmpty()) {
+                final Proposal proposal = proposals.remove();
+                if (random.nextBoolean()) {
+                    faults.count(StreamOriginFault.COMMITTED_UNKNOWN_TO_LEADER);
+                    apply(proposal.command());
+                } else {
+                    faults.count(StreamOriginFault.PROPOSAL_LOST);
+                }
+            }
+        }
+
+        private void advanceLeader() {
+            serving.forEach(this::announce);
+            leader.tick(nowNanos);
+            if (!proposals.isEmpty() && random.nextInt(3) == 0) {
+                final Proposal proposal = proposals.remove();
+                apply(proposal.command());
+                proposal.done().complete(null);
+            }
+        }
+
+        private CompletableFuture<Void> propose(FleetCommand command) {
+            final Proposal proposal = new Proposal(command, new CompletableFuture<>());
+            proposals.add(proposal);
+            return proposal.done();
+        }
+
+        private void configure() {
+            apply(FleetCommand.configuration(1, new byte[] {1}));
+        }
+
+        private void apply(FleetCommand command) {
+            state.apply(1, MessageCodec.encodeValue(command));
+        }
+
         private BegunStreamMemory newMemory() {
             final BegunStreamMemory memory = new BegunStreamMemory();
             memory.setRetentionMillis(LONGEST_MILLIS);
@@ -124,21 +240,34 @@
         }
 
         private void announce(String version) {
-            leader.observe(
-                    new BackendAnnouncement(
-                            version,
-                            SERVICE,
-                            "10.0.0.1",
-                            80,
-                            "a",
-                            BackendState.READY,
-                            16,
-                            1,
-                            1,
-                            false,
-                            List.of(),
-                            version),
-                    nowNanos);
+            if (!version.equals(missed) || nowNanos - missedUntilNanos >= 0) {
+                leader.observe(announcement(version), nowNanos);
+            }
+        }
+
+        private static BackendAnnouncement announcement(String version) {
+            return new BackendAnnouncement(
+                    version,
+                    SERVICE,
+                    "10.0.0.1",
+                    80,
+                    "a",
+                    BackendState.READY,
+                    16,
+                    1,
+                    1,
+                    false,
+                    List.of(),
+                    version);
+        }
+
+        /** Tells a gateway which versions it may use. */
+        private void update(int number) {
+            offered.set(
+                    number,
+                    serving.stream()
+                            .filter(version -> leader.mayServe(announcement(version)))
+                            .collect(Collectors.toUnmodifiableSet()));
         }
 
         private String servingVersion() {
@@ -146,9 +275,16 @@
         }
 
         private void beginStream() {
-            final BegunStreamMemory gateway = gateways.get(random.nextInt(GATEWAYS));
+            final int number = random.nextInt(GATEWAYS);
+            final BegunStreamMemory gateway = gateways.get(number);
+            final List<String> usable =
+                    serving.stream().filter(offered.get(number)::contains).toList();
+            if (usable.isEmpty()) {
+                return;
+            }
+            final String version = usable.get(random.nextInt(usable.size()));
             final Begun begun =
-                    new Begun("request-" + random.nextLong(), servingVersion(), nowNanos, gateway);
+                    new Begun("request-" + random.nextLong(), version, nowNanos, gateway);
             streams.add(begun);
             gateway.recordBegun(
                     begun.request(), new StreamOrigin(SERVICE, begun.version()), nowNanos);
@@ -171,6 +307,7 @@
                 faults.count(StreamOriginFault.ANSWER_LOST);
             } else {
                 gateway.reportAnswered(epoch);
+                update(number);
                 checkLeaderKnowsAll(gateway);
             }
         }
@@ -188,15 +325,17 @@
         }
 
         private void takeUp() {
-            if (streams.isEmpty()) {
-                return;
+            if (!streams.isEmpty()) {
+                takeUp(streams.get(random.nextInt(streams.size())));
             }
-            final Begun begun = streams.get(random.nextInt(streams.size()));
+        }
+
+        private void takeUp(Begun begun) {
             final BegunStreamMemory gateway = gateways.get(random.nextInt(GATEWAYS));
             final Optional<StreamOrigin> own = gateway.find(begun.request());
             final long stream = StreamIdentifier.of(begun.request());
             final Optional<StreamOrigin> found =
-                    own.or(() -> leader.find(new StreamOriginQuery(stream, SERVICE), nowNanos));
+                    own.or(() -> leader.find(new StreamOriginQuery(stream, SERVICE)));
             found.ifPresent(origin -> assertEquals(begun.version(), origin.softwareVersion()));
             assertTrue(
                     found.isPresent() || !told.containsKey(stream),
@@ -219,5 +358,7 @@
         }
     }
 
+    private record Proposal(FleetCommand command, CompletableFuture<Void> done) {}
+
     private record Begun(String request, String version, long nanos, BegunStreamMemory gateway) {}
 }
