--- a/daemon/src/main/java/org/crocushaven/fleet/FleetCommand.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/FleetCommand.java
@@ -14,6 +14,7 @@
  * @param departuresAdded announcements of backend servers that leave or have left
  * @param departuresRemoved those that no longer have to be remembered
  * @param verdicts change of the verdicts on parts of prompts
+ * @param softwareVersions software versions in use; null if the command does not change them
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record FleetCommand(
@@ -24,7 +25,8 @@
         List<String> gatewaysRemoved,
         List<BackendAnnouncement> departuresAdded,
         List<BackendAnnouncement> departuresRemoved,
-        VerdictChange verdicts) {
+        VerdictChange verdicts,
+        SoftwareVersionsInUse softwareVersions) {
     private static final byte[] NO_DOCUMENT = new byte[0];
 
     public FleetCommand {
@@ -51,7 +53,8 @@
                 List.of(),
                 List.of(),
                 List.of(),
-                VerdictChange.NONE);
+                VerdictChange.NONE,
+                null);
     }
 
     /** Returns the command that requires a version of an adapter. */
@@ -64,7 +67,8 @@
                 List.of(),
                 List.of(),
                 List.of(),
-                VerdictChange.NONE);
+                VerdictChange.NONE,
+                null);
     }
 
     /** Returns the command that changes which gateways may hold shares. */
@@ -77,7 +81,8 @@
                 removed,
                 List.of(),
                 List.of(),
-                VerdictChange.NONE);
+                VerdictChange.NONE,
+                null);
     }
 
     /** Returns the command that changes which departures of backend servers are remembered. */
@@ -91,12 +96,31 @@
                 List.of(),
                 added,
                 removed,
-                VerdictChange.NONE);
+                VerdictChange.NONE,
+                null);
     }
 
     /** Returns the command that changes the verdicts on parts of prompts. */
     public static FleetCommand verdicts(VerdictChange change) {
+        return withoutLists(change, null);
+    }
+
+    /** Returns the command that changes which software versions may be in use. */
+    public static FleetCommand softwareVersions(SoftwareVersionsInUse versions) {
+        return withoutLists(VerdictChange.NONE, versions);
+    }
+
+    private static FleetCommand withoutLists(
+            VerdictChange verdicts, SoftwareVersionsInUse softwareVersions) {
         return new FleetCommand(
-                0, NO_DOCUMENT, List.of(), List.of(), List.of(), List.of(), List.of(), change);
+                0,
+                NO_DOCUMENT,
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of(),
+                verdicts,
+                softwareVersions);
     }
 }
--- a/daemon/src/main/java/org/crocushaven/forwarding/LimitsInForce.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/LimitsInForce.java
@@ -31,8 +31,8 @@
     }
 
     /**
-     * Returns the time, in milliseconds, after which an idle connection is closed. A lower one holds
-     * from the next request on, because the client may still rely on the earlier one.
+     * Returns the time, in milliseconds, after which an idle connection is closed. A lower one
+     * holds from the next request on, because the client may still rely on the earlier one.
      */
     long idleTimeoutMillis() {
         return Math.max(ofRequest.idleTimeoutMillis(), source.get().idleTimeoutMillis());
--- a/daemon/src/test/java/org/crocushaven/fleet/FleetLeaderTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/FleetLeaderTest.java
@@ -48,7 +48,15 @@
                 0,
                 0,
                 command -> {},
-                StreamDirectory.startingAt(System.nanoTime()),
+                StreamDirectory.of(
+                        SoftwareVersionLog.startingAt(
+                                state,
+                                1,
+                                command -> {
+                                    state.apply(2, MessageCodec.encodeValue(command));
+                                    return CompletableFuture.completedFuture(null);
+                                },
+                                System.nanoTime())),
                 new PartVerdicts(
                         "leader",
                         1,
