--- a/daemon/src/test/java/org/crocushaven/forwarding/UnframedAnswersTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/UnframedAnswersTest.java
@@ -31,7 +31,7 @@
     }
 
     /** Starts a request of the given kind, which goes to the first backend server. */
-    private ForwardingFixture.RecordedAnswer start(RouteKind kind) throws Exception {
+    private ForwardingFixture.RecordedAnswer startRequest(RouteKind kind) throws Exception {
         fixture = ForwardingFixture.withRetries(kind, ForwardingFixture.TIMEOUT_MILLIS);
         fixture.announce(first, SLOTS);
         fixture.announce(other, SLOTS);
@@ -43,7 +43,7 @@
     class Streams {
         @Test
         void isWholeWhenItEndsAfterAnEvent() throws Exception {
-            final ForwardingFixture.RecordedAnswer answer = start(RouteKind.STREAM);
+            final ForwardingFixture.RecordedAnswer answer = startRequest(RouteKind.STREAM);
             final StandInServer.Exchange exchange = first.awaitRequest();
 
             exchange.write(HEAD + "id: 1\n\nid: 2\n\n");
@@ -54,7 +54,7 @@
 
         @Test
         void goesOnElsewhereWhenItEndsWithinAnEvent() throws Exception {
-            final ForwardingFixture.RecordedAnswer answer = start(RouteKind.STREAM);
+            final ForwardingFixture.RecordedAnswer answer = startRequest(RouteKind.STREAM);
             final StandInServer.Exchange exchange = first.awaitRequest();
 
             exchange.write(HEAD + "id: 1\n\nid: 2\nda");
@@ -69,7 +69,7 @@
 
         @Test
         void doesNotLookCompleteWhenItEndsWithinAnEventForTheSecondTime() throws Exception {
-            final ForwardingFixture.RecordedAnswer answer = start(RouteKind.STREAM);
+            final ForwardingFixture.RecordedAnswer answer = startRequest(RouteKind.STREAM);
             final StandInServer.Exchange exchange = first.awaitRequest();
 
             exchange.write(HEAD + "id: 1\n\nid: 2\nda");
@@ -83,7 +83,7 @@
 
         @Test
         void goesOnElsewhereWhenItIsResetAfterAnEvent() throws Exception {
-            final ForwardingFixture.RecordedAnswer answer = start(RouteKind.STREAM);
+            final ForwardingFixture.RecordedAnswer answer = startRequest(RouteKind.STREAM);
             final StandInServer.Exchange exchange = first.awaitRequest();
 
             exchange.write(HEAD + "id: 1\n\n");
@@ -102,7 +102,7 @@
     class ReplacementsOfSilentBackendServers {
         @Test
         void areForwardedWhole() throws Exception {
-            final ForwardingFixture.RecordedAnswer answer = start(RouteKind.STREAM);
+            final ForwardingFixture.RecordedAnswer answer = startRequest(RouteKind.STREAM);
             final StandInServer.Exchange silent = first.awaitRequest();
 
             final StandInServer.Exchange replacement = other.awaitRequest();
@@ -115,7 +115,7 @@
 
         @Test
         void leaveTheStreamToTheSilentOneWhenTheyEndWithinAnEvent() throws Exception {
-            final ForwardingFixture.RecordedAnswer answer = start(RouteKind.STREAM);
+            final ForwardingFixture.RecordedAnswer answer = startRequest(RouteKind.STREAM);
             final StandInServer.Exchange silent = first.awaitRequest();
 
             final StandInServer.Exchange replacement = other.awaitRequest();
@@ -133,7 +133,7 @@
     class WholeAnswers {
         @Test
         void isCompleteWhenItsConnectionIsClosed() throws Exception {
-            final ForwardingFixture.RecordedAnswer answer = start(RouteKind.NON_IDEMPOTENT);
+            final ForwardingFixture.RecordedAnswer answer = startRequest(RouteKind.NON_IDEMPOTENT);
             final StandInServer.Exchange exchange = first.awaitRequest();
 
             exchange.write(HEAD + "whole");
@@ -144,7 +144,7 @@
 
         @Test
         void isCompleteWhenItsConnectionIsHalfClosed() throws Exception {
-            final ForwardingFixture.RecordedAnswer answer = start(RouteKind.NON_IDEMPOTENT);
+            final ForwardingFixture.RecordedAnswer answer = startRequest(RouteKind.NON_IDEMPOTENT);
             final StandInServer.Exchange exchange = first.awaitRequest();
 
             exchange.write(HEAD + "whole");
@@ -156,7 +156,7 @@
 
         @Test
         void doesNotLookCompleteWhenItsConnectionIsReset() throws Exception {
-            final ForwardingFixture.RecordedAnswer answer = start(RouteKind.NON_IDEMPOTENT);
+            final ForwardingFixture.RecordedAnswer answer = startRequest(RouteKind.NON_IDEMPOTENT);
             final StandInServer.Exchange exchange = first.awaitRequest();
 
             exchange.write(HEAD + "a part");
@@ -168,7 +168,7 @@
 
         @Test
         void doesNotLookCompleteWhenItsConnectionIsResetAtOnce() throws Exception {
-            final ForwardingFixture.RecordedAnswer answer = start(RouteKind.NON_IDEMPOTENT);
+            final ForwardingFixture.RecordedAnswer answer = startRequest(RouteKind.NON_IDEMPOTENT);
             final StandInServer.Exchange exchange = first.awaitRequest();
 
             exchange.write(HEAD + "a part");
@@ -179,7 +179,7 @@
 
         @Test
         void refusalIsSentElsewhere() throws Exception {
-            final ForwardingFixture.RecordedAnswer answer = start(RouteKind.NON_IDEMPOTENT);
+            final ForwardingFixture.RecordedAnswer answer = startRequest(RouteKind.NON_IDEMPOTENT);
             final StandInServer.Exchange exchange = first.awaitRequest();
 
             exchange.write("HTTP/1.1 503 Busy\r\nNot-Run: 1\r\n\r\nbusy");
@@ -191,7 +191,7 @@
 
         @Test
         void refusalIsSentElsewhereThoughItsConnectionIsReset() throws Exception {
-            final ForwardingFixture.RecordedAnswer answer = start(RouteKind.NON_IDEMPOTENT);
+            final ForwardingFixture.RecordedAnswer answer = startRequest(RouteKind.NON_IDEMPOTENT);
             final StandInServer.Exchange exchange = first.awaitRequest();
 
             exchange.write("HTTP/1.1 503 Busy\r\nNot-Run: 1\r\n\r\nbu");
