--- a/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
@@ -8,9 +8,11 @@
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import org.agrona.concurrent.EpochClock;
 import org.agrona.concurrent.NanoClock;
+import org.crocushaven.fleet.BackendStart;
 import org.crocushaven.fleet.Documents;
 import org.crocushaven.fleet.FleetUpdateNotice;
 import org.crocushaven.fleet.GatewayReport;
@@ -19,6 +21,7 @@
 import org.crocushaven.network.SuspensionDetector;
 import org.crocushaven.observability.EventLine;
 import org.crocushaven.outbound.BackendPool;
+import org.crocushaven.outbound.RefusalCheck;
 import org.crocushaven.protocol.PeerTransport;
 
 /**
@@ -28,13 +31,6 @@
  */
 public final class Gateway {
     private static final long CHECK_MILLIS = 500;
-    private static final long STOP_CHECK_MILLIS = 50;
-
-    /**
-     * Time for the load balancer to notice that an instance is not ready: two readiness checks of
-     * one second each, and a margin.
-     */
-    private static final long BALANCER_DETECTION_MILLIS = 2_600;
 
     private final GatewaySettings settings;
     private final EventLoopGroup group;
@@ -51,6 +47,7 @@
     private final ControlFreshness freshness;
     private final KeyedAdmission admission;
     private final LeaderLink link;
+    private final CrashGuard crashes;
     private final IngressServer server;
     private Optional<IngressConfiguration> configuration = Optional.empty();
     private long stateRevision;
@@ -85,6 +82,7 @@
                         this::createReport,
                         this::applyUpdate,
                         () -> view.hasReportablePrompts(clock.nanoTime()));
+        this.crashes = new CrashGuard(clock, this::checkEnd, link::reportSoon);
         final Random random = new Random(epochClock.time() ^ settings.instance().hashCode());
         this.server =
                 new IngressServer(
@@ -104,6 +102,7 @@
                                 new PromptReaders(),
                                 streams,
                                 link,
+                                crashes,
                                 observer));
         transport.registerHandler(
                 FleetUpdateNotice.class,
@@ -156,41 +155,29 @@
 
     /**
      * Stops the gateway. Requests are still served until the load balancer has noticed that it is
-     * not ready, and refused after that. The future completes when no connection is busy or the
-     * grace period has passed.
+     * not ready, and refused after that. The future completes when no connection is busy, or when
+     * both times have passed.
+     *
+     * @param graceMillis time after which requests under way are ended, with an answer or a refusal
+     *     unless a stream has begun
+     * @param writeMillis time after that within which clients may take their answers
      */
-    public CompletableFuture<Void> stop(long graceMillis) {
+    public CompletableFuture<Void> stop(long graceMillis, long writeMillis) {
         final CompletableFuture<Void> stopped = new CompletableFuture<>();
-        final long startNanos = clock.nanoTime();
         loop.execute(
                 () -> {
                     stopping = true;
                     ready = false;
-                    server.startStopping();
-                    stopWhenIdle(stopped, startNanos, graceMillis);
+                    GracefulStop.start(server, loop, clock, graceMillis, writeMillis)
+                            .thenRun(
+                                    () -> {
+                                        link.stop();
+                                        stopped.complete(null);
+                                    });
                 });
         return stopped;
     }
 
-    private void stopWhenIdle(CompletableFuture<Void> stopped, long startNanos, long graceMillis) {
-        final long passedMillis = TimeUnit.NANOSECONDS.toMillis(clock.nanoTime() - startNanos);
-        final boolean balancerInformed = passedMillis >= BALANCER_DETECTION_MILLIS;
-        if (balancerInformed) {
-            server.startRefusing();
-        }
-        final boolean idle = balancerInformed && server.closeIdle();
-        if (idle || passedMillis >= graceMillis) {
-            server.closeListener();
-            link.stop();
-            stopped.complete(null);
-        } else {
-            loop.schedule(
-                    () -> stopWhenIdle(stopped, startNanos, graceMillis),
-                    STOP_CHECK_MILLIS,
-                    TimeUnit.MILLISECONDS);
-        }
-    }
-
     private GatewayReport createReport(long nowNanos) {
         checkSuspension(nowNanos);
         return new GatewayReport(
@@ -202,13 +189,27 @@
                 view.ownLoads(nowNanos),
                 view.drainUses(),
                 admission.report(nowNanos),
-                streams.unreported());
+                streams.unreported(),
+                crashes.report(nowNanos));
+    }
+
+    private void checkEnd(BackendStart start, Consumer<Boolean> then) {
+        view.find(start.backend())
+                .filter(record -> record.startedMillis() == start.startedMillis())
+                .ifPresent(
+                        record ->
+                                RefusalCheck.on(loop)
+                                        .check(
+                                                new InetSocketAddress(record.host(), record.port()),
+                                                then));
     }
 
     private void applyUpdate(GatewayUpdate update, long sentNanos) {
         final long nowNanos = clock.nanoTime();
         view.apply(update, nowNanos);
         streams.reportAnswered(update.epoch());
+        crashes.apply(
+                update, update.hasState() && update.stateRevision() >= stateRevision, nowNanos);
         health.retain(view.identifiers());
         retryBudget.setGateways(update.gateways());
         update.shares().ifPresent(grant -> admission.apply(grant, nowNanos));
--- a/daemon/src/main/java/org/crocushaven/forwarding/IngressServer.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/IngressServer.java
@@ -73,6 +73,16 @@
         return !busy;
     }
 
+    /** Ends all requests under way; those that arrive later must be refused. */
+    void endRequests() {
+        List.copyOf(connections).forEach(IngressConnection::endRequest);
+    }
+
+    /** Reports what is left of the connections that are busy. */
+    void reportUnfinished() {
+        connections.forEach(IngressConnection::reportUnfinished);
+    }
+
     /** Stops accepting connections. */
     void closeListener() {
         listener.closeThen(() -> {});
--- a/daemon/src/main/java/org/crocushaven/outbound/BackendChannel.java
+++ b/daemon/src/main/java/org/crocushaven/outbound/BackendChannel.java
@@ -84,7 +84,7 @@
                 .addListener(
                         written -> {
                             if (!written.isSuccess()) {
-                                fail("write failed");
+                                failAtEnd("write failed");
                             }
                         });
     }
@@ -157,12 +157,13 @@
         if (foreignAnswers != null) {
             foreignAnswers.end();
         }
-        fail(headReceived ? "closed during the answer" : "closed before the answer");
+        failAtEnd(headReceived ? "closed during the answer" : "closed before the answer");
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        failAndClose("connection failed: " + cause.getClass().getSimpleName());
+        failAtEnd("connection failed: " + cause.getClass().getSimpleName());
+        close();
     }
 
     private void read(Object message) {
@@ -245,6 +246,13 @@
         close();
     }
 
+    private void failAtEnd(String reason) {
+        if (listener != null) {
+            listener.connectionEnded();
+        }
+        fail(reason);
+    }
+
     private void fail(String reason) {
         final BackendAnswerListener failed = listener;
         listener = null;
