--- a/daemon/src/test/java/org/crocushaven/forwarding/UnframedAnswersTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/UnframedAnswersTest.java
@@ -54,7 +54,7 @@
 
         @Test
         void beginsElsewhereWhenItEndsBeforeItsFirstEvent() throws Exception {
-            final ForwardingFixture.RecordedAnswer answer = start(RouteKind.STREAM);
+            final ForwardingFixture.RecordedAnswer answer = startRequest(RouteKind.STREAM);
             final StandInServer.Exchange exchange = first.awaitRequest();
 
             exchange.write(HEAD);
