Show in a test that the product's path leaves requests without an answer when it stops

What callers would see: a request that is under way at the end of the grace period gets neither an answer nor a refusal, its connection is closed. Not mended: RequestExecution must end with it (claim, charge, permit), which is not short.

--- a/daemon/src/test/java/org/crocushaven/caller/CallerServerTest.java
+++ b/daemon/src/test/java/org/crocushaven/caller/CallerServerTest.java
@@ -431,6 +431,19 @@
             }
         }
 
+        @Test
+        void requestLeftAtTheEndOfTheGracePeriodIsAnswered() throws Exception {
+            try (RawCaller caller = connect()) {
+                caller.send(chat("", CHAT_BODY));
+                next();
+
+                server.close();
+
+                final String answer = caller.readToEnd();
+                assertTrue(answer.startsWith("HTTP/1.1 50"), "received: " + answer);
+            }
+        }
+
         @Test
         void servesOpenConnectionsDuringTheGracePeriod() throws Exception {
             try (RawCaller caller = connect()) {
