Keep the versions of serving backend servers without routes for streams

Found before it was run anywhere: without a route for streams the longest time a stream may last is 0, so that the leader took every version out of the state between two passes and withheld its backend servers until the next commit, again and again. StreamDirectoryTest.servingVersionIsNotWithheldFromFleetWithoutRoutesForStreams failed before and passes now: the time is 1 s at least, far longer than from one pass to the next.

--- a/daemon/src/main/java/org/crocushaven/fleet/StreamDirectory.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/StreamDirectory.java
@@ -12,6 +12,9 @@
     /** Time for which a stream may last while no configuration is known. */
     private static final long DEFAULT_LONGEST_STREAM_NANOS = TimeUnit.SECONDS.toNanos(60);
 
+    /** Far longer than from one pass over the backend servers to the next, also without streams. */
+    private static final long MINIMUM_VERSION_SPAN_NANOS = TimeUnit.SECONDS.toNanos(1);
+
     /** Streams in one generation: 20 s of the 18,000 streams a second at the two-year target. */
     private static final int CAPACITY = 400_000;
 
@@ -58,7 +61,7 @@
 
     /** Forgets the software versions at which no stream can be under way any more. */
     public void tick(long nowNanos) {
-        versions.tick(nowNanos, longestStreamNanos);
+        versions.tick(nowNanos, Math.max(longestStreamNanos, MINIMUM_VERSION_SPAN_NANOS));
     }
 
     private static StreamOrigin versionOf(BackendAnnouncement announcement) {
--- a/daemon/src/test/java/org/crocushaven/fleet/StreamDirectoryTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/StreamDirectoryTest.java
@@ -1,6 +1,7 @@
 package org.crocushaven.fleet;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
 import java.util.Optional;
@@ -99,6 +100,15 @@
         assertEquals(Optional.of(FIRST), next.find(new StreamOriginQuery(8, SERVICE)));
     }
 
+    @Test
+    void servingVersionIsNotWithheldFromFleetWithoutRoutesForStreams() {
+        directory.setLongestStreamMillis(0);
+        directory.observe(announcement("one", "v1"), 0);
+        directory.tick(TimeUnit.MILLISECONDS.toNanos(200));
+
+        assertTrue(directory.mayServe(announcement("one", "v1")));
+    }
+
     @Test
     void deregistrationSaysNothingOfVersions() {
         directory.setLongestStreamMillis(LONGEST_MILLIS);
