Name the software version in the line of a backend server that is gone

`backend-state ... state=GONE` had an empty `software=`, since a deregistration names the backend server only. The registry keeps the version (BackendRegistryTest.softwareVersionIsStillKnownAfterTheDeregistrationThatNamesNone, which passed before as well), and the line is written from it now. The line itself has no test.

--- a/daemon/src/main/java/org/crocushaven/fleet/AnnouncementIntake.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/AnnouncementIntake.java
@@ -88,7 +88,7 @@
             return;
         }
         if (announcement.state() != before) {
-            logStateChange(announcement, before);
+            logStateChange(registry.find(announcement.backend()).orElse(announcement), before);
         }
         final FleetLeader activeLeader = leader.get();
         if (activeLeader != null) {
--- a/daemon/src/test/java/org/crocushaven/fleet/BackendRegistryTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/BackendRegistryTest.java
@@ -28,7 +28,7 @@
                 sequence,
                 false,
                 List.of(),
-                "");
+                "v1");
     }
 
     private static long seconds(long seconds) {
@@ -62,6 +62,14 @@
             assertTrue(registry.present().isEmpty());
         }
 
+        @Test
+        void softwareVersionIsStillKnownAfterTheDeregistrationThatNamesNone() {
+            registry.accept(announcement("x", 1, 10, 5, BackendState.READY), 0);
+            registry.accept(BackendAnnouncement.deregistration("x"), 0);
+
+            assertEquals("v1", registry.find("x").orElseThrow().softwareVersion());
+        }
+
         @Test
         void aLaterStartAtTheSameAddressReplacesTheBackendServer() {
             registry.accept(announcement("old", 1, 10, 5, BackendState.READY), 0);
