--- a/daemon/src/test/java/org/crocushaven/fleet/FleetLeaderTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/FleetLeaderTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
+import org.agrona.concurrent.SystemEpochClock;
 import org.agrona.concurrent.SystemNanoClock;
 import org.crocushaven.admission.ShareHolder;
 import org.crocushaven.protocol.MessageCodec;
@@ -55,7 +56,15 @@
                                     state.apply(2, MessageCodec.encodeValue(command));
                                     return CompletableFuture.completedFuture(null);
                                 },
-                                System.nanoTime())));
+                                System.nanoTime())),
+                new PartVerdicts(
+                        "leader",
+                        1,
+                        state,
+                        SystemNanoClock.INSTANCE,
+                        SystemEpochClock.INSTANCE,
+                        command -> CompletableFuture.completedFuture(null),
+                        () -> {}));
     }
 
     private static BackendAnnouncement announcement(int backend) {
@@ -92,7 +101,8 @@
                 loads,
                 List.of(),
                 ShareHolder.create(1).report(System.nanoTime()),
-                List.of());
+                List.of(),
+                PartReport.EMPTY);
     }
 
     /** Returns the least processor time of a report over several rounds, in microseconds. */
