Answer what is left on the product's own path when the grace period ends

Callers saw: a request that was still under way when a daemon's grace period ended lost its connection without an answer, so that its caller could not tell whether it may be repeated.

Cause: Daemon.stop closed all callers' connections after the grace period; a connection that is closed answers nothing.

Change: the server ends its requests before it closes connections, and callers have 300 ms to take the answers. A request decides by itself what it may say: not run with a time to come back (STOPPING, 503), or may have run (STOPPED_DURING_REQUEST, 504); one whose body has not arrived was not run. A booking that was sent is refused without cancelling its send, as with a withdrawn key. Both paths take the two refusals from StopRefusals.

--- a/daemon/src/main/java/org/crocushaven/caller/CallerConnection.java
+++ b/daemon/src/main/java/org/crocushaven/caller/CallerConnection.java
@@ -19,14 +19,15 @@
 import org.crocushaven.observability.EventLine;
 import org.crocushaven.result.ResultCode;
 import org.crocushaven.result.ResultException;
+import org.crocushaven.result.StopRefusals;
 
 /**
  * Handles one connection of a caller and serves its requests one at a time, in order of arrival.
  *
- * <p>All methods except {@link #checkTimeouts}, {@link #stop} and {@link #close} run on the
- * connection's event loop. If a request is refused before its body has arrived, a small body of
- * known length is read and discarded and the connection stays open; otherwise the answer contains
- * {@code Connection: close} and the connection is closed.
+ * <p>All methods except {@link #checkTimeouts}, {@link #stop}, {@link #endForStop} and {@link
+ * #close} run on the connection's event loop. If a request is refused before its body has arrived,
+ * a small body of known length is read and discarded and the connection stays open; otherwise the
+ * answer contains {@code Connection: close} and the connection is closed.
  */
 final class CallerConnection extends SimpleChannelInboundHandler<HttpObject> {
     private static final long NO_DEADLINE = Long.MAX_VALUE;
@@ -123,6 +124,24 @@
                         });
     }
 
+    /**
+     * Answers the current request, if any, because the instance ends, and closes the connection;
+     * may be called on any thread. A request that has not arrived whole has not run.
+     */
+    void endForStop() {
+        channel.eventLoop()
+                .execute(
+                        () -> {
+                            if (receivingHead || incoming != null && receivingBody) {
+                                refuseAndClose(StopRefusals.notRun());
+                            } else if (exchange != null) {
+                                exchange.endForStop();
+                            } else {
+                                channel.close();
+                            }
+                        });
+    }
+
     /** Closes the connection at once. */
     void close() {
         channel.close();
--- a/daemon/src/main/java/org/crocushaven/caller/CallerExchange.java
+++ b/daemon/src/main/java/org/crocushaven/caller/CallerExchange.java
@@ -23,6 +23,7 @@
 import org.crocushaven.result.Problem;
 import org.crocushaven.result.ResultCode;
 import org.crocushaven.result.ResultException;
+import org.crocushaven.result.StopRefusals;
 import org.crocushaven.security.ForwardableHeaders;
 
 /**
@@ -44,6 +45,7 @@
     private final AnswerBackpressure backpressure = new AnswerBackpressure();
     private final WriteProgress writes;
     private final AtomicReference<Runnable> callerGoneAction = new AtomicReference<>();
+    private volatile Runnable instanceEndingAction;
     private volatile boolean callerGone;
     private String allowedMethods;
     private boolean keepAlive;
@@ -113,6 +115,21 @@
         }
     }
 
+    @Override
+    public void onInstanceEnding(Runnable action) {
+        instanceEndingAction = action;
+    }
+
+    /** Refuses the request, unless its answer is complete, because the instance ends. */
+    void endForStop() {
+        disableKeepAlive();
+        final Runnable action = instanceEndingAction;
+        if (action != null && !finished) {
+            action.run();
+        }
+        refuse(StopRefusals.mayHaveRun(""));
+    }
+
     /** Returns the identifier of the request. */
     String requestId() {
         return requestId;
--- a/daemon/src/main/java/org/crocushaven/caller/CallerResponse.java
+++ b/daemon/src/main/java/org/crocushaven/caller/CallerResponse.java
@@ -29,4 +29,10 @@
 
     /** Sets the action that runs once if the connection is lost before the answer is complete. */
     void onCallerGone(Runnable action);
+
+    /**
+     * Sets the action that runs if the instance ends before the answer is complete. It refuses the
+     * request; without an action the refusal states that the request may have run.
+     */
+    void onInstanceEnding(Runnable action);
 }
--- a/daemon/src/main/java/org/crocushaven/caller/CallerServer.java
+++ b/daemon/src/main/java/org/crocushaven/caller/CallerServer.java
@@ -17,6 +17,9 @@
 /** Accepts callers' connections and enforces the limits that all connections share. */
 public final class CallerServer implements AutoCloseable {
 
+    /** Time within which callers may take the answers that end their requests. */
+    public static final long ANSWER_TAKING_MILLIS = 300;
+
     /**
      * Delay between closing the listening socket and checking whether connections are left, so that
      * connections accepted before are registered.
@@ -100,12 +103,28 @@
         return idle.copy();
     }
 
-    /** Closes the listening socket and all connections, aborting requests in progress. */
+    /**
+     * Answers the requests that are still in progress and closes their connections; to be called
+     * after {@link #stopAccepting}, when the grace period has passed.
+     */
+    public void endRequests() {
+        connections.forEach(CallerConnection::endForStop);
+    }
+
+    /**
+     * Closes the listening socket and all connections. Requests in progress are answered first;
+     * callers that do not take their answers in a short time are cut off.
+     */
     @Override
     public void close() {
         stopAccepting();
         timeoutChecker.cancel(false);
-        connections.forEach(CallerConnection::close);
+        endRequests();
+        group.next()
+                .schedule(
+                        () -> connections.forEach(CallerConnection::close),
+                        ANSWER_TAKING_MILLIS,
+                        TimeUnit.MILLISECONDS);
     }
 
     CallerEnvironment environment() {
--- a/daemon/src/main/java/org/crocushaven/daemon/Daemon.java
+++ b/daemon/src/main/java/org/crocushaven/daemon/Daemon.java
@@ -15,6 +15,7 @@
 import org.crocushaven.backend.BackendDirectory;
 import org.crocushaven.backend.HttpBackendClient;
 import org.crocushaven.caller.CallerEnvironment;
+import org.crocushaven.caller.CallerServer;
 import org.crocushaven.caller.FixedBytesPerToken;
 import org.crocushaven.configuration.ChangeAnswer;
 import org.crocushaven.configuration.FleetConfiguration;
@@ -58,6 +59,8 @@
  */
 public final class Daemon {
     private static final Duration LEAVE_TIMEOUT = Duration.ofSeconds(1);
+    private static final Duration ANSWER_TAKING_TIMEOUT =
+            Duration.ofMillis(CallerServer.ANSWER_TAKING_MILLIS);
 
     private final DaemonSettings settings;
     private final NanoClock clock = SystemNanoClock.INSTANCE;
@@ -229,7 +232,8 @@
 
     /**
      * Stops gracefully: accepts no new requests, lets requests in flight finish within the grace
-     * time, returns its dispatcher leases to the leader, and leaves the fleet.
+     * time, answers those that are left, returns its dispatcher leases to the leader, and leaves
+     * the fleet.
      */
     public void stop() {
         stopping = true;
@@ -240,6 +244,8 @@
                 CompletableFuture.allOf(ports.whenCallersIdle(), coordinator.whenIdle()),
                 Duration.ofMillis(settings.limits().stopGraceMillis()));
         final int unfinished = coordinator.inFlight();
+        ports.endCallersRequests();
+        await(ports.whenCallersIdle(), ANSWER_TAKING_TIMEOUT);
         await(session.leave(), LEAVE_TIMEOUT);
         session.stop();
         ports.close();
--- a/daemon/src/main/java/org/crocushaven/daemon/DaemonPorts.java
+++ b/daemon/src/main/java/org/crocushaven/daemon/DaemonPorts.java
@@ -53,6 +53,11 @@
         callerServer.stopAccepting();
     }
 
+    /** Answers the callers' requests that are still in progress. */
+    void endCallersRequests() {
+        callerServer.endRequests();
+    }
+
     /** Completes when no caller's connection is open; to be called after the stop. */
     CompletableFuture<Void> whenCallersIdle() {
         return callerServer.whenIdle();
--- a/daemon/src/main/java/org/crocushaven/forwarding/GracefulStop.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/GracefulStop.java
@@ -1,14 +1,11 @@
 package org.crocushaven.forwarding;
 
 import io.netty.channel.EventLoop;
-import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.agrona.concurrent.NanoClock;
 import org.crocushaven.observability.EventLine;
 import org.crocushaven.observability.GuardedTask;
-import org.crocushaven.result.ResultCode;
-import org.crocushaven.result.ResultException;
 
 /**
  * Stops serving clients: serves requests until the load balancer has noticed, refuses later ones,
@@ -25,9 +22,6 @@
      */
     private static final long BALANCER_DETECTION_MILLIS = 2_600;
 
-    /** Retry delay for clients, whom another gateway can serve. */
-    private static final Duration RETRY_DELAY = Duration.ofMillis(20);
-
     private final IngressServer server;
     private final EventLoop loop;
     private final NanoClock clock;
@@ -68,11 +62,6 @@
         return stop.stopped;
     }
 
-    /** Returns the refusal of a request that a stopping gateway has not sent. */
-    static ResultException refusal() {
-        return ResultException.of(ResultCode.STOPPING).withRetryAfter(RETRY_DELAY);
-    }
-
     private void check() {
         final long passedMillis = TimeUnit.NANOSECONDS.toMillis(clock.nanoTime() - startNanos);
         final boolean idle = advanceGuarded(passedMillis);
--- a/daemon/src/main/java/org/crocushaven/forwarding/IngressConnection.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/IngressConnection.java
@@ -23,6 +23,7 @@
 import org.crocushaven.result.Execution;
 import org.crocushaven.result.ResultCode;
 import org.crocushaven.result.ResultException;
+import org.crocushaven.result.StopRefusals;
 
 /** Reads the requests of one client connection and serves them one after the other. */
 final class IngressConnection extends ChannelInboundHandlerAdapter {
@@ -234,7 +235,7 @@
         current = exchange;
         if (server.isRefusing()) {
             received.body().release();
-            final ResultException refusal = GracefulStop.refusal();
+            final ResultException refusal = StopRefusals.notRun();
             server.environment()
                     .observer()
                     .refusedBeforeDecoding(refusal.code(), refusal.getMessage(), false);
--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestEnd.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestEnd.java
@@ -7,6 +7,7 @@
 import org.crocushaven.result.Execution;
 import org.crocushaven.result.ResultCode;
 import org.crocushaven.result.ResultException;
+import org.crocushaven.result.StopRefusals;
 
 /**
  * Ends one request with an answer, a refusal or an abort, and reports it.
@@ -166,9 +167,9 @@
         } else if (lastFailure != null) {
             deliver(lastFailure, "backend server failed");
         } else if (sent || retries.mayHaveRun()) {
-            refuse(ResultException.of(ResultCode.STOPPED_DURING_REQUEST, served.lastBackend()));
+            refuse(StopRefusals.mayHaveRun(served.lastBackend()));
         } else {
-            refuse(GracefulStop.refusal());
+            refuse(StopRefusals.notRun());
         }
     }
 
--- a/daemon/src/main/java/org/crocushaven/serving/RequestExecution.java
+++ b/daemon/src/main/java/org/crocushaven/serving/RequestExecution.java
@@ -13,6 +13,7 @@
 import org.crocushaven.result.Execution;
 import org.crocushaven.result.ResultCode;
 import org.crocushaven.result.ResultException;
+import org.crocushaven.result.StopRefusals;
 import org.crocushaven.security.ActiveRequests;
 import org.crocushaven.serving.RouteStage.Route;
 
@@ -71,6 +72,7 @@
     /** Starts the first stage. */
     void start() {
         response.onCallerGone(this::callerGone);
+        response.onInstanceEnding(this::instanceEnds);
         try {
             final FleetConfiguration configuration = environment.configuration().get();
             if (request.key().isPresent()) {
@@ -418,18 +420,26 @@
         synchronized (this) {
             callerGone = true;
         }
-        cancel(ResultException.of(ResultCode.CALLER_CANCELLED));
+        final ResultException reason = ResultException.of(ResultCode.CALLER_CANCELLED);
+        cancel(reason, reason);
     }
 
     private void keyWithdrawn(ResultException reason) {
-        cancel(reason);
+        cancel(reason, reason);
+    }
+
+    private void instanceEnds() {
+        cancel(StopRefusals.notRun(), StopRefusals.mayHaveRun(progress.backendServer()));
     }
 
     /**
      * Cancels the request. A non-idempotent call that was already sent continues, so that its
      * outcome is stored.
+     *
+     * @param beforeSending refusal of a request that is not at a backend server
+     * @param afterSending refusal of a request that may be at one
      */
-    private void cancel(ResultException reason) {
+    private void cancel(ResultException beforeSending, ResultException afterSending) {
         final BackendAttempt running;
         synchronized (this) {
             cancelled = true;
@@ -439,13 +449,13 @@
             environment.permits().cancel(progress.backendServer(), permitId);
         }
         if (running == null || running.cancelIfUnsent()) {
-            refuse(reason.withExecution(Execution.NOT_RUN));
+            refuse(beforeSending.withExecution(Execution.NOT_RUN));
         } else if (target.idempotent()) {
             running.cancelAfterSending();
-            refuse(reason);
+            refuse(afterSending);
         } else if (!isCallerGone() && finish()) {
-            response.refuse(reason);
-            environment.listener().refused(summary(), reason);
+            response.refuse(afterSending);
+            environment.listener().refused(summary(), afterSending);
             ended.run();
         }
     }
--- a/daemon/src/test/java/org/crocushaven/caller/CallerServerTest.java
+++ b/daemon/src/test/java/org/crocushaven/caller/CallerServerTest.java
@@ -444,6 +444,23 @@
             }
         }
 
+        @Test
+        void requestWhoseBodyHasNotArrivedIsRefusedAsNotRun() throws Exception {
+            try (RawCaller caller = connect()) {
+                final String whole = chat("", CHAT_BODY);
+                caller.send(whole.substring(0, whole.length() - 5));
+                while (server.reservedBodyBytes() == 0) {
+                    Thread.onSpinWait();
+                }
+
+                server.close();
+
+                final String answer = caller.readToEnd();
+                assertTrue(answer.startsWith("HTTP/1.1 503"), "received: " + answer);
+                assertTrue(answer.contains("not-run"), "received: " + answer);
+            }
+        }
+
         @Test
         void servesOpenConnectionsDuringTheGracePeriod() throws Exception {
             try (RawCaller caller = connect()) {
--- a/daemon/src/test/java/org/crocushaven/serving/RequestExecutionTest.java
+++ b/daemon/src/test/java/org/crocushaven/serving/RequestExecutionTest.java
@@ -183,9 +183,45 @@
         }
     }
 
+    @Nested
+    class WhenTheInstanceEnds {
+        @Test
+        void requestThatWaitsForItsClaimIsRefusedAsNotRun() {
+            request("POST", "/book");
+
+            response.instanceEnding.run();
+
+            assertEnded("refused STOPPING NOT_RUN");
+        }
+
+        @Test
+        void requestThatWasSentIsRefusedAsMaybeRunAndItsSendCancelled() {
+            request("GET", "/read");
+            sent.remove().onSending();
+
+            response.instanceEnding.run();
+
+            assertEnded("refused STOPPED_DURING_REQUEST UNKNOWN");
+            assertEquals(1, cancelled);
+        }
+
+        @Test
+        void bookingThatWasSentIsRefusedAsMaybeRunAndNotCancelled() {
+            request("POST", "/book");
+            claims.remove().complete(new RecordedClaim());
+            sent.remove().onSending();
+
+            response.instanceEnding.run();
+
+            assertEnded("refused STOPPED_DURING_REQUEST UNKNOWN");
+            assertEquals(0, cancelled);
+        }
+    }
+
     private static final class RecordedResponse implements CallerResponse {
         private String end = "none";
         private boolean endFails;
+        private Runnable instanceEnding;
 
         @Override
         public void begin(int status, Map<String, List<String>> headers) {}
@@ -216,6 +252,11 @@
 
         @Override
         public void onCallerGone(Runnable action) {}
+
+        @Override
+        public void onInstanceEnding(Runnable action) {
+            instanceEnding = action;
+        }
     }
 
     private final class FailingListener implements ServingListener {
