Write a line for each unanswered peer request and each peer connection

Callers saw requests served by an outdated configuration 2 s after a newer one was acknowledged: gateways find a new leader 4 to 5 s after its election.

Cause: not shown yet.

Change: peer-unanswered names the time waited, the time since anything came on the connection and its age; peer-connected a new connection. No logic changes.

--- a/daemon/src/main/java/org/crocushaven/protocol/PeerConnection.java
+++ b/daemon/src/main/java/org/crocushaven/protocol/PeerConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.DecoderException;
 import java.util.concurrent.CompletableFuture;
+import org.agrona.concurrent.NanoClock;
 import org.crocushaven.result.ResultCode;
 import org.crocushaven.result.ResultException;
 
@@ -19,18 +20,27 @@
     private final HandlerRegistry handlers;
     private final PendingRequests pending;
     private final ProtocolListener listener;
+    private final NanoClock clock;
+    private final long openedNanos;
     private String peer;
     private boolean peerIdentified;
 
+    /** Time at which bytes last arrived, or at which the connection was opened. */
+    private volatile long receivedNanos;
+
     private PeerConnection(
             HandlerRegistry handlers,
             PendingRequests pending,
             ProtocolListener listener,
+            NanoClock clock,
             String peer,
             boolean peerIdentified) {
         this.handlers = handlers;
         this.pending = pending;
         this.listener = listener;
+        this.clock = clock;
+        this.openedNanos = clock.nanoTime();
+        this.receivedNanos = openedNanos;
         this.peer = peer;
         this.peerIdentified = peerIdentified;
     }
@@ -40,14 +50,34 @@
             HandlerRegistry handlers,
             PendingRequests pending,
             ProtocolListener listener,
+            NanoClock clock,
             String peer) {
-        return new PeerConnection(handlers, pending, listener, peer, true);
+        return new PeerConnection(handlers, pending, listener, clock, peer, true);
     }
 
     /** Returns the handler for a connection that a peer opened. */
     static PeerConnection accepted(
-            HandlerRegistry handlers, PendingRequests pending, ProtocolListener listener) {
-        return new PeerConnection(handlers, pending, listener, "unknown", false);
+            HandlerRegistry handlers,
+            PendingRequests pending,
+            ProtocolListener listener,
+            NanoClock clock) {
+        return new PeerConnection(handlers, pending, listener, clock, "unknown", false);
+    }
+
+    /** Returns the time at which the connection was opened. */
+    long openedNanos() {
+        return openedNanos;
+    }
+
+    /** Returns the time at which bytes last arrived, or at which the connection was opened. */
+    long receivedNanos() {
+        return receivedNanos;
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        receivedNanos = clock.nanoTime();
+        context.fireChannelReadComplete();
     }
 
     @Override
--- a/daemon/src/main/java/org/crocushaven/protocol/PeerLink.java
+++ b/daemon/src/main/java/org/crocushaven/protocol/PeerLink.java
@@ -7,7 +7,9 @@
 import java.util.ArrayDeque;
 import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.agrona.concurrent.NanoClock;
+import org.crocushaven.observability.EventLine;
 import org.crocushaven.result.Execution;
 import org.crocushaven.result.ResultCode;
 import org.crocushaven.result.ResultException;
@@ -75,6 +77,13 @@
                         return;
                     }
                     final long correlation = pending.register(connection, answer);
+                    final long sentNanos = clock.nanoTime();
+                    answer.whenComplete(
+                            (ignored, reason) -> {
+                                if (isTimeout(reason)) {
+                                    requestTimedOut(connection, sentNanos);
+                                }
+                            });
                     open.writeAndFlush(new Frame(FrameKind.REQUEST, correlation, message))
                             .addListener(
                                     written -> {
@@ -138,6 +147,25 @@
         }
     }
 
+    private static boolean isTimeout(Throwable failure) {
+        return failure instanceof ResultException result
+                && result.code() == ResultCode.PEER_TIMEOUT;
+    }
+
+    private void requestTimedOut(PeerConnection connection, long sentNanos) {
+        final long nowNanos = clock.nanoTime();
+        EventLine.of("peer-unanswered")
+                .with("peer", instance)
+                .with("waited_ms", millisSince(sentNanos, nowNanos))
+                .with("silent_ms", millisSince(connection.receivedNanos(), nowNanos))
+                .with("connection_age_ms", millisSince(connection.openedNanos(), nowNanos))
+                .info();
+    }
+
+    private static long millisSince(long nanos, long nowNanos) {
+        return TimeUnit.NANOSECONDS.toMillis(nowNanos - nanos);
+    }
+
     private ResultException enqueue(CompletableFuture<Channel> ready) {
         if (queuedActions.size() >= MAXIMUM_QUEUED_MESSAGES) {
             return ResultException.of(ResultCode.PEER_QUEUE_FULL, instance);
@@ -186,6 +214,7 @@
             } else {
                 backoffNanos = 0;
                 channel = open;
+                EventLine.of("peer-connected").with("peer", instance).info();
                 channelAddress = address;
             }
             waiting = new ArrayDeque<>(queuedActions);
--- a/daemon/src/main/java/org/crocushaven/protocol/TcpPeerTransport.java
+++ b/daemon/src/main/java/org/crocushaven/protocol/TcpPeerTransport.java
@@ -82,7 +82,8 @@
                 Listener.bind(
                         workers,
                         new InetSocketAddress(host, port),
-                        initializer(() -> PeerConnection.accepted(handlers, pending, listener)));
+                        initializer(
+                                () -> PeerConnection.accepted(handlers, pending, listener, clock)));
         return listeningSocket.address().getPort();
     }
 
@@ -190,7 +191,8 @@
                                 initializer(
                                         () ->
                                                 PeerConnection.opened(
-                                                        handlers, pending, listener, instance)));
+                                                        handlers, pending, listener, clock,
+                                                        instance)));
         return new PeerLink(instance, bootstrap, addresses, hello, clock);
     }
 
