Replace connections to instances that have fallen silent

Callers saw requests served by version 431 when 460 and 522 had been acknowledged more than 2 s before: for 4.3 s after an election no gateway heard of the new leader.

Cause: a machine that loses power or is cut off closes nothing. PeerLink gave a connection up only when the system said that it was closed, so reports went on the dead one and timed out until the system's next retransmission, at doubling intervals (12.6 s after the loss). The outage, not the system, set the delay. Class: the end of a peer is taken from the connection's own report of it.

Change: when a request went unanswered for its time and nothing at all came on its connection since it was sent, a second connection is opened beside it and replaces it once it is open; requests under way on the old one keep their time, and then it is reset, so that nothing held up in it is delivered late. A link on which only one-way messages go is probed once it was quiet for 0.5 s; the probe is a Hello sent as a request, which older software answers with a failure. A peer that greets under another incarnation does not know the old connection, which is left at once; any greeting ends the backoff. The backoff ends at 250 ms, since attempts that get no answer take 500 ms by themselves. Replacements that bring nothing are spaced out, from 0.5 to 30 s.

--- a/daemon/src/main/java/org/crocushaven/protocol/PeerConnection.java
+++ b/daemon/src/main/java/org/crocushaven/protocol/PeerConnection.java
@@ -12,14 +12,16 @@
 /**
  * Dispatches the frames received on one connection to or from another instance.
  *
- * <p>The first frame on an accepted connection must be a {@link Hello}. A frame that cannot be
- * decoded closes this connection and fails the requests pending on it; other connections are not
- * affected.
+ * <p>The first frame on an accepted connection must be a {@link Hello}. Sent as a request it asks
+ * whether the connection still leads to the peer; software that does not know this answers with a
+ * failure. A frame that cannot be decoded closes this connection and fails the requests pending on
+ * it; other connections are not affected.
  */
 final class PeerConnection extends SimpleChannelInboundHandler<Frame> {
     private final HandlerRegistry handlers;
     private final PendingRequests pending;
     private final ProtocolListener listener;
+    private final PeerObserver observer;
     private final NanoClock clock;
     private final long openedNanos;
     private String peer;
@@ -32,12 +34,14 @@
             HandlerRegistry handlers,
             PendingRequests pending,
             ProtocolListener listener,
+            PeerObserver observer,
             NanoClock clock,
             String peer,
             boolean peerIdentified) {
         this.handlers = handlers;
         this.pending = pending;
         this.listener = listener;
+        this.observer = observer;
         this.clock = clock;
         this.openedNanos = clock.nanoTime();
         this.receivedNanos = openedNanos;
@@ -50,9 +54,10 @@
             HandlerRegistry handlers,
             PendingRequests pending,
             ProtocolListener listener,
+            PeerObserver observer,
             NanoClock clock,
             String peer) {
-        return new PeerConnection(handlers, pending, listener, clock, peer, true);
+        return new PeerConnection(handlers, pending, listener, observer, clock, peer, true);
     }
 
     /** Returns the handler for a connection that a peer opened. */
@@ -60,8 +65,9 @@
             HandlerRegistry handlers,
             PendingRequests pending,
             ProtocolListener listener,
+            PeerObserver observer,
             NanoClock clock) {
-        return new PeerConnection(handlers, pending, listener, clock, "unknown", false);
+        return new PeerConnection(handlers, pending, listener, observer, clock, "unknown", false);
     }
 
     /** Returns the time at which the connection was opened. */
@@ -69,6 +75,11 @@
         return openedNanos;
     }
 
+    /** Returns whether bytes have arrived. */
+    boolean hasReceived() {
+        return receivedNanos != openedNanos;
+    }
+
     /** Returns the time at which bytes last arrived, or at which the connection was opened. */
     long receivedNanos() {
         return receivedNanos;
@@ -85,12 +96,15 @@
         if (frame.kind() == FrameKind.ONE_WAY && frame.message() instanceof Hello hello) {
             peer = hello.instance();
             peerIdentified = true;
+            observer.greeted(peer, hello.incarnation());
             return;
         }
         if (!peerIdentified) {
             throw ResultException.of(ResultCode.FRAME_MALFORMED, "frame received before Hello");
         }
-        if (frame.kind() == FrameKind.ANSWER) {
+        if (frame.kind() == FrameKind.REQUEST && frame.message() instanceof Hello probe) {
+            context.writeAndFlush(new Frame(FrameKind.ANSWER, frame.correlation(), probe));
+        } else if (frame.kind() == FrameKind.ANSWER) {
             pending.complete(this, frame.correlation(), frame.message());
         } else {
             dispatch(context.channel(), frame);
--- a/daemon/src/main/java/org/crocushaven/protocol/PeerLink.java
+++ b/daemon/src/main/java/org/crocushaven/protocol/PeerLink.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFuture;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.OptionalLong;
 import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -18,24 +19,38 @@
  * Manages the outgoing connection to one instance: opens it on demand and limits the number of
  * messages queued until it is open.
  *
+ * <p>A connection may lead nowhere without being closed, when the machine at its other end lost
+ * power or was cut off. Once it is in doubt, another one is opened beside it, and replaces it if it
+ * can be opened; requests that are under way on the old one keep their time.
+ *
  * <p>After a failed attempt, the next one is delayed by a backoff that doubles with each failure up
  * to a maximum. Lock rank 70 guards the channel and the queue; it is not held while I/O completes.
  */
 final class PeerLink {
     static final int MAXIMUM_QUEUED_MESSAGES = 1_024;
     private static final long INITIAL_BACKOFF_NANOS = 50_000_000L;
-    private static final long MAXIMUM_BACKOFF_NANOS = 1_000_000_000L;
+    private static final long MAXIMUM_BACKOFF_NANOS = 250_000_000L;
+
+    /** Silence after which a connection that is used is probed. */
+    private static final long QUIET_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+    private static final long PROBE_TIMEOUT_MILLIS = 500;
 
     private final String instance;
     private final Bootstrap bootstrap;
     private final PeerAddresses addresses;
     private final Hello hello;
+    private final PendingRequests pending;
     private final NanoClock clock;
+    private final ReplacementPacing pacing = new ReplacementPacing();
     private final Queue<Runnable> queuedActions = new ArrayDeque<>();
     private Channel channel;
     private InetSocketAddress channelAddress;
     private boolean connecting;
+    private boolean replacing;
+    private OptionalLong peerIncarnation = OptionalLong.empty();
     private boolean closed;
+    private long probedNanos;
     private long backoffNanos;
     private long nextAttemptNanos;
 
@@ -44,57 +59,122 @@
             Bootstrap bootstrap,
             PeerAddresses addresses,
             Hello hello,
+            PendingRequests pending,
             NanoClock clock) {
         this.instance = instance;
         this.bootstrap = bootstrap;
         this.addresses = addresses;
         this.hello = hello;
+        this.pending = pending;
         this.clock = clock;
+        this.probedNanos = clock.nanoTime() - QUIET_NANOS;
     }
 
     /** Sends a one-way message, or drops it if the peer cannot be reached. */
     void send(Message message) {
         final CompletableFuture<Channel> ready = new CompletableFuture<>();
         ready.thenAccept(
-                open ->
-                        open.writeAndFlush(
-                                new Frame(FrameKind.ONE_WAY, 0, message), open.voidPromise()));
+                open -> {
+                    open.writeAndFlush(
+                            new Frame(FrameKind.ONE_WAY, 0, message), open.voidPromise());
+                    probeIfQuiet(open);
+                });
         acquireChannel(ready);
     }
 
     /** Sends a request; the answer fails if the peer cannot be reached. */
-    void request(Message message, PendingRequests pending, CompletableFuture<Message> answer) {
+    void request(Message message, CompletableFuture<Message> answer) {
         final CompletableFuture<Channel> ready = new CompletableFuture<>();
         ready.whenComplete(
                 (open, failure) -> {
                     if (failure != null) {
                         answer.completeExceptionally(failure);
-                        return;
-                    }
-                    final PeerConnection connection = open.pipeline().get(PeerConnection.class);
-                    if (connection == null) {
-                        answer.completeExceptionally(unreachable());
-                        return;
+                    } else {
+                        request(open, message, answer);
                     }
-                    final long correlation = pending.register(connection, answer);
-                    final long sentNanos = clock.nanoTime();
-                    answer.whenComplete(
-                            (ignored, reason) -> {
-                                if (isTimeout(reason)) {
-                                    requestTimedOut(connection, sentNanos);
-                                }
-                            });
-                    open.writeAndFlush(new Frame(FrameKind.REQUEST, correlation, message))
-                            .addListener(
-                                    written -> {
-                                        if (!written.isSuccess()) {
-                                            answer.completeExceptionally(unreachable());
-                                        }
-                                    });
                 });
         acquireChannel(ready);
     }
 
+    private void request(Channel open, Message message, CompletableFuture<Message> answer) {
+        final PeerConnection connection = open.pipeline().get(PeerConnection.class);
+        if (connection == null) {
+            answer.completeExceptionally(unreachable());
+            return;
+        }
+        final long correlation = pending.register(connection, answer);
+        final long sentNanos = clock.nanoTime();
+        answer.whenComplete(
+                (ignored, failure) -> {
+                    if (isTimeout(failure)) {
+                        requestTimedOut(connection, sentNanos);
+                    }
+                });
+        open.writeAndFlush(new Frame(FrameKind.REQUEST, correlation, message))
+                .addListener(
+                        written -> {
+                            if (!written.isSuccess()) {
+                                answer.completeExceptionally(unreachable());
+                            }
+                        });
+    }
+
+    /**
+     * Handles that the peer opened a connection: it can be reached now, and what made it open one
+     * may have ended the connection to it as well. A peer that started again does not know that
+     * connection.
+     */
+    void peerGreeted(long incarnation) {
+        final Channel known;
+        final boolean startedAgain;
+        synchronized (this) {
+            backoffNanos = 0;
+            nextAttemptNanos = clock.nanoTime();
+            known = channel;
+            startedAgain =
+                    peerIncarnation.isPresent() && peerIncarnation.getAsLong() != incarnation;
+            peerIncarnation = OptionalLong.of(incarnation);
+            if (startedAgain) {
+                channel = null;
+            }
+        }
+        if (known == null) {
+            return;
+        }
+        if (startedAgain) {
+            retire(known, "peer started again");
+        } else {
+            probeIfQuiet(known);
+        }
+    }
+
+    /** Asks for a sign of the peer on a connection on which nothing has arrived for a while. */
+    private void probeIfQuiet(Channel open) {
+        final PeerConnection connection = open.pipeline().get(PeerConnection.class);
+        final long nowNanos = clock.nanoTime();
+        if (connection == null || nowNanos - connection.receivedNanos() < QUIET_NANOS) {
+            return;
+        }
+        synchronized (this) {
+            if (nowNanos - probedNanos < QUIET_NANOS) {
+                return;
+            }
+            probedNanos = nowNanos;
+        }
+        final CompletableFuture<Message> answer = new CompletableFuture<>();
+        request(open, hello, answer);
+        open.eventLoop()
+                .schedule(
+                        () ->
+                                answer.completeExceptionally(
+                                        ResultException.of(
+                                                ResultCode.PEER_TIMEOUT,
+                                                instance,
+                                                PROBE_TIMEOUT_MILLIS)),
+                        PROBE_TIMEOUT_MILLIS,
+                        TimeUnit.MILLISECONDS);
+    }
+
     /**
      * Closes the connection. Later requests fail as unreachable, later one-way messages are
      * dropped.
@@ -160,6 +240,45 @@
                 .with("silent_ms", millisSince(connection.receivedNanos(), nowNanos))
                 .with("connection_age_ms", millisSince(connection.openedNanos(), nowNanos))
                 .info();
+        if (connection.receivedNanos() - sentNanos < 0 && isCurrent(connection)) {
+            replace();
+        }
+    }
+
+    private synchronized boolean isCurrent(PeerConnection connection) {
+        return channel != null && channel.pipeline().get(PeerConnection.class) == connection;
+    }
+
+    /** Opens a connection beside the present one, which it replaces if it can be opened. */
+    private void replace() {
+        final InetSocketAddress address;
+        synchronized (this) {
+            final long nowNanos = clock.nanoTime();
+            if (closed
+                    || channel == null
+                    || connecting
+                    || replacing
+                    || nowNanos < nextAttemptNanos
+                    || !pacing.isDue(nowNanos)) {
+                return;
+            }
+            replacing = true;
+            address = channelAddress;
+        }
+        connect(address);
+    }
+
+    private void recordReplacement(Channel replaced) {
+        final PeerConnection connection = replaced.pipeline().get(PeerConnection.class);
+        pacing.replaced(connection != null && connection.hasReceived(), clock.nanoTime());
+    }
+
+    private void retire(Channel replaced, String reason) {
+        EventLine.of("peer-connection-retired")
+                .with("peer", instance)
+                .with("reason", reason)
+                .info();
+        RetiredConnection.closeWhenUnused(replaced, pending);
     }
 
     private static long millisSince(long nanos, long nowNanos) {
@@ -201,8 +320,10 @@
 
     private void handleConnectResult(InetSocketAddress address, Channel open) {
         final Queue<Runnable> waiting;
+        Channel replaced = null;
         synchronized (this) {
             connecting = false;
+            replacing = false;
             if (open == null) {
                 backoffNanos =
                         Math.min(
@@ -213,6 +334,10 @@
                 open.close();
             } else {
                 backoffNanos = 0;
+                replaced = channel;
+                if (replaced != null) {
+                    recordReplacement(replaced);
+                }
                 channel = open;
                 EventLine.of("peer-connected").with("peer", instance).info();
                 channelAddress = address;
@@ -220,6 +345,9 @@
             waiting = new ArrayDeque<>(queuedActions);
             queuedActions.clear();
         }
+        if (replaced != null) {
+            retire(replaced, "silent");
+        }
         waiting.forEach(Runnable::run);
     }
 
--- a/daemon/src/main/java/org/crocushaven/protocol/PendingRequests.java
+++ b/daemon/src/main/java/org/crocushaven/protocol/PendingRequests.java
@@ -38,6 +38,11 @@
         }
     }
 
+    /** Returns whether a request is pending on the connection. */
+    boolean has(PeerConnection connection) {
+        return pending.values().stream().anyMatch(request -> request.connection == connection);
+    }
+
     /** Fails all requests pending on the connection. */
     void failRequests(PeerConnection connection, String peer) {
         List.copyOf(pending.values()).stream()
--- a/daemon/src/main/java/org/crocushaven/protocol/TcpPeerTransport.java
+++ b/daemon/src/main/java/org/crocushaven/protocol/TcpPeerTransport.java
@@ -83,7 +83,13 @@
                         workers,
                         new InetSocketAddress(host, port),
                         initializer(
-                                () -> PeerConnection.accepted(handlers, pending, listener, clock)));
+                                () ->
+                                        PeerConnection.accepted(
+                                                handlers,
+                                                pending,
+                                                listener,
+                                                this::greeted,
+                                                clock)));
         return listeningSocket.address().getPort();
     }
 
@@ -114,7 +120,7 @@
         if (isSelf(instance)) {
             selfExecutor.execute(() -> requestFromSelf(message, answer));
         } else {
-            link(instance).request(message, pending, answer);
+            link(instance).request(message, answer);
         }
         return answer;
     }
@@ -191,9 +197,13 @@
                                 initializer(
                                         () ->
                                                 PeerConnection.opened(
-                                                        handlers, pending, listener, clock,
+                                                        handlers,
+                                                        pending,
+                                                        listener,
+                                                        this::greeted,
+                                                        clock,
                                                         instance)));
-        return new PeerLink(instance, bootstrap, addresses, hello, clock);
+        return new PeerLink(instance, bootstrap, addresses, hello, pending, clock);
     }
 
     private ChannelInitializer<Channel> initializer(Supplier<PeerConnection> connection) {
@@ -207,4 +217,10 @@
             }
         };
     }
+
+    private void greeted(String instance, long incarnation) {
+        if (!isSelf(instance) && addresses.addressOf(instance).isPresent()) {
+            link(instance).peerGreeted(incarnation);
+        }
+    }
 }
