Read the limits that backend servers name, and write a line for each change

Callers saw late answers from backend servers in need: two that had named limits of 1 and 1.7 requests a second got 22 and 21 in 4 s.

Cause: not mended here.

Change: the head of an answer carries what it says of a limit, of several readable values the lowest; a value that cannot be read says nothing. A gateway remembers it by start of the backend server and writes a line when it changes. An answer that names none ends a limit only if its request was sent after the limit was named, and only with a signature. Nothing acts on it yet.

--- a/daemon/src/main/java/org/crocushaven/forwarding/AttemptSender.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/AttemptSender.java
@@ -84,7 +84,7 @@
     }
 
     private void sendOn(BackendChannel channel, BackendAttempt attempt) {
-        attempt.opened(channel);
+        attempt.sending(channel, environment.nowNanos());
         final String backend = attempt.target().backend().backend();
         final int requestsAtBackend = environment.view().requestsAt(backend);
         environment
--- a/daemon/src/main/java/org/crocushaven/forwarding/BackendAnswerHead.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/BackendAnswerHead.java
@@ -13,6 +13,7 @@
  * @param leaving whether the backend server says that it leaves
  * @param pause time for which the backend server, which turned the request away, wants no more
  *     requests of this gateway
+ * @param limit what the answer says of the requests that the backend server takes
  */
 public record BackendAnswerHead(
         Optional<String> requestId,
@@ -20,7 +21,8 @@
         boolean notRun,
         Optional<Load> load,
         boolean leaving,
-        Optional<Duration> pause) {
+        Optional<Duration> pause,
+        NamedLimit limit) {
     /**
      * Describes the current load of a backend server.
      *
--- a/daemon/src/main/java/org/crocushaven/forwarding/BackendAttempt.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/BackendAttempt.java
@@ -20,6 +20,7 @@
     private final int number;
     private final long eventsBefore;
     private BackendChannel channel;
+    private long sentNanos;
     private boolean delimited;
     private AnswerKind answerKind = AnswerKind.AWAITING_HEAD;
     private HttpResponseStatus status;
@@ -69,8 +70,15 @@
         return body.bytes();
     }
 
-    void opened(BackendChannel opened) {
+    /** Records that the request is sent now, on the given connection. */
+    void sending(BackendChannel opened, long nowNanos) {
         channel = opened;
+        sentNanos = nowNanos;
+    }
+
+    /** Returns when the request was sent; to be called only once it was. */
+    long sentNanos() {
+        return sentNanos;
     }
 
     /** Returns whether the request was sent, so that it may have reached the backend server. */
--- a/daemon/src/main/java/org/crocushaven/forwarding/ForwardingEnvironment.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/ForwardingEnvironment.java
@@ -52,8 +52,17 @@
         return clock.nanoTime();
     }
 
-    /** Records what a backend server says of itself in an answer, and reports what is new. */
-    void recordNotices(IngressRequest request, BackendRecord answering, BackendAnswerHead head) {
+    /**
+     * Records what a backend server says of itself in an answer, and reports what is new.
+     *
+     * @param sentNanos time at which the answered request was sent
+     */
+    void recordNotices(
+            IngressRequest request,
+            BackendRecord answering,
+            BackendAnswerHead head,
+            long sentNanos) {
+        recordLimit(request, answering, head, sentNanos);
         if (head.leaving() && view.notices().recordLeaving(answering)) {
             observer.leavingAnnounced(request, answering.backend());
         }
@@ -65,6 +74,18 @@
                                         request, answering.backend(), pause.toMillis()));
     }
 
+    /** An answer without signature may name a limit, but does not end one by naming none. */
+    private void recordLimit(
+            IngressRequest request,
+            BackendRecord answering,
+            BackendAnswerHead head,
+            long sentNanos) {
+        final boolean counts = head.signed() || head.limit().perSecond().isPresent();
+        if (counts && view.limits().recordAnswer(answering, head.limit(), sentNanos, nowNanos())) {
+            observer.limitAnnounced(request, answering.backend(), head.limit().perSecond());
+        }
+    }
+
     /** Provides the configuration in force. */
     interface ConfigurationSource {
         /** Returns the configuration; empty before the first one is received. */
--- a/daemon/src/main/java/org/crocushaven/forwarding/ForwardingObserver.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/ForwardingObserver.java
@@ -1,5 +1,6 @@
 package org.crocushaven.forwarding;
 
+import java.util.OptionalDouble;
 import org.crocushaven.fleet.BackendRecord;
 import org.crocushaven.ingress.IngressRequest;
 import org.crocushaven.result.ResultCode;
@@ -29,6 +30,13 @@
     /** Called when a backend server that took requests says in an answer that it wants a pause. */
     void pauseAnnounced(IngressRequest request, String backend, long millis);
 
+    /**
+     * Called when a backend server names another limit than before in an answer.
+     *
+     * @param perSecond the limit in requests a second; empty when it names none any more
+     */
+    void limitAnnounced(IngressRequest request, String backend, OptionalDouble perSecond);
+
     /**
      * Called when an attempt fails.
      *
--- a/daemon/src/main/java/org/crocushaven/forwarding/GatewayBackends.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/GatewayBackends.java
@@ -42,6 +42,7 @@
     private final Map<String, PromptBacklog> otherPromptBacklogs = new HashMap<>();
     private final Map<UseKey, UseCounts> uses = new HashMap<>();
     private final BackendNotices notices = new BackendNotices();
+    private final BackendLimits limits = new BackendLimits();
     private long epoch;
     private long revision;
 
@@ -102,6 +103,11 @@
         return notices;
     }
 
+    /** Returns the limits that backend servers named in their answers. */
+    BackendLimits limits() {
+        return limits;
+    }
+
     /** Returns whether a backend server accepts requests by its record and by its own answers. */
     boolean acceptsRequests(BackendRecord record, long nowNanos) {
         return record.acceptsRequests() && notices.allowRequests(record, nowNanos);
--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
@@ -126,7 +126,7 @@
 
     /** Handles what a backend server says of itself in an answer, also in one that is too late. */
     void noticesReceived(BackendAttempt from, BackendAnswerHead head) {
-        environment.recordNotices(request(), from.target().backend(), head);
+        environment.recordNotices(request(), from.target().backend(), head, from.sentNanos());
     }
 
     /** Reports an answer that carries the identifier of another request. */
--- a/daemon/src/main/java/org/crocushaven/instance/ForwardingLog.java
+++ b/daemon/src/main/java/org/crocushaven/instance/ForwardingLog.java
@@ -9,6 +9,7 @@
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
+import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
 import org.crocushaven.fleet.BackendRecord;
 import org.crocushaven.forwarding.ForwardingObserver;
@@ -175,6 +176,16 @@
                 .info();
     }
 
+    @Override
+    public void limitAnnounced(IngressRequest request, String backend, OptionalDouble perSecond) {
+        notices.labelValues("limited").inc();
+        EventLine.of("backend-limit-announced")
+                .with("backend", backend)
+                .with("per_second", perSecond.isPresent() ? perSecond.getAsDouble() : "-")
+                .with("request", request.requestId())
+                .info();
+    }
+
     @Override
     public void attemptFailed(
             IngressRequest request,
--- a/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
@@ -654,7 +654,8 @@
                     head.headers().contains(NOT_RUN),
                     Optional.empty(),
                     false,
-                    Optional.empty());
+                    Optional.empty(),
+                    NamedLimit.NONE);
         }
     }
 }
--- a/daemon/src/test/java/org/crocushaven/forwarding/IgnoringObserver.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/IgnoringObserver.java
@@ -1,5 +1,6 @@
 package org.crocushaven.forwarding;
 
+import java.util.OptionalDouble;
 import org.crocushaven.fleet.BackendRecord;
 import org.crocushaven.ingress.IngressRequest;
 import org.crocushaven.result.ResultCode;
@@ -24,6 +25,9 @@
     @Override
     public void pauseAnnounced(IngressRequest request, String backend, long millis) {}
 
+    @Override
+    public void limitAnnounced(IngressRequest request, String backend, OptionalDouble limit) {}
+
     @Override
     public void attemptFailed(
             IngressRequest request,
--- a/daemon/src/test/java/org/crocushaven/forwarding/NoticeFixture.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/NoticeFixture.java
@@ -412,7 +412,11 @@
                     head.headers().contains(StandInBackend.LEAVING),
                     Optional.ofNullable(head.headers().get(StandInBackend.PAUSE_MILLIS))
                             .map(Long::parseLong)
-                            .map(Duration::ofMillis));
+                            .map(Duration::ofMillis),
+                    Optional.ofNullable(head.headers().get(StandInBackend.LIMIT))
+                            .map(Double::parseDouble)
+                            .map(NamedLimit::of)
+                            .orElse(NamedLimit.NONE));
         }
     }
 }
--- a/daemon/src/test/java/org/crocushaven/forwarding/StandInBackend.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/StandInBackend.java
@@ -24,6 +24,7 @@
     static final String LEAVING = "Leaving";
     static final String NOT_RUN = "Not-Run";
     static final String PAUSE_MILLIS = "Pause-Millis";
+    static final String LIMIT = "Limit";
     static final String RESUME_AFTER = "Resume-After";
     private static final int EVENTS = 4;
     private static final long TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(10);
