Keep all gateways' requests within the limits that backend servers name

Callers saw late answers from backend servers in need, which got 22 and 21 requests in 4 s where they had named 1 and 1.7 a second.

Class: what a peer says of itself reaches one instance, and the choice is made by all.

Change: gateways report the limits that they know and the requests that they would send; the leader merges what was said by its time and start, tells all gateways, and hands the requests out of one bucket for each backend server, which begins empty. What is not sent within 1 s is lost. A limited backend server without a granted request counts as full: requests go elsewhere, its adapters are asked for elsewhere, and where it is the only one they are refused at once with the time to come back. Without a leader nothing is sent there. Below 0.1 a second one request in 10 s still goes there, since its answer is how one learns that it takes more.

Ruled out: equal parts for each gateway (87 requests at once with 87 gateways, or one each in 87 s); the shares of organisations (they are kept for seconds).

--- a/daemon/src/main/java/org/crocushaven/fleet/FleetLeader.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/FleetLeader.java
@@ -33,6 +33,7 @@
     private final ShareLending lending;
     private final EnginePlacement placement;
     private final GatewayReports reports = new GatewayReports();
+    private final LimitLedger limits = new LimitLedger();
     private final BackendChanges changes;
     private final LeaderLoad load;
     private final StreamDirectory streams;
@@ -148,7 +149,8 @@
                         reports.gatewayCount(),
                         controls,
                         lending.lend(report, nowNanos),
-                        verdicts.update(report, !gatewayHasState));
+                        verdicts.update(report, !gatewayHasState),
+                        limits.exchange(report.limits(), nowNanos));
         load.recordReport(nowNanos, clock.nanoTime(), update.changed().size());
         return update;
     }
@@ -173,6 +175,7 @@
         reports.removeExpired(clock.nanoTime());
         refresh();
         streams.tick(clock.nanoTime());
+        limits.tick(clock.nanoTime());
         lending.tick(clock.nanoTime());
         verdicts.tick(reports.gateways());
         placement.tick();
--- a/daemon/src/main/java/org/crocushaven/fleet/GatewayReport.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/GatewayReport.java
@@ -20,6 +20,8 @@
  *     software without this component
  * @param parts what it knows of parts of prompts that may end backend servers; nothing if the
  *     gateway runs software without this component
+ * @param limits backend servers that name limits; none if the gateway runs software without this
+ *     component
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record GatewayReport(
@@ -32,12 +34,14 @@
         List<AdapterUse> uses,
         ShareReport shares,
         List<BegunStreams> streams,
-        PartReport parts)
+        PartReport parts,
+        List<LimitUse> limits)
         implements Message {
     public GatewayReport {
         loads = List.copyOf(loads);
         uses = List.copyOf(uses);
         streams = streams == null ? List.of() : List.copyOf(streams);
         parts = parts == null ? PartReport.EMPTY : parts;
+        limits = limits == null ? List.of() : List.copyOf(limits);
     }
 }
--- a/daemon/src/main/java/org/crocushaven/fleet/GatewayUpdate.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/GatewayUpdate.java
@@ -27,6 +27,8 @@
  * @param shares answer on organisations' shares; empty while the gateway may not hold any
  * @param parts parts of prompts that may end backend servers; nothing if the leader runs software
  *     without this component
+ * @param limits backend servers that name limits, and the requests that the gateway may send there;
+ *     none if the leader runs software without this component
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record GatewayUpdate(
@@ -44,7 +46,8 @@
         int gateways,
         List<String> controlInstances,
         Optional<ShareGrant> shares,
-        PartUpdate parts)
+        PartUpdate parts,
+        List<LimitGrant> limits)
         implements Message {
     public GatewayUpdate {
         adapterVersions = List.copyOf(adapterVersions);
@@ -53,5 +56,6 @@
         otherLoads = List.copyOf(otherLoads);
         controlInstances = List.copyOf(controlInstances);
         parts = parts == null ? PartUpdate.EMPTY : parts;
+        limits = limits == null ? List.of() : List.copyOf(limits);
     }
 }
--- a/daemon/src/main/java/org/crocushaven/forwarding/AttemptSender.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/AttemptSender.java
@@ -77,10 +77,10 @@
     }
 
     private boolean isWanted(BackendAttempt attempt) {
-        return environment
-                .view()
-                .notices()
-                .allowRequests(attempt.target().backend(), environment.nowNanos());
+        final BackendRecord backend = attempt.target().backend();
+        final long nowNanos = environment.nowNanos();
+        return environment.view().notices().allowRequests(backend, nowNanos)
+                && environment.view().limits().tryTake(backend, nowNanos);
     }
 
     private void sendOn(BackendChannel channel, BackendAttempt attempt) {
--- a/daemon/src/main/java/org/crocushaven/forwarding/BackendLimits.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/BackendLimits.java
@@ -1,20 +1,37 @@
 package org.crocushaven.forwarding;
 
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
+import java.util.concurrent.TimeUnit;
 import org.crocushaven.fleet.BackendRecord;
+import org.crocushaven.fleet.LimitGrant;
+import org.crocushaven.fleet.LimitStatement;
+import org.crocushaven.fleet.LimitUse;
 
 /**
- * Remembers the limits that backend servers named in their answers.
+ * Keeps a gateway's requests within the limits that backend servers named: to a backend server with
+ * a limit goes only what the leader grants, and nothing while no leader is reached.
  *
- * <p>A limit holds until an answer to a request that was sent after it names none, or a later start
- * of the backend server is known. Not thread-safe.
+ * <p>A limit holds until an answer to a request that was sent after it names none, whichever
+ * gateway received it, or a later start of the backend server is known. Not thread-safe.
  */
 final class BackendLimits {
     /** Number of backend servers that are remembered; the earliest is forgotten first. */
     private static final int MAXIMUM_BACKENDS = 10_000;
 
+    /** Time for which the leader is told that a backend server names no limit any more. */
+    private static final long ENDED_RETENTION_NANOS = TimeUnit.SECONDS.toNanos(10);
+
+    /** Time until the leader's next regular grant. */
+    private static final long NEXT_GRANT_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
+    /** Limit below which a request still goes there now and then. */
+    private static final double LOWEST_PER_SECOND = 0.1;
+
     private final Map<String, Statement> statements =
             new LinkedHashMap<>() {
                 @Override
@@ -23,6 +40,9 @@
                 }
             };
 
+    private final Map<String, GrantedRequests> granted = new HashMap<>();
+    private final Map<String, Integer> wanted = new HashMap<>();
+
     /**
      * Records what an answer says.
      *
@@ -42,10 +62,94 @@
         if (known != null && !said.follows(known)) {
             return false;
         }
-        statements.put(answering.backend(), said);
-        return known == null
-                || !known.perSecond().equals(said.perSecond())
-                || known.startedMillis() != said.startedMillis();
+        return put(answering.backend(), said);
+    }
+
+    /** Returns whether a request may be sent to a backend server as far as limits go. */
+    boolean allows(BackendRecord backend, long nowNanos) {
+        return !isLimited(backend) || grantedTo(backend.backend()).left(nowNanos) > 0;
+    }
+
+    /** Takes a request out of what is granted; returns whether it may be sent. */
+    boolean tryTake(BackendRecord backend, long nowNanos) {
+        if (!isLimited(backend)) {
+            return true;
+        }
+        recordWanted(backend);
+        return grantedTo(backend.backend()).tryTake(nowNanos);
+    }
+
+    /** Records that a request would be sent to a backend server if its limit allowed that. */
+    void recordWanted(BackendRecord backend) {
+        wanted.merge(backend.backend(), 1, Integer::sum);
+    }
+
+    /** Returns the time until a request may be sent to a backend server, as far as limits go. */
+    long waitNanos(BackendRecord backend, long nowNanos) {
+        if (allows(backend, nowNanos)) {
+            return 0;
+        }
+        final double perSecond = statements.get(backend.backend()).perSecond().getAsDouble();
+        return Math.max(
+                NEXT_GRANT_NANOS,
+                (long) (TimeUnit.SECONDS.toNanos(1) / Math.max(LOWEST_PER_SECOND, perSecond)));
+    }
+
+    /** Returns what the leader is told next, and begins to count anew what is wanted. */
+    List<LimitUse> report(long nowNanos) {
+        statements
+                .values()
+                .removeIf(
+                        said ->
+                                said.perSecond().isEmpty()
+                                        && nowNanos - said.saidNanos() >= ENDED_RETENTION_NANOS);
+        final List<LimitUse> uses = new ArrayList<>(statements.size());
+        statements.forEach(
+                (backend, said) ->
+                        uses.add(
+                                new LimitUse(
+                                        said.told(backend, nowNanos),
+                                        Math.max(
+                                                0,
+                                                wanted.getOrDefault(backend, 0)
+                                                        - grantedTo(backend).left(nowNanos)))));
+        wanted.clear();
+        return uses;
+    }
+
+    /** Applies what the leader tells of limits and grants. */
+    void apply(List<LimitGrant> grants, long nowNanos) {
+        for (final LimitGrant grant : grants) {
+            final String backend = grant.statement().backend();
+            final Statement told = Statement.of(grant.statement(), nowNanos);
+            final Statement known = statements.get(backend);
+            if (known == null || !told.says(known) && told.follows(known)) {
+                put(backend, told);
+            }
+            if (grant.requests() > 0 && told.says(statements.get(backend))) {
+                grantedTo(backend).add(grant.requests(), nowNanos);
+            }
+        }
+    }
+
+    private boolean put(String backend, Statement said) {
+        final Statement known = statements.put(backend, said);
+        final boolean changed = known == null ? said.perSecond().isPresent() : !said.says(known);
+        if (changed) {
+            granted.remove(backend);
+        }
+        return changed;
+    }
+
+    private boolean isLimited(BackendRecord backend) {
+        final Statement said = statements.get(backend.backend());
+        return said != null
+                && said.perSecond().isPresent()
+                && backend.startedMillis() <= said.startedMillis();
+    }
+
+    private GrantedRequests grantedTo(String backend) {
+        return granted.computeIfAbsent(backend, name -> new GrantedRequests());
     }
 
     /**
@@ -56,6 +160,25 @@
      *     from the sending of the request whose answer named none
      */
     private record Statement(long startedMillis, OptionalDouble perSecond, long saidNanos) {
+        private static Statement of(LimitStatement told, long nowNanos) {
+            return new Statement(
+                    told.startedMillis(),
+                    told.isLimit() ? OptionalDouble.of(told.perSecond()) : OptionalDouble.empty(),
+                    nowNanos - TimeUnit.MILLISECONDS.toNanos(told.ageMillis()));
+        }
+
+        private LimitStatement told(String backend, long nowNanos) {
+            return new LimitStatement(
+                    backend,
+                    startedMillis,
+                    perSecond.orElse(LimitStatement.NO_LIMIT),
+                    Math.max(0, TimeUnit.NANOSECONDS.toMillis(nowNanos - saidNanos)));
+        }
+
+        private boolean says(Statement other) {
+            return startedMillis == other.startedMillis && perSecond.equals(other.perSecond);
+        }
+
         private boolean follows(Statement other) {
             return startedMillis == other.startedMillis
                     ? saidNanos - other.saidNanos >= 0
--- a/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
@@ -194,7 +194,8 @@
                 view.drainUses(),
                 admission.report(nowNanos),
                 streams.unreported(),
-                crashes.report(nowNanos));
+                crashes.report(nowNanos),
+                view.limits().report(nowNanos));
     }
 
     private void checkEnd(BackendStart start, Consumer<Boolean> then) {
--- a/daemon/src/main/java/org/crocushaven/forwarding/GatewayBackends.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/GatewayBackends.java
@@ -74,6 +74,7 @@
             prompts.addTokens(load.promptTokens(), nowNanos);
             otherPromptBacklogs.put(load.backend(), prompts);
         }
+        limits.apply(update.limits(), nowNanos);
         epoch = update.epoch();
         revision = update.revision();
     }
@@ -110,7 +111,12 @@
 
     /** Returns whether a backend server accepts requests by its record and by its own answers. */
     boolean acceptsRequests(BackendRecord record, long nowNanos) {
-        return record.acceptsRequests() && notices.allowRequests(record, nowNanos);
+        return record.acceptsRequests() && wantsRequests(record, nowNanos);
+    }
+
+    /** Returns whether a backend server wants requests by its own answers. */
+    private boolean wantsRequests(BackendRecord record, long nowNanos) {
+        return notices.allowRequests(record, nowNanos) && limits.allows(record, nowNanos);
     }
 
     /** Returns the backend servers of a service that accept requests. */
@@ -124,18 +130,27 @@
      */
     List<BackendRecord> withheldByNotices(String service, long nowNanos) {
         return select(
-                service,
-                record -> record.acceptsRequests() && !notices.allowRequests(record, nowNanos));
+                service, record -> record.acceptsRequests() && !wantsRequests(record, nowNanos));
+    }
+
+    /** Records that a request would be sent to backend servers whose limits are used up. */
+    void recordWantedOfLimited(String service, long nowNanos) {
+        select(service, record -> record.acceptsRequests() && !limits.allows(record, nowNanos))
+                .forEach(limits::recordWanted);
     }
 
     /**
      * Returns the time until the first backend server of a service takes requests again; empty
-     * unless all that do not leave want a pause.
+     * unless all that do not leave want a pause, or have named a limit that is used up.
      */
     Optional<Duration> pauseOf(String service, long nowNanos) {
         return select(service, record -> record.acceptsRequests() && !notices.isLeaving(record))
                 .stream()
-                .map(record -> notices.pauseNanos(record, nowNanos))
+                .map(
+                        record ->
+                                Math.max(
+                                        notices.pauseNanos(record, nowNanos),
+                                        limits.waitNanos(record, nowNanos)))
                 .min(Long::compare)
                 .filter(pauseNanos -> pauseNanos > 0)
                 .map(Duration::ofNanos);
--- a/daemon/src/main/java/org/crocushaven/forwarding/TargetFinder.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/TargetFinder.java
@@ -56,6 +56,7 @@
             IngressRequest request,
             Set<String> tried,
             StreamContinuation continuation) {
+        environment.view().recordWantedOfLimited(service, environment.nowNanos());
         final Optional<Duration> pause =
                 environment.view().pauseOf(service, environment.nowNanos());
         if (pause.isPresent()) {
--- a/daemon/src/test/java/org/crocushaven/fleet/ControlFleet.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/ControlFleet.java
@@ -129,7 +129,8 @@
                 List.of(),
                 ShareHolder.create(1).report(System.nanoTime()),
                 List.of(),
-                PartReport.EMPTY);
+                PartReport.EMPTY,
+                List.of());
     }
 
     @Override
--- a/daemon/src/test/java/org/crocushaven/fleet/FleetLeaderTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/FleetLeaderTest.java
@@ -102,7 +102,8 @@
                 List.of(),
                 ShareHolder.create(1).report(System.nanoTime()),
                 List.of(),
-                PartReport.EMPTY);
+                PartReport.EMPTY,
+                List.of());
     }
 
     /** Returns the least processor time of a report over several rounds, in microseconds. */
--- a/daemon/src/test/java/org/crocushaven/fleet/GatewayReportsTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/GatewayReportsTest.java
@@ -32,7 +32,8 @@
                         List.of(),
                         ShareHolder.create(1).report(nowNanos),
                         List.of(),
-                        PartReport.EMPTY),
+                        PartReport.EMPTY,
+                        List.of()),
                 nowNanos);
     }
 
@@ -124,7 +125,8 @@
                 List.of(),
                 ShareHolder.create(1).report(nowNanos),
                 List.of(),
-                PartReport.EMPTY);
+                PartReport.EMPTY,
+                List.of());
     }
 
     @Test
--- a/daemon/src/test/java/org/crocushaven/fleet/ShareLendingTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/ShareLendingTest.java
@@ -33,7 +33,8 @@
                         List.of(),
                         ShareHolder.create(1).report(nowNanos),
                         List.of(),
-                        PartReport.EMPTY),
+                        PartReport.EMPTY,
+                        List.of()),
                 nowNanos);
     }
 
--- a/daemon/src/test/java/org/crocushaven/forwarding/BackendNoticesFuzzTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/BackendNoticesFuzzTest.java
@@ -154,7 +154,8 @@
                             1,
                             List.of(),
                             Optional.empty(),
-                            PartUpdate.EMPTY),
+                            PartUpdate.EMPTY,
+                            List.of()),
                     now);
         }
 
--- a/daemon/src/test/java/org/crocushaven/forwarding/CrashGuardTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/CrashGuardTest.java
@@ -96,7 +96,8 @@
                         1,
                         List.of(),
                         Optional.empty(),
-                        parts);
+                        parts,
+                        List.of());
         guard.apply(update, true, nowNanos);
     }
 
--- a/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
@@ -287,7 +287,8 @@
                         1,
                         List.of(),
                         Optional.empty(),
-                        parts);
+                        parts,
+                        List.of());
         run(() -> environment().crashes().apply(update, true, System.nanoTime()));
     }
 
@@ -417,7 +418,8 @@
                 1,
                 List.of(),
                 Optional.empty(),
-                PartUpdate.EMPTY);
+                PartUpdate.EMPTY,
+                List.of());
     }
 
     private ForwardingEnvironment createEnvironment() {
--- a/daemon/src/test/java/org/crocushaven/forwarding/GatewayBackendsTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/GatewayBackendsTest.java
@@ -78,7 +78,8 @@
                         1,
                         List.of(),
                         Optional.empty(),
-                        PartUpdate.EMPTY),
+                        PartUpdate.EMPTY,
+                        List.of()),
                 nowNanos);
     }
 
--- a/daemon/src/test/java/org/crocushaven/forwarding/LeaderLinkTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/LeaderLinkTest.java
@@ -82,7 +82,8 @@
                 List.of(),
                 ShareHolder.create(1).report(nowNanos),
                 List.of(),
-                PartReport.EMPTY);
+                PartReport.EMPTY,
+                List.of());
     }
 
     private static GatewayUpdate update(long epoch) {
@@ -101,7 +102,8 @@
                 1,
                 List.of(LOST_LEADER, NEW_LEADER),
                 Optional.empty(),
-                PartUpdate.EMPTY);
+                PartUpdate.EMPTY,
+                List.of());
     }
 
     private Sent nextSent() throws InterruptedException {
--- a/daemon/src/test/java/org/crocushaven/forwarding/NoticeFixture.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/NoticeFixture.java
@@ -217,7 +217,8 @@
                         1,
                         List.of(),
                         Optional.empty(),
-                        PartUpdate.EMPTY),
+                        PartUpdate.EMPTY,
+                        List.of()),
                 System.nanoTime());
     }
 
--- a/daemon/src/test/java/org/crocushaven/forwarding/RequestForwardingTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/RequestForwardingTest.java
@@ -117,7 +117,8 @@
                         1,
                         List.of(),
                         Optional.empty(),
-                        PartUpdate.EMPTY),
+                        PartUpdate.EMPTY,
+                        List.of()),
                 System.nanoTime());
     }
 
--- a/daemon/src/test/java/org/crocushaven/forwarding/SimulatedGateway.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/SimulatedGateway.java
@@ -129,7 +129,8 @@
                         List.of(),
                         ShareHolder.create(1).report(time.nanoTime()),
                         List.of(),
-                        guard.report(time.nanoTime()));
+                        guard.report(time.nanoTime()),
+                        List.of());
         inFlight = true;
         if (leader.isEmpty() || random.nextDouble() < LOSS) {
             counts.count(CrashFault.REPORT_LOST);
@@ -194,6 +195,7 @@
                 1,
                 List.of(),
                 Optional.empty(),
-                parts);
+                parts,
+                List.of());
     }
 }
