Let messages wait for their own attempt to connect, not for a replacement

Callers could see: after a peer started again while a replacement was being tried, a message is dropped as undeliverable although a connection is being opened.

Cause, by reading of: both kinds of attempt shared one end, so that a replacement that fails ended the wait of messages for another attempt and allowed a third one.

Evidence: reading only; no run showed it and no test guards it.

Change: each kind ends its own attempt; messages are released by their own, or by any that succeeds.

--- a/daemon/src/main/java/org/crocushaven/protocol/PeerLink.java
+++ b/daemon/src/main/java/org/crocushaven/protocol/PeerLink.java
@@ -223,7 +223,7 @@
         } else if (open != null) {
             ready.complete(open);
         } else if (connectTo != null) {
-            connect(connectTo);
+            connect(connectTo, false);
         }
     }
 
@@ -265,7 +265,7 @@
             replacing = true;
             address = channelAddress;
         }
-        connect(address);
+        connect(address, true);
     }
 
     private void recordReplacement(Channel replaced) {
@@ -304,7 +304,7 @@
         return null;
     }
 
-    private void connect(InetSocketAddress address) {
+    private void connect(InetSocketAddress address, boolean isReplacement) {
         bootstrap
                 .connect(address)
                 .addListener(
@@ -314,16 +314,26 @@
                                         .writeAndFlush(new Frame(FrameKind.ONE_WAY, 0, hello));
                             }
                             handleConnectResult(
-                                    address, attempt.isSuccess() ? attempt.channel() : null);
+                                    address,
+                                    attempt.isSuccess() ? attempt.channel() : null,
+                                    isReplacement);
                         });
     }
 
-    private void handleConnectResult(InetSocketAddress address, Channel open) {
-        final Queue<Runnable> waiting;
+    /**
+     * Handles the end of an attempt. Messages wait for the attempt that they began, or for one that
+     * succeeds before it: a replacement that fails leaves them waiting.
+     */
+    private void handleConnectResult(
+            InetSocketAddress address, Channel open, boolean isReplacement) {
+        final Queue<Runnable> waiting = new ArrayDeque<>();
         Channel replaced = null;
         synchronized (this) {
-            connecting = false;
-            replacing = false;
+            if (isReplacement) {
+                replacing = false;
+            } else {
+                connecting = false;
+            }
             if (open == null) {
                 backoffNanos =
                         Math.min(
@@ -342,8 +352,10 @@
                 EventLine.of("peer-connected").with("peer", instance).info();
                 channelAddress = address;
             }
-            waiting = new ArrayDeque<>(queuedActions);
-            queuedActions.clear();
+            if (open != null || !connecting) {
+                waiting.addAll(queuedActions);
+                queuedActions.clear();
+            }
         }
         if (replaced != null) {
             retire(replaced, "silent");
