--- a/daemon/src/main/java/org/crocushaven/protocol/RetiredConnection.java
+++ b/daemon/src/main/java/org/crocushaven/protocol/RetiredConnection.java
@@ -17,19 +17,20 @@
     private final PeerConnection connection;
     private final PendingRequests pending;
 
-    private RetiredConnection(Channel channel, PendingRequests pending) {
+    private RetiredConnection(Channel channel, PeerConnection connection, PendingRequests pending) {
         this.channel = channel;
-        this.connection = channel.pipeline().get(PeerConnection.class);
+        this.connection = connection;
         this.pending = pending;
     }
 
     /** Closes the channel when no request is pending on it; requests end by their time limits. */
-    static void closeWhenUnused(Channel channel, PendingRequests pending) {
-        new RetiredConnection(channel, pending).closeOrWait();
+    static void closeWhenUnused(
+            Channel channel, PeerConnection connection, PendingRequests pending) {
+        new RetiredConnection(channel, connection, pending).closeOrWait();
     }
 
     private void closeOrWait() {
-        if (connection != null && channel.isActive() && pending.has(connection)) {
+        if (channel.isActive() && pending.has(connection)) {
             channel.eventLoop().schedule(this::closeOrWait, CHECK_MILLIS, TimeUnit.MILLISECONDS);
             return;
         }
