Let replicas with the same state name the same revision

Evidence: FleetStateTest.replicaThatRestoredLaterNamesTheSameRevision, failing before (expected 1, was 2).

--- a/daemon/src/main/java/org/crocushaven/fleet/FleetCommand.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/FleetCommand.java
@@ -15,6 +15,8 @@
  * @param departuresRemoved those that no longer have to be remembered
  * @param verdicts change of the verdicts on parts of prompts
  * @param softwareVersions software versions in use; null if the command does not change them
+ * @param snapshotRevision revision of the state of which this is a snapshot; 0 in a change, and in
+ *     snapshots of software without this component
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record FleetCommand(
@@ -26,7 +28,8 @@
         List<BackendAnnouncement> departuresAdded,
         List<BackendAnnouncement> departuresRemoved,
         VerdictChange verdicts,
-        SoftwareVersionsInUse softwareVersions) {
+        SoftwareVersionsInUse softwareVersions,
+        long snapshotRevision) {
     private static final byte[] NO_DOCUMENT = new byte[0];
 
     public FleetCommand {
@@ -54,7 +57,8 @@
                 List.of(),
                 List.of(),
                 VerdictChange.NONE,
-                null);
+                null,
+                0);
     }
 
     /** Returns the command that requires a version of an adapter. */
@@ -68,7 +72,8 @@
                 List.of(),
                 List.of(),
                 VerdictChange.NONE,
-                null);
+                null,
+                0);
     }
 
     /** Returns the command that changes which gateways may hold shares. */
@@ -82,7 +87,8 @@
                 List.of(),
                 List.of(),
                 VerdictChange.NONE,
-                null);
+                null,
+                0);
     }
 
     /** Returns the command that changes which departures of backend servers are remembered. */
@@ -97,7 +103,8 @@
                 added,
                 removed,
                 VerdictChange.NONE,
-                null);
+                null,
+                0);
     }
 
     /** Returns the command that changes the verdicts on parts of prompts. */
@@ -121,6 +128,7 @@
                 List.of(),
                 List.of(),
                 verdicts,
-                softwareVersions);
+                softwareVersions,
+                0);
     }
 }
--- a/daemon/src/main/java/org/crocushaven/fleet/FleetState.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/FleetState.java
@@ -76,7 +76,8 @@
                         List.copyOf(departures.values()),
                         List.of(),
                         new VerdictChange(verdictList, List.of()),
-                        softwareVersionsOfSnapshot()));
+                        softwareVersionsOfSnapshot(),
+                        revision));
     }
 
     @Override
@@ -93,7 +94,9 @@
         document = NO_DOCUMENT;
         apply(index, snapshot);
         adapterVersionList = new ArrayList<>(adapterVersions.values());
-        revision = index;
+        final long stored =
+                MessageCodec.decodeValue(snapshot, FleetCommand.class).snapshotRevision();
+        revision = stored == 0 ? index : stored;
     }
 
     /** Returns the current state. */
--- a/daemon/src/test/java/org/crocushaven/fleet/FleetStateTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/FleetStateTest.java
@@ -39,6 +39,27 @@
         assertEquals(1, state.view().revision());
     }
 
+    @Test
+    void replicaThatRestoredLaterNamesTheSameRevision() {
+        final FleetState state = FleetState.create();
+        state.apply(1, configuration(7, 1));
+        state.apply(2, MessageCodec.encodeValue(FleetCommand.gateways(List.of("one"), List.of())));
+        final FleetState restored = FleetState.create();
+
+        restored.restore(2, state.snapshot());
+
+        assertEquals(state.view().revision(), restored.view().revision());
+    }
+
+    @Test
+    void snapshotOfSoftwareThatKeptNoRevisionHasItsIndex() {
+        final FleetState restored = FleetState.create();
+
+        restored.restore(9, configuration(7, 1));
+
+        assertEquals(9, restored.view().revision());
+    }
+
     private static BackendAnnouncement departure(
             BackendState state, long startedMillis, long sequence) {
         return new BackendAnnouncement(
