Split a leader's terms and its commits from the instance with control state

ControlInstance had 487 lines and three jobs: handling messages, starting and ending terms, and committing changes. The last two are LeaderTerms and FleetCommits; a commit that is passed on to the gateways, written out in three places before, is FleetCommits.commitAndApply.

No change of behaviour.

--- a/daemon/src/main/java/org/crocushaven/fleet/ControlInstance.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/ControlInstance.java
@@ -13,8 +13,6 @@
 import org.crocushaven.consensus.GroupSettings;
 import org.crocushaven.consensus.ReplicaSupervisor;
 import org.crocushaven.consensus.ReplicaTiming;
-import org.crocushaven.network.SuspensionDetector;
-import org.crocushaven.observability.EventLine;
 import org.crocushaven.observability.GuardedTask;
 import org.crocushaven.outbound.BackendPool;
 import org.crocushaven.protocol.Message;
@@ -35,9 +33,6 @@
     private static final long TICK_MILLIS = 200;
     private static final long JOIN_TICKS = 5;
 
-    /** Time for which a leader does not rely on its lease after a suspected suspension. */
-    private static final long LEASE_DISTRUST_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
-
     private static final Duration FORWARD_TIMEOUT = Duration.ofMillis(900);
 
     private final ControlSettings settings;
@@ -50,23 +45,13 @@
     private final BackendRegistry registry;
     private final BackendPool pool;
     private final ReplicaSupervisor<GroupHost> supervisor;
-    private final SuspensionDetector suspension = new SuspensionDetector();
     private final GroupMembership membership;
     private final ElectionWatch electionWatch;
     private final DepartureLog departures;
     private final UpdateNotices notices;
     private final AnnouncementIntake announcements;
-    private FleetLeader leader;
-
-    /** Where streams began, for the last term in which this instance led. */
-    private StreamDirectory streams;
-
-    private long streamsTerm;
-
-    /** Decides on parts of prompts, for the last term in which this instance led. */
-    private PartVerdicts verdicts;
-
-    private long distrustedUntilNanos;
+    private final FleetCommits commits;
+    private final LeaderTerms terms;
     private long ticks;
     private boolean stopped;
 
@@ -86,7 +71,6 @@
         this.epochClock = epochClock;
         this.registry = BackendRegistry.of(settings.heartbeatMillis());
         this.pool = BackendPool.create(loop, clock);
-        this.distrustedUntilNanos = clock.nanoTime();
         this.membership =
                 new GroupMembership(
                         settings.instance(),
@@ -96,8 +80,24 @@
                         this::group);
         this.electionWatch = new ElectionWatch(loop, this::isLeadershipSettled, this::startLeading);
         this.notices = new UpdateNotices(loop, clock, this::notifyGateways);
+        this.commits = new FleetCommits(loop, this::group, this::applyCommitted);
         this.departures =
-                new DepartureLog(state, change -> commit(MessageCodec.encodeValue(change)));
+                new DepartureLog(state, change -> commits.commit(MessageCodec.encodeValue(change)));
+        this.terms =
+                new LeaderTerms(
+                        settings,
+                        transport,
+                        loop,
+                        dialect,
+                        clock,
+                        epochClock,
+                        state,
+                        registry,
+                        pool,
+                        membership,
+                        this::group,
+                        commits,
+                        notices::request);
         this.announcements =
                 new AnnouncementIntake(
                         settings.instance(),
@@ -284,23 +284,7 @@
         if (known.isEmpty()) {
             return CompletableFuture.failedFuture(notLeader());
         }
-        return onLoop(transport.request(known.get(), message, FORWARD_TIMEOUT));
-    }
-
-    /** Returns a future with the same outcome that completes on the event loop. */
-    private <T> CompletableFuture<T> onLoop(CompletableFuture<T> future) {
-        final CompletableFuture<T> completed = new CompletableFuture<>();
-        future.whenComplete(
-                (value, failure) ->
-                        loop.execute(
-                                () -> {
-                                    if (failure == null) {
-                                        completed.complete(value);
-                                    } else {
-                                        completed.completeExceptionally(failure);
-                                    }
-                                }));
-        return completed;
+        return commits.onLoop(transport.request(known.get(), message, FORWARD_TIMEOUT));
     }
 
     private CompletableFuture<Void> propose(FleetCommand command) {
@@ -314,29 +298,7 @@
         if (currentLeader() == null) {
             return CompletableFuture.failedFuture(notLeader());
         }
-        return commit(command).thenRun(this::applyCommitted);
-    }
-
-    /** Commits a command; the future completes on the event loop. */
-    private CompletableFuture<Void> commit(byte[] command) {
-        return onLoop(group().propose(command)).thenApply(result -> null);
-    }
-
-    private void proposeRegistration(FleetCommand change) {
-        group().propose(MessageCodec.encodeValue(change))
-                .whenComplete(
-                        (result, failure) -> {
-                            if (failure != null) {
-                                EventLine.of("registration-failed")
-                                        .with("added", change.gatewaysAdded())
-                                        .with("reason", failure.getMessage())
-                                        .info();
-                            }
-                        });
-    }
-
-    private CompletableFuture<Void> commitSoftwareVersions(FleetCommand change) {
-        return commit(MessageCodec.encodeValue(change)).thenRun(this::applyCommitted);
+        return commits.commitAndApply(command);
     }
 
     /** Passes a committed change on to the gateways. */
@@ -348,110 +310,15 @@
         }
     }
 
-    /**
-     * Returns the leader of the current term, or null if this instance is not the leader; creates
-     * or closes it when leadership has changed.
-     */
+    /** Returns the leader of the current term, or null if this instance is not the leader. */
     private FleetLeader currentLeader() {
-        final long nowNanos = clock.nanoTime();
-        if (suspension.wasSuspended(nowNanos, epochClock.time())) {
-            distrustedUntilNanos = nowNanos + LEASE_DISTRUST_NANOS;
-            EventLine.of("suspension-suspected").warn();
-        }
-        final boolean isLeader =
-                !stopped && nowNanos - distrustedUntilNanos >= 0 && group().holdsLeaderLease();
-        if (!isLeader) {
-            endLeading();
-            return null;
-        }
-        final long term = group().term();
-        if (leader == null || leader.epoch() != term) {
-            startTerm(term, nowNanos);
-        }
-        return leader;
-    }
-
-    private void endLeading() {
-        if (leader != null) {
-            EventLine.of("leading-ended").with("epoch", leader.epoch()).info();
-            leader.close();
-            leader = null;
-        }
-    }
-
-    /** Starts to lead from what is committed and what this instance has heard itself. */
-    private void startTerm(long term, long nowNanos) {
-        if (leader != null) {
-            leader.close();
-        }
-        state.departures().forEach(departure -> registry.restoreDeparture(departure, nowNanos));
-        EventLine.of("leading-started")
-                .with("epoch", term)
-                .with("ready", registry.count(BackendState.READY))
-                .with("draining", registry.count(BackendState.DRAINING))
-                .with("gone", registry.count(BackendState.GONE))
-                .info();
-        membership.leadingStarted(nowNanos);
-        prepareStreams(term, nowNanos);
-        leader =
-                new FleetLeader(
-                        new EngineOrderContext(
-                                dialect,
-                                pool,
-                                loop,
-                                settings.instance(),
-                                term,
-                                () -> group().holdsLeaderLease()),
-                        registry,
-                        state,
-                        clock,
-                        settings.orderPauseMillis(),
-                        settings.rateSlack(),
-                        this::proposeRegistration,
-                        streams,
-                        verdictsOf(term));
-        registry.present().forEach(leader::announced);
-        final FleetUpdateNotice notice = new FleetUpdateNotice(settings.instance());
-        state.gateways().forEach(gateway -> transport.send(gateway, notice));
-    }
-
-    /** Keeps the evidence of the same term, because gateways do not report it again. */
-    private PartVerdicts verdictsOf(long term) {
-        if (verdicts == null || verdicts.epoch() != term) {
-            verdicts =
-                    new PartVerdicts(
-                            settings.instance(),
-                            term,
-                            state,
-                            clock,
-                            epochClock,
-                            change ->
-                                    commit(MessageCodec.encodeValue(change))
-                                            .thenRun(this::applyCommitted),
-                            notices::request);
-        }
-        return verdicts;
-    }
-
-    /**
-     * Keeps what gateways reported earlier in the same term, because they do not report it again.
-     */
-    private void prepareStreams(long term, long nowNanos) {
-        if (streams == null || streamsTerm != term) {
-            streams =
-                    StreamDirectory.of(
-                            SoftwareVersionLog.startingAt(
-                                    state, term, this::commitSoftwareVersions, nowNanos));
-            streamsTerm = term;
-        } else {
-            streams.restartHistory(nowNanos);
-        }
+        return terms.current(stopped);
     }
 
     /** Returns whether a leader is known and, if it is this instance, has started. */
     private boolean isLeadershipSettled() {
         return stopped
-                || leader != null
+                || terms.hasStarted()
                 || group().leader().filter(name -> !name.equals(settings.instance())).isPresent();
     }
 
