Give the lowest rate of a limit one owner, and two steps clearer names

From the reading as a newcomer: the rate below which a limited backend server is still asked stood in the ledger and at the gateway, and is LimitStatement's now; says and told are saysSameAs and toMessage.

No change of behaviour.

--- a/daemon/src/main/java/org/crocushaven/fleet/LimitLedger.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/LimitLedger.java
@@ -15,12 +15,6 @@
  * thread-safe.
  */
 final class LimitLedger {
-    /**
-     * Rate at which requests go to a backend server that names a lower limit: an answer is how one
-     * learns that it takes more.
-     */
-    private static final double LOWEST_RATE_PER_SECOND = 0.1;
-
     /** Tokens that are kept for gateways that report next, as seconds of the rate. */
     private static final double KEPT_SECONDS = 0.5;
 
@@ -61,7 +55,9 @@
     }
 
     private static double rateOf(LimitStatement said) {
-        return said.isLimit() ? Math.max(LOWEST_RATE_PER_SECOND, said.perSecond()) : 0;
+        return said.isLimit()
+                ? Math.max(LimitStatement.LOWEST_RATE_PER_SECOND, said.perSecond())
+                : 0;
     }
 
     private static double capacityOf(LimitStatement said) {
--- a/daemon/src/main/java/org/crocushaven/fleet/LimitStatement.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/LimitStatement.java
@@ -17,6 +17,12 @@
     /** Stands for a backend server that names no limit. */
     public static final double NO_LIMIT = -1;
 
+    /**
+     * Rate at which requests go to a backend server that names a lower limit: an answer is how one
+     * learns that it takes more.
+     */
+    public static final double LOWEST_RATE_PER_SECOND = 0.1;
+
     /** Returns whether it names a limit. */
     @JsonIgnore
     public boolean isLimit() {
--- a/daemon/src/main/java/org/crocushaven/forwarding/BackendLimits.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/BackendLimits.java
@@ -29,9 +29,6 @@
     /** Time until the leader's next regular grant. */
     private static final long NEXT_GRANT_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
-    /** Limit below which a request still goes there now and then. */
-    private static final double LOWEST_PER_SECOND = 0.1;
-
     private final Map<String, Statement> statements =
             new LinkedHashMap<>() {
                 @Override
@@ -92,7 +89,9 @@
         final double perSecond = statements.get(backend.backend()).perSecond().getAsDouble();
         return Math.max(
                 NEXT_GRANT_NANOS,
-                (long) (TimeUnit.SECONDS.toNanos(1) / Math.max(LOWEST_PER_SECOND, perSecond)));
+                (long)
+                        (TimeUnit.SECONDS.toNanos(1)
+                                / Math.max(LimitStatement.LOWEST_RATE_PER_SECOND, perSecond)));
     }
 
     /** Returns what the leader is told next, and begins to count anew what is wanted. */
@@ -108,7 +107,7 @@
                 (backend, said) ->
                         uses.add(
                                 new LimitUse(
-                                        said.told(backend, nowNanos),
+                                        said.toMessage(backend, nowNanos),
                                         Math.max(
                                                 0,
                                                 wanted.getOrDefault(backend, 0)
@@ -123,10 +122,10 @@
             final String backend = grant.statement().backend();
             final Statement told = Statement.of(grant.statement(), nowNanos);
             final Statement known = statements.get(backend);
-            if (known == null || !told.says(known) && told.follows(known)) {
+            if (known == null || !told.saysSameAs(known) && told.follows(known)) {
                 put(backend, told);
             }
-            if (grant.requests() > 0 && told.says(statements.get(backend))) {
+            if (grant.requests() > 0 && told.saysSameAs(statements.get(backend))) {
                 grantedTo(backend).add(grant.requests(), nowNanos);
             }
         }
@@ -134,7 +133,8 @@
 
     private boolean put(String backend, Statement said) {
         final Statement known = statements.put(backend, said);
-        final boolean changed = known == null ? said.perSecond().isPresent() : !said.says(known);
+        final boolean changed =
+                known == null ? said.perSecond().isPresent() : !said.saysSameAs(known);
         if (changed) {
             granted.remove(backend);
         }
@@ -167,7 +167,7 @@
                     nowNanos - TimeUnit.MILLISECONDS.toNanos(told.ageMillis()));
         }
 
-        private LimitStatement told(String backend, long nowNanos) {
+        private LimitStatement toMessage(String backend, long nowNanos) {
             return new LimitStatement(
                     backend,
                     startedMillis,
@@ -175,7 +175,7 @@
                     Math.max(0, TimeUnit.NANOSECONDS.toMillis(nowNanos - saidNanos)));
         }
 
-        private boolean says(Statement other) {
+        private boolean saysSameAs(Statement other) {
             return startedMillis == other.startedMillis && perSecond.equals(other.perSecond);
         }
 
