Open connections in a test with a request that has time

Callers saw nothing.

Cause: the test is wrong. It opened the connection with requests of 300 ms, tried until one was answered. In a process that starts slowly the first goes unanswered with nothing received on the connection, which is rightly replaced: a second one, before the request that the test is about.

Change: the connection is opened with one request that has 10 s. The checks are the same.

--- a/daemon/src/test/java/org/crocushaven/protocol/SilentPeerConnectionTest.java
+++ b/daemon/src/test/java/org/crocushaven/protocol/SilentPeerConnectionTest.java
@@ -27,6 +27,7 @@
 /** Tests connections to instances that fall silent without being closed. */
 class SilentPeerConnectionTest {
     private static final Duration REQUEST_TIMEOUT = Duration.ofMillis(300);
+    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(10);
 
     /** Time within which a change has to be in force. */
     private static final long CHANGE_MILLIS = 2_000;
@@ -109,6 +110,11 @@
         }
     }
 
+    /** Opens the connection without a request that goes unanswered, also where threads starve. */
+    private void connect() throws Exception {
+        request(AT_ONCE, CONNECT_TIMEOUT).get();
+    }
+
     /** Returns the time until the condition holds, which is checked each 20 ms, or fails. */
     private static long millisUntil(BooleanSupplier condition) throws Exception {
         final long startNanos = System.nanoTime();
@@ -196,7 +202,7 @@
     class OnLiveConnection {
         @Test
         void requestThatIsAnsweredLateLeavesTheConnectionOfOthersInUse() throws Exception {
-            millisUntil(SilentPeerConnectionTest.this::isAnswered);
+            connect();
             final CompletableFuture<Message> late = request(NEVER, REQUEST_TIMEOUT);
             while (!late.isDone()) {
                 assertTrue(isAnswered());
@@ -208,7 +214,7 @@
 
         @Test
         void lateAnswerArrivesAlthoughAnotherRequestWentUnanswered() throws Exception {
-            millisUntil(SilentPeerConnectionTest.this::isAnswered);
+            connect();
             final CompletableFuture<Message> late = request(LATE, Duration.ofSeconds(5));
             assertThrows(ExecutionException.class, () -> request(NEVER, REQUEST_TIMEOUT).get());
 
