Build messages and surroundings of forwarding tests in one place each

No change for callers. Nine tests wrote out the 16 parts of an update, fourteen the 11 of a record, seven the 13 of a request, five the 12 of a route and the 17 of the surroundings, so that each new part touched all of them.

Change: a builder for each, which sets what a test does not care about. What the tests set is the same.

--- a/daemon/src/test/java/org/crocushaven/forwarding/BackendHealthTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/BackendHealthTest.java
@@ -4,7 +4,6 @@
 
 import java.util.List;
 import org.crocushaven.fleet.BackendRecord;
-import org.crocushaven.fleet.BackendState;
 import org.junit.jupiter.api.Test;
 
 class BackendHealthTest {
@@ -14,18 +13,10 @@
 
     private static List<BackendRecord> startedAt(long startedMillis) {
         return List.of(
-                new BackendRecord(
-                        BACKEND,
-                        "engines",
-                        "10.0.0.1",
-                        80,
-                        "a",
-                        BackendState.READY,
-                        false,
-                        4,
-                        List.of(),
-                        "v1",
-                        startedMillis));
+                BackendRecordBuilder.of(BACKEND, "engines")
+                        .running("v1")
+                        .startedAt(startedMillis)
+                        .build());
     }
 
     /** Guards against a new process that pays for the failures of the one before. */
--- a/daemon/src/test/java/org/crocushaven/forwarding/BackendLimitsTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/BackendLimitsTest.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.crocushaven.fleet.BackendRecord;
-import org.crocushaven.fleet.BackendState;
 import org.crocushaven.fleet.LimitGrant;
 import org.crocushaven.fleet.LimitStatement;
 import org.crocushaven.fleet.LimitUse;
@@ -22,18 +21,7 @@
     private final BackendLimits limits = new BackendLimits();
 
     private static BackendRecord record(long startedMillis) {
-        return new BackendRecord(
-                NAME,
-                "service",
-                "10.0.0.1",
-                80,
-                "a",
-                BackendState.READY,
-                false,
-                4,
-                List.of(),
-                "",
-                startedMillis);
+        return BackendRecordBuilder.of(NAME, "service").startedAt(startedMillis).build();
     }
 
     private static long millis(long millis) {
--- a/daemon/src/test/java/org/crocushaven/forwarding/BackendNoticesFuzzTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/BackendNoticesFuzzTest.java
@@ -14,10 +14,7 @@
 import java.util.stream.Collectors;
 import org.crocushaven.fleet.AdapterKey;
 import org.crocushaven.fleet.BackendRecord;
-import org.crocushaven.fleet.BackendState;
-import org.crocushaven.fleet.GatewayUpdate;
 import org.crocushaven.fleet.HeldAdapter;
-import org.crocushaven.fleet.PartUpdate;
 import org.crocushaven.fuzz.FaultCounts;
 import org.crocushaven.fuzz.FuzzSettings;
 import org.junit.jupiter.api.Tag;
@@ -138,25 +135,7 @@
 
         private void receive(List<BackendRecord> changed, List<String> gone) {
             changed.forEach(this::countRecord);
-            view.apply(
-                    new GatewayUpdate(
-                            1,
-                            1,
-                            false,
-                            0,
-                            1,
-                            new byte[0],
-                            List.of(),
-                            false,
-                            changed,
-                            gone,
-                            List.of(),
-                            1,
-                            List.of(),
-                            Optional.empty(),
-                            PartUpdate.EMPTY,
-                            List.of()),
-                    now);
+            view.apply(GatewayUpdateBuilder.ofBackends(changed, gone), now);
         }
 
         private void countRecord(BackendRecord record) {
@@ -287,18 +266,11 @@
         }
 
         private BackendRecord record() {
-            return new BackendRecord(
-                    name,
-                    Scenario.SERVICE,
-                    "10.0.0.1",
-                    1,
-                    "a",
-                    BackendState.READY,
-                    false,
-                    8,
-                    List.of(new HeldAdapter("base", "a1", 1)),
-                    "",
-                    start);
+            return BackendRecordBuilder.of(name, Scenario.SERVICE)
+                    .withSlots(8)
+                    .holding(new HeldAdapter("base", "a1", 1))
+                    .startedAt(start)
+                    .build();
         }
     }
 
--- a/daemon/src/test/java/org/crocushaven/forwarding/BackendNoticesTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/BackendNoticesTest.java
@@ -5,10 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
-import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.crocushaven.fleet.BackendRecord;
-import org.crocushaven.fleet.BackendState;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -20,18 +18,10 @@
     }
 
     private static BackendRecord started(String backend, long startedMillis) {
-        return new BackendRecord(
-                backend,
-                "engines",
-                "10.0.0.1",
-                1,
-                "a",
-                BackendState.READY,
-                false,
-                8,
-                List.of(),
-                "",
-                startedMillis);
+        return BackendRecordBuilder.of(backend, "engines")
+                .withSlots(8)
+                .startedAt(startedMillis)
+                .build();
     }
 
     @Nested
--- a/daemon/src/test/java/org/crocushaven/forwarding/BackendSelectorTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/BackendSelectorTest.java
@@ -5,8 +5,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
-import org.crocushaven.fleet.BackendRecord;
-import org.crocushaven.fleet.BackendState;
 import org.junit.jupiter.api.Test;
 
 class BackendSelectorTest {
@@ -17,18 +15,10 @@
     private static BackendSelector.Candidate candidate(
             String backend, String domain, int requests, double failures, boolean promptRead) {
         return new BackendSelector.Candidate(
-                new BackendRecord(
-                        backend,
-                        "service",
-                        "10.0.0.1",
-                        1,
-                        domain,
-                        BackendState.READY,
-                        false,
-                        SLOTS,
-                        List.of(),
-                        "",
-                        1),
+                BackendRecordBuilder.of(backend, "service")
+                        .inDomain(domain)
+                        .withSlots(SLOTS)
+                        .build(),
                 requests,
                 failures,
                 0,
--- a/daemon/src/test/java/org/crocushaven/forwarding/CrashGuardTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/CrashGuardTest.java
@@ -4,24 +4,17 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
-import java.util.Optional;
-import java.util.OptionalLong;
 import org.crocushaven.fleet.BackendRecord;
 import org.crocushaven.fleet.BackendStart;
-import org.crocushaven.fleet.BackendState;
 import org.crocushaven.fleet.BrokenStart;
 import org.crocushaven.fleet.GatewayUpdate;
 import org.crocushaven.fleet.ModelPart;
 import org.crocushaven.fleet.PartSuspect;
 import org.crocushaven.fleet.PartUpdate;
 import org.crocushaven.fleet.PartVerdict;
-import org.crocushaven.ingress.IngressRequest;
-import org.crocushaven.ingress.ModelReference;
 import org.crocushaven.ingress.PromptPart;
 import org.crocushaven.result.ResultCode;
 import org.crocushaven.result.ResultException;
@@ -30,18 +23,7 @@
 
 class CrashGuardTest {
     private static final BackendRecord BACKEND =
-            new BackendRecord(
-                    "b",
-                    "engines",
-                    "10.0.0.1",
-                    80,
-                    "a",
-                    BackendState.READY,
-                    false,
-                    4,
-                    List.of(),
-                    "v1",
-                    7);
+            BackendRecordBuilder.of("b", "engines").running("v1").startedAt(7).build();
     private static final PartVerdict VERDICT =
             new PartVerdict(List.of(66L), List.of("base"), List.of("spared"), 3, "leader", 1, 0);
 
@@ -63,41 +45,17 @@
 
     private RequestGuard requestAt(String model, long... parts) {
         return guard.of(
-                new IngressRequest(
-                        "request",
-                        HttpMethod.POST,
-                        "/chat/x",
-                        "host",
-                        "/chat/x",
-                        new DefaultHttpHeaders(),
-                        OptionalLong.empty(),
-                        Optional.empty(),
-                        Optional.of(new ModelReference(model, "adapter")),
-                        Optional.empty(),
-                        Arrays.stream(parts).mapToObj(part -> new PromptPart(part, 1)).toList(),
-                        Optional.empty(),
-                        Optional.empty()));
+                ChatRequestBuilder.of(model, "adapter")
+                        .promptParts(
+                                Arrays.stream(parts)
+                                        .mapToObj(part -> new PromptPart(part, 1))
+                                        .toList())
+                        .build());
     }
 
     private void update(long epoch, PartUpdate parts) {
         final GatewayUpdate update =
-                new GatewayUpdate(
-                        epoch,
-                        1,
-                        false,
-                        1,
-                        1,
-                        new byte[0],
-                        List.of(),
-                        true,
-                        List.of(),
-                        List.of(),
-                        List.of(),
-                        1,
-                        List.of(),
-                        Optional.empty(),
-                        parts,
-                        List.of());
+                GatewayUpdateBuilder.ofTerm(epoch).state(1, true).parts(parts).build();
         guard.apply(update, true, nowNanos);
     }
 
--- a/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
@@ -6,9 +6,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -20,21 +18,18 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.OptionalLong;
 import java.util.Random;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
-import org.agrona.concurrent.SystemEpochClock;
 import org.agrona.concurrent.SystemNanoClock;
 import org.crocushaven.admission.ShareChange;
 import org.crocushaven.admission.ShareGrant;
 import org.crocushaven.fleet.AdapterGrant;
 import org.crocushaven.fleet.AdapterRequest;
 import org.crocushaven.fleet.BackendRecord;
-import org.crocushaven.fleet.BackendState;
 import org.crocushaven.fleet.GatewayUpdate;
 import org.crocushaven.fleet.PartUpdate;
 import org.crocushaven.fleet.StreamOriginAnswer;
@@ -42,13 +37,10 @@
 import org.crocushaven.ingress.IngressConfiguration;
 import org.crocushaven.ingress.IngressLimits;
 import org.crocushaven.ingress.IngressRequest;
-import org.crocushaven.ingress.IngressRoute;
 import org.crocushaven.ingress.KeyedOrganisation;
 import org.crocushaven.ingress.ModelReference;
 import org.crocushaven.ingress.PromptPart;
 import org.crocushaven.ingress.RouteKind;
-import org.crocushaven.ingress.WeightedService;
-import org.crocushaven.outbound.BackendPool;
 import org.crocushaven.result.ResultCode;
 import org.crocushaven.result.ResultException;
 
@@ -124,18 +116,11 @@
     /** Announces a backend server by its name and port. */
     void announce(String name, int port, int requestSlots, String softwareVersion) {
         records.add(
-                new BackendRecord(
-                        name,
-                        SERVICE,
-                        "127.0.0.1",
-                        port,
-                        "a",
-                        BackendState.READY,
-                        false,
-                        requestSlots,
-                        List.of(),
-                        softwareVersion,
-                        1));
+                BackendRecordBuilder.of(name, SERVICE)
+                        .atPort(port)
+                        .withSlots(requestSlots)
+                        .running(softwareVersion)
+                        .build());
     }
 
     /** Limits all requests to one, which is not refilled during a test. */
@@ -272,23 +257,7 @@
     /** Applies what the leader tells of parts of prompts. */
     void tellOfParts(PartUpdate parts) throws Exception {
         final GatewayUpdate update =
-                new GatewayUpdate(
-                        1,
-                        1,
-                        false,
-                        0,
-                        1,
-                        new byte[0],
-                        List.of(),
-                        true,
-                        List.of(),
-                        List.of(),
-                        List.of(),
-                        1,
-                        List.of(),
-                        Optional.empty(),
-                        parts,
-                        List.of());
+                GatewayUpdateBuilder.ofTerm(1).state(0, true).parts(parts).build();
         run(() -> environment().crashes().apply(update, true, System.nanoTime()));
     }
 
@@ -403,47 +372,19 @@
     }
 
     private GatewayUpdate update(long revision) {
-        return new GatewayUpdate(
-                1,
-                revision,
-                true,
-                0,
-                1,
-                new byte[0],
-                List.of(),
-                false,
-                records,
-                List.of(),
-                List.of(),
-                1,
-                List.of(),
-                Optional.empty(),
-                PartUpdate.EMPTY,
-                List.of());
+        return GatewayUpdateBuilder.ofTerm(1).completeAt(revision, records).build();
     }
 
     private ForwardingEnvironment createEnvironment() {
-        final IngressRoute route =
-                new IngressRoute(
-                        "chat",
-                        "host",
-                        "/chat/",
-                        kind,
-                        timeoutMillis,
-                        OBJECTIVE_MILLIS,
-                        PAUSE_MILLIS,
-                        0,
-                        List.of(new WeightedService(SERVICE, 1)),
-                        MAXIMUM_ATTEMPTS,
-                        organisations.isEmpty(),
-                        kind == RouteKind.STREAM);
         configuration =
-                IngressConfiguration.of(
-                        1, List.of(route), List.of(), organisations, IngressLimits.DEFAULT);
-        final ControlFreshness freshness =
-                ControlFreshness.ofMillis(
-                        TIMEOUT_MILLIS, SystemEpochClock.INSTANCE, System.nanoTime());
-        freshness.confirm(System.nanoTime());
+                ChatRouteBuilder.to(SERVICE)
+                        .kind(kind)
+                        .timeoutMillis(timeoutMillis)
+                        .objectives(OBJECTIVE_MILLIS, PAUSE_MILLIS)
+                        .attempts(MAXIMUM_ATTEMPTS)
+                        .open(organisations.isEmpty())
+                        .resumable(kind == RouteKind.STREAM)
+                        .configuration(organisations);
         final Random random =
                 new Random(1) {
                     @Override
@@ -454,24 +395,16 @@
                         return super.nextDouble();
                     }
                 };
-        return new ForwardingEnvironment(
-                loop,
-                () -> System.nanoTime() + passedNanos,
-                random,
-                new TestDialect(),
-                () -> Optional.of(configuration),
-                BackendPool.create(loop, SystemNanoClock.INSTANCE),
-                view,
-                new BackendHealth(),
-                BackendSelector.of("a", random),
-                ServiceRetryBudget.of(0, extraRetries),
-                admission(freshness),
-                freshness,
-                new PromptReaders(),
-                new BegunStreamMemory(),
-                leader,
-                IdleCrashGuard.create(),
-                new Recorder());
+        return ForwardingEnvironmentBuilder.of(loop, () -> Optional.of(configuration), leader)
+                .clock(() -> System.nanoTime() + passedNanos)
+                .random(random)
+                .dialect(new TestDialect())
+                .view(view)
+                .retryBudget(0, extraRetries)
+                .admission(this::admission)
+                .freshMillis(TIMEOUT_MILLIS)
+                .observer(new Recorder())
+                .build();
     }
 
     private KeyedAdmission admission(ControlFreshness freshness) {
@@ -491,20 +424,12 @@
     }
 
     private IngressRequest request() {
-        return new IngressRequest(
-                "request",
-                HttpMethod.POST,
-                "/chat/x",
-                "host",
-                "/chat/x",
-                new DefaultHttpHeaders(),
-                OptionalLong.empty(),
-                Optional.of(KEY),
-                model,
-                Optional.empty(),
-                promptParts,
-                lastEventId,
-                Optional.empty());
+        return ChatRequestBuilder.plain()
+                .model(model)
+                .key(KEY)
+                .promptParts(promptParts)
+                .takingUp(lastEventId, Optional.empty())
+                .build();
     }
 
     /** What the client of one request receives. */
--- a/daemon/src/test/java/org/crocushaven/forwarding/GatewayBackendsTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/GatewayBackendsTest.java
@@ -5,16 +5,12 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.crocushaven.fleet.AdapterKey;
 import org.crocushaven.fleet.AdapterVersion;
 import org.crocushaven.fleet.BackendLoad;
 import org.crocushaven.fleet.BackendRecord;
-import org.crocushaven.fleet.BackendState;
-import org.crocushaven.fleet.GatewayUpdate;
 import org.crocushaven.fleet.HeldAdapter;
-import org.crocushaven.fleet.PartUpdate;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -26,18 +22,11 @@
     private final GatewayBackends view = new GatewayBackends();
 
     private static BackendRecord engine(String name, HeldAdapter... held) {
-        return new BackendRecord(
-                name,
-                "engines",
-                "10.0.0.1",
-                1,
-                "zone",
-                BackendState.READY,
-                false,
-                8,
-                List.of(held),
-                "",
-                1);
+        return BackendRecordBuilder.of(name, "engines")
+                .inDomain("zone")
+                .withSlots(8)
+                .holding(held)
+                .build();
     }
 
     private static HeldAdapter adapter(long version) {
@@ -63,23 +52,13 @@
             List<String> gone,
             List<BackendLoad> otherLoads) {
         view.apply(
-                new GatewayUpdate(
-                        1,
-                        1,
-                        false,
-                        1,
-                        1,
-                        new byte[0],
-                        versions,
-                        !versions.isEmpty(),
-                        changed,
-                        gone,
-                        otherLoads,
-                        1,
-                        List.of(),
-                        Optional.empty(),
-                        PartUpdate.EMPTY,
-                        List.of()),
+                GatewayUpdateBuilder.ofTerm(1)
+                        .changed(changed)
+                        .state(1, !versions.isEmpty())
+                        .adapterVersions(versions)
+                        .gone(gone)
+                        .otherLoads(otherLoads)
+                        .build(),
                 nowNanos);
     }
 
--- a/daemon/src/test/java/org/crocushaven/forwarding/IngressConnectionTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/IngressConnectionTest.java
@@ -18,10 +18,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import org.agrona.concurrent.SystemEpochClock;
 import org.crocushaven.fleet.AdapterGrant;
 import org.crocushaven.fleet.AdapterRequest;
 import org.crocushaven.fleet.StreamOriginAnswer;
@@ -29,11 +27,7 @@
 import org.crocushaven.ingress.IngressConfiguration;
 import org.crocushaven.ingress.IngressLimits;
 import org.crocushaven.ingress.IngressRequest;
-import org.crocushaven.ingress.IngressRoute;
 import org.crocushaven.ingress.ModelReference;
-import org.crocushaven.ingress.RouteKind;
-import org.crocushaven.ingress.WeightedService;
-import org.crocushaven.outbound.BackendPool;
 import org.crocushaven.result.ResultCode;
 import org.crocushaven.result.ResultException;
 import org.junit.jupiter.api.Nested;
@@ -91,51 +85,22 @@
                         ResultException.of(ResultCode.NO_DISPATCHER, "the leader is away"));
     }
 
+    private IngressConfiguration orFault(IngressConfiguration configuration) {
+        if (configurationFault != null) {
+            throw configurationFault;
+        }
+        return configuration;
+    }
+
     private ForwardingEnvironment environment(EventLoop loop) {
-        final IngressRoute route =
-                new IngressRoute(
-                        "chat",
-                        "host",
-                        "/chat/",
-                        RouteKind.STREAM,
-                        TIMEOUT_MILLIS,
-                        600,
-                        300,
-                        0,
-                        List.of(new WeightedService(SERVICE, 1)),
-                        1,
-                        true,
-                        false);
         final IngressConfiguration configuration =
-                IngressConfiguration.of(
-                        1, List.of(route), List.of(), List.of(), IngressLimits.DEFAULT);
-        final ControlFreshness freshness =
-                ControlFreshness.ofMillis(TIMEOUT_MILLIS, SystemEpochClock.INSTANCE, nowNanos);
-        freshness.confirm(nowNanos);
-        final Random random = new Random(1);
-        return new ForwardingEnvironment(
-                loop,
-                () -> nowNanos,
-                random,
-                new OneRequestDialect(),
-                () -> {
-                    if (configurationFault != null) {
-                        throw configurationFault;
-                    }
-                    return Optional.of(configuration);
-                },
-                BackendPool.create(loop, () -> nowNanos),
-                new GatewayBackends(),
-                new BackendHealth(),
-                BackendSelector.of("a", random),
-                ServiceRetryBudget.of(1, 10),
-                KeyedAdmission.of(freshness, 1),
-                freshness,
-                new PromptReaders(),
-                new BegunStreamMemory(),
-                new HeldGrants(),
-                IdleCrashGuard.create(),
-                new FaultRecorder());
+                ChatRouteBuilder.to(SERVICE).timeoutMillis(TIMEOUT_MILLIS).configuration();
+        return ForwardingEnvironmentBuilder.of(
+                        loop, () -> Optional.of(orFault(configuration)), new HeldGrants())
+                .clock(() -> nowNanos)
+                .dialect(new OneRequestDialect())
+                .observer(new FaultRecorder())
+                .build();
     }
 
     @Nested
--- a/daemon/src/test/java/org/crocushaven/forwarding/LeaderLinkTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/LeaderLinkTest.java
@@ -8,7 +8,6 @@
 import io.netty.channel.DefaultEventLoop;
 import java.time.Duration;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
@@ -22,7 +21,6 @@
 import org.crocushaven.fleet.GatewayReport;
 import org.crocushaven.fleet.GatewayUpdate;
 import org.crocushaven.fleet.PartReport;
-import org.crocushaven.fleet.PartUpdate;
 import org.crocushaven.protocol.Message;
 import org.crocushaven.protocol.MessageHandler;
 import org.crocushaven.protocol.PeerTransport;
@@ -87,23 +85,11 @@
     }
 
     private static GatewayUpdate update(long epoch) {
-        return new GatewayUpdate(
-                epoch,
-                1,
-                true,
-                1,
-                1,
-                new byte[0],
-                List.of(),
-                false,
-                List.of(),
-                List.of(),
-                List.of(),
-                1,
-                List.of(LOST_LEADER, NEW_LEADER),
-                Optional.empty(),
-                PartUpdate.EMPTY,
-                List.of());
+        return GatewayUpdateBuilder.ofTerm(epoch)
+                .completeAt(1, List.of())
+                .state(1, false)
+                .controlInstances(LOST_LEADER, NEW_LEADER)
+                .build();
     }
 
     private Sent nextSent() throws InterruptedException {
--- a/daemon/src/test/java/org/crocushaven/forwarding/NoticeFixture.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/NoticeFixture.java
@@ -6,9 +6,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -21,8 +19,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
-import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.BlockingQueue;
@@ -32,25 +28,14 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Supplier;
-import org.agrona.concurrent.SystemEpochClock;
-import org.agrona.concurrent.SystemNanoClock;
 import org.crocushaven.fleet.AdapterGrant;
 import org.crocushaven.fleet.AdapterRequest;
 import org.crocushaven.fleet.BackendRecord;
-import org.crocushaven.fleet.BackendState;
-import org.crocushaven.fleet.GatewayUpdate;
 import org.crocushaven.fleet.HeldAdapter;
-import org.crocushaven.fleet.PartUpdate;
 import org.crocushaven.fleet.StreamOriginAnswer;
 import org.crocushaven.fleet.StreamOriginQuery;
 import org.crocushaven.ingress.IngressConfiguration;
-import org.crocushaven.ingress.IngressLimits;
 import org.crocushaven.ingress.IngressRequest;
-import org.crocushaven.ingress.IngressRoute;
-import org.crocushaven.ingress.ModelReference;
-import org.crocushaven.ingress.RouteKind;
-import org.crocushaven.ingress.WeightedService;
-import org.crocushaven.outbound.BackendPool;
 import org.crocushaven.result.ResultException;
 
 /**
@@ -186,40 +171,16 @@
     }
 
     private BackendRecord record(String name, long startedMillis, HeldAdapter... held) {
-        return new BackendRecord(
-                name,
-                SERVICE,
-                "127.0.0.1",
-                backends.get(name).port(),
-                distant.contains(name) ? "b" : "a",
-                BackendState.READY,
-                false,
-                4,
-                List.of(held),
-                "",
-                startedMillis);
+        return BackendRecordBuilder.of(name, SERVICE)
+                .atPort(backends.get(name).port())
+                .inDomain(distant.contains(name) ? "b" : "a")
+                .holding(held)
+                .startedAt(startedMillis)
+                .build();
     }
 
     private void apply(List<BackendRecord> changed) {
-        view.apply(
-                new GatewayUpdate(
-                        1,
-                        1,
-                        false,
-                        0,
-                        1,
-                        new byte[0],
-                        List.of(),
-                        false,
-                        changed,
-                        List.of(),
-                        List.of(),
-                        1,
-                        List.of(),
-                        Optional.empty(),
-                        PartUpdate.EMPTY,
-                        List.of()),
-                System.nanoTime());
+        view.apply(GatewayUpdateBuilder.ofBackends(changed, List.of()), System.nanoTime());
     }
 
     private void onLoop(Runnable action) {
@@ -243,63 +204,23 @@
     }
 
     private ForwardingEnvironment environment(int maximumAttempts, double retryExtra) {
-        final IngressRoute route =
-                new IngressRoute(
-                        "chat",
-                        "host",
-                        "/chat/",
-                        RouteKind.STREAM,
-                        TIMEOUT_MILLIS,
-                        5_000,
-                        3_000,
-                        0,
-                        List.of(new WeightedService(SERVICE, 1)),
-                        maximumAttempts,
-                        true,
-                        true);
         final IngressConfiguration configuration =
-                IngressConfiguration.of(
-                        1, List.of(route), List.of(), List.of(), IngressLimits.DEFAULT);
-        final ControlFreshness freshness =
-                ControlFreshness.ofMillis(
-                        TIMEOUT_MILLIS, SystemEpochClock.INSTANCE, System.nanoTime());
-        freshness.confirm(System.nanoTime());
-        final Random random = new Random(1);
-        return new ForwardingEnvironment(
-                loop,
-                SystemNanoClock.INSTANCE,
-                random,
-                new StandInDialect(),
-                () -> Optional.of(configuration),
-                BackendPool.create(loop, SystemNanoClock.INSTANCE),
-                view,
-                new BackendHealth(),
-                BackendSelector.of("a", random),
-                ServiceRetryBudget.of(0, retryExtra),
-                KeyedAdmission.of(freshness, 1),
-                freshness,
-                new PromptReaders(),
-                new BegunStreamMemory(),
-                new QueuedGrants(),
-                IdleCrashGuard.create(),
-                new NoticeRecorder());
+                ChatRouteBuilder.to(SERVICE)
+                        .timeoutMillis(TIMEOUT_MILLIS)
+                        .objectives(5_000, 3_000)
+                        .attempts(maximumAttempts)
+                        .resumable(true)
+                        .configuration();
+        return ForwardingEnvironmentBuilder.of(loop, configuration, new QueuedGrants())
+                .dialect(new StandInDialect())
+                .view(view)
+                .retryBudget(0, retryExtra)
+                .observer(new NoticeRecorder())
+                .build();
     }
 
     private static IngressRequest ingressRequest() {
-        return new IngressRequest(
-                "request",
-                HttpMethod.POST,
-                "/chat/x",
-                "host",
-                "/chat/x",
-                new DefaultHttpHeaders(),
-                OptionalLong.empty(),
-                Optional.empty(),
-                Optional.of(new ModelReference("base", "a1")),
-                Optional.empty(),
-                List.of(),
-                Optional.empty(),
-                Optional.empty());
+        return ChatRequestBuilder.of("base", "a1").build();
     }
 
     /**
--- a/daemon/src/test/java/org/crocushaven/forwarding/RequestForwardingTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/RequestForwardingTest.java
@@ -8,9 +8,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -22,31 +20,18 @@
 import java.util.Arrays;
 import java.util.Deque;
 import java.util.List;
-import java.util.Optional;
-import java.util.OptionalLong;
-import java.util.Random;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import org.agrona.concurrent.SystemEpochClock;
-import org.agrona.concurrent.SystemNanoClock;
 import org.crocushaven.fleet.AdapterGrant;
 import org.crocushaven.fleet.AdapterRequest;
 import org.crocushaven.fleet.BackendRecord;
 import org.crocushaven.fleet.BackendState;
-import org.crocushaven.fleet.GatewayUpdate;
-import org.crocushaven.fleet.PartUpdate;
 import org.crocushaven.fleet.StreamOriginAnswer;
 import org.crocushaven.fleet.StreamOriginQuery;
 import org.crocushaven.ingress.IngressConfiguration;
-import org.crocushaven.ingress.IngressLimits;
 import org.crocushaven.ingress.IngressRequest;
-import org.crocushaven.ingress.IngressRoute;
-import org.crocushaven.ingress.ModelReference;
-import org.crocushaven.ingress.RouteKind;
-import org.crocushaven.ingress.WeightedService;
-import org.crocushaven.outbound.BackendPool;
 import org.crocushaven.result.ResultCode;
 import org.crocushaven.result.ResultException;
 import org.junit.jupiter.api.AfterEach;
@@ -82,18 +67,10 @@
     }
 
     private BackendRecord backend(String name, BackendState state) {
-        return new BackendRecord(
-                name,
-                SERVICE,
-                "127.0.0.1",
-                server.getLocalPort(),
-                "a",
-                state,
-                false,
-                4,
-                List.of(),
-                "",
-                1);
+        return BackendRecordBuilder.of(name, SERVICE)
+                .atPort(server.getLocalPort())
+                .inState(state)
+                .build();
     }
 
     private void update(BackendRecord... changed) {
@@ -101,85 +78,21 @@
     }
 
     private void update(List<BackendRecord> changed, List<String> gone) {
-        view.apply(
-                new GatewayUpdate(
-                        1,
-                        1,
-                        false,
-                        0,
-                        1,
-                        new byte[0],
-                        List.of(),
-                        false,
-                        changed,
-                        gone,
-                        List.of(),
-                        1,
-                        List.of(),
-                        Optional.empty(),
-                        PartUpdate.EMPTY,
-                        List.of()),
-                System.nanoTime());
+        view.apply(GatewayUpdateBuilder.ofBackends(changed, gone), System.nanoTime());
     }
 
     private ForwardingEnvironment environment() {
-        final IngressRoute route =
-                new IngressRoute(
-                        "chat",
-                        "host",
-                        "/chat/",
-                        RouteKind.STREAM,
-                        TIMEOUT_MILLIS,
-                        600,
-                        300,
-                        0,
-                        List.of(new WeightedService(SERVICE, 1)),
-                        1,
-                        true,
-                        false);
         final IngressConfiguration configuration =
-                IngressConfiguration.of(
-                        1, List.of(route), List.of(), List.of(), IngressLimits.DEFAULT);
-        final ControlFreshness freshness =
-                ControlFreshness.ofMillis(
-                        TIMEOUT_MILLIS, SystemEpochClock.INSTANCE, System.nanoTime());
-        freshness.confirm(System.nanoTime());
-        final Random random = new Random(1);
-        return new ForwardingEnvironment(
-                loop,
-                SystemNanoClock.INSTANCE,
-                random,
-                new PlainDialect(),
-                () -> Optional.of(configuration),
-                BackendPool.create(loop, SystemNanoClock.INSTANCE),
-                view,
-                new BackendHealth(),
-                BackendSelector.of("a", random),
-                ServiceRetryBudget.of(1, 10),
-                KeyedAdmission.of(freshness, 1),
-                freshness,
-                new PromptReaders(),
-                new BegunStreamMemory(),
-                new QueuedGrants(),
-                IdleCrashGuard.create(),
-                new SendRecorder());
+                ChatRouteBuilder.to(SERVICE).timeoutMillis(TIMEOUT_MILLIS).configuration();
+        return ForwardingEnvironmentBuilder.of(loop, configuration, new QueuedGrants())
+                .dialect(new PlainDialect())
+                .view(view)
+                .observer(new SendRecorder())
+                .build();
     }
 
     private static IngressRequest request() {
-        return new IngressRequest(
-                "request",
-                HttpMethod.POST,
-                "/chat/x",
-                "host",
-                "/chat/x",
-                new DefaultHttpHeaders(),
-                OptionalLong.empty(),
-                Optional.empty(),
-                Optional.of(new ModelReference("base", "a1")),
-                Optional.empty(),
-                List.of(),
-                Optional.empty(),
-                Optional.empty());
+        return ChatRequestBuilder.of("base", "a1").build();
     }
 
     private void startRequestThen(Runnable change) {
--- a/daemon/src/test/java/org/crocushaven/forwarding/RetryStateTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/RetryStateTest.java
@@ -7,8 +7,6 @@
 import java.util.List;
 import java.util.Set;
 import org.crocushaven.fleet.AdapterKey;
-import org.crocushaven.fleet.BackendRecord;
-import org.crocushaven.fleet.BackendState;
 import org.crocushaven.ingress.IngressRoute;
 import org.crocushaven.ingress.RouteKind;
 import org.crocushaven.ingress.WeightedService;
@@ -40,18 +38,7 @@
 
     private static Target target(boolean adapterPending) {
         return new Target(
-                new BackendRecord(
-                        "one",
-                        "service",
-                        "10.0.0.1",
-                        1,
-                        "zone",
-                        BackendState.READY,
-                        false,
-                        8,
-                        List.of(),
-                        "",
-                        1),
+                BackendRecordBuilder.of("one", "service").inDomain("zone").withSlots(8).build(),
                 new AdapterKey("base", "a1"),
                 0,
                 adapterPending);
--- a/daemon/src/test/java/org/crocushaven/forwarding/SilenceLimitsTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/SilenceLimitsTest.java
@@ -3,10 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.List;
 import org.crocushaven.ingress.IngressRoute;
-import org.crocushaven.ingress.RouteKind;
-import org.crocushaven.ingress.WeightedService;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -14,19 +11,12 @@
     private static final long LONG_MILLIS = 12_000;
 
     private static IngressRoute route(long objectiveMillis, long pauseMillis) {
-        return new IngressRoute(
-                "chat",
-                "host",
-                "/chat/",
-                RouteKind.STREAM,
-                LONG_MILLIS,
-                objectiveMillis,
-                pauseMillis,
-                0,
-                List.of(new WeightedService("engines", 1)),
-                2,
-                true,
-                true);
+        return ChatRouteBuilder.to("engines")
+                .timeoutMillis(LONG_MILLIS)
+                .objectives(objectiveMillis, pauseMillis)
+                .attempts(2)
+                .resumable(true)
+                .build();
     }
 
     @Test
--- a/daemon/src/test/java/org/crocushaven/forwarding/SimulatedBackend.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/SimulatedBackend.java
@@ -65,18 +65,13 @@
     }
 
     BackendRecord record() {
-        return new BackendRecord(
-                identifier(),
-                "engines",
-                host(),
-                PORT,
-                failureDomain,
-                BackendState.READY,
-                false,
-                16,
-                List.of(),
-                "v1",
-                starts);
+        return BackendRecordBuilder.of(identifier(), "engines")
+                .at(host(), PORT)
+                .inDomain(failureDomain)
+                .withSlots(16)
+                .running("v1")
+                .startedAt(starts)
+                .build();
     }
 
     BackendAnnouncement announcement() {
--- a/daemon/src/test/java/org/crocushaven/forwarding/SimulatedGateway.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/SimulatedGateway.java
@@ -180,22 +180,6 @@
 
     private static GatewayUpdate update(
             long epoch, long revision, boolean hasState, PartUpdate parts) {
-        return new GatewayUpdate(
-                epoch,
-                1,
-                false,
-                revision,
-                1,
-                new byte[0],
-                List.of(),
-                hasState,
-                List.of(),
-                List.of(),
-                List.of(),
-                1,
-                List.of(),
-                Optional.empty(),
-                parts,
-                List.of());
+        return GatewayUpdateBuilder.ofTerm(epoch).state(revision, hasState).parts(parts).build();
     }
 }
--- a/daemon/src/test/java/org/crocushaven/forwarding/SimulatedRequest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/SimulatedRequest.java
@@ -1,12 +1,7 @@
 package org.crocushaven.forwarding;
 
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import java.util.List;
-import java.util.Optional;
-import java.util.OptionalLong;
 import org.crocushaven.ingress.IngressRequest;
-import org.crocushaven.ingress.ModelReference;
 import org.crocushaven.ingress.PromptPart;
 
 /** A request with a prompt at one gateway, over all its attempts. */
@@ -22,20 +17,10 @@
         this.gateway = gateway;
         this.life = gateway.life();
         this.request =
-                new IngressRequest(
-                        "request-" + number,
-                        HttpMethod.POST,
-                        "/chat/x",
-                        "host",
-                        "/chat/x",
-                        new DefaultHttpHeaders(),
-                        OptionalLong.empty(),
-                        Optional.empty(),
-                        Optional.of(new ModelReference(model, "a")),
-                        Optional.empty(),
-                        parts.stream().map(part -> new PromptPart(part, 1)).toList(),
-                        Optional.empty(),
-                        Optional.empty());
+                ChatRequestBuilder.of(model, "a")
+                        .named("request-" + number)
+                        .promptParts(parts.stream().map(part -> new PromptPart(part, 1)).toList())
+                        .build();
         this.guard = gateway.guard().of(request);
     }
 
--- a/daemon/src/test/java/org/crocushaven/forwarding/SoftwareVersionRuleTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/SoftwareVersionRuleTest.java
@@ -7,25 +7,13 @@
 import java.util.List;
 import java.util.Set;
 import org.crocushaven.fleet.BackendRecord;
-import org.crocushaven.fleet.BackendState;
 import org.junit.jupiter.api.Test;
 
 class SoftwareVersionRuleTest {
     private final SoftwareVersionRule rule = new SoftwareVersionRule();
 
     private static BackendRecord backend(String name, String softwareVersion) {
-        return new BackendRecord(
-                name,
-                "service",
-                "10.0.0.1",
-                80,
-                "a",
-                BackendState.READY,
-                false,
-                4,
-                List.of(),
-                softwareVersion,
-                1);
+        return BackendRecordBuilder.of(name, "service").running(softwareVersion).build();
     }
 
     @Test
--- a/daemon/src/test/java/org/crocushaven/forwarding/StreamContinuationTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/StreamContinuationTest.java
@@ -5,34 +5,24 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.DefaultEventLoop;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
 import java.util.NoSuchElementException;
 import java.util.Optional;
-import java.util.OptionalLong;
-import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
-import org.agrona.concurrent.SystemEpochClock;
-import org.agrona.concurrent.SystemNanoClock;
 import org.crocushaven.fleet.AdapterGrant;
 import org.crocushaven.fleet.AdapterRequest;
 import org.crocushaven.fleet.BackendRecord;
-import org.crocushaven.fleet.BackendState;
 import org.crocushaven.fleet.StreamIdentifier;
 import org.crocushaven.fleet.StreamOrigin;
 import org.crocushaven.fleet.StreamOriginAnswer;
 import org.crocushaven.fleet.StreamOriginQuery;
 import org.crocushaven.ingress.IngressConfiguration;
-import org.crocushaven.ingress.IngressLimits;
 import org.crocushaven.ingress.IngressRequest;
-import org.crocushaven.ingress.IngressRoute;
-import org.crocushaven.ingress.RouteKind;
 import org.crocushaven.ingress.WeightedService;
 import org.crocushaven.result.Execution;
 import org.crocushaven.result.ResultCode;
@@ -60,84 +50,28 @@
     }
 
     private static BackendRecord backend(String service, String softwareVersion) {
-        return new BackendRecord(
-                "backend",
-                service,
-                "10.0.0.1",
-                80,
-                "a",
-                BackendState.READY,
-                false,
-                4,
-                List.of(),
-                softwareVersion,
-                1);
+        return BackendRecordBuilder.of("backend", service).running(softwareVersion).build();
     }
 
     private static IngressRequest request(Optional<String> lastEvent, Optional<String> resumes) {
-        return new IngressRequest(
-                "request",
-                HttpMethod.POST,
-                "/chat/x",
-                "host",
-                "/chat/x",
-                new DefaultHttpHeaders(),
-                OptionalLong.empty(),
-                Optional.empty(),
-                Optional.empty(),
-                Optional.empty(),
-                List.of(),
-                lastEvent,
-                resumes);
+        return ChatRequestBuilder.plain().takingUp(lastEvent, resumes).build();
     }
 
     private static IngressConfiguration configuration(List<WeightedService> targets) {
-        return IngressConfiguration.of(
-                1,
-                List.of(
-                        new IngressRoute(
-                                "chat",
-                                "host",
-                                "/chat/",
-                                RouteKind.STREAM,
-                                TIMEOUT_MILLIS,
-                                600,
-                                300,
-                                0,
-                                targets,
-                                2,
-                                true,
-                                true)),
-                List.of(),
-                List.of(),
-                IngressLimits.DEFAULT);
+        return ChatRouteBuilder.to(targets)
+                .timeoutMillis(TIMEOUT_MILLIS)
+                .attempts(2)
+                .resumable(true)
+                .configuration();
     }
 
     private StreamContinuation continuation(IngressRequest request, WeightedService... targets) {
-        final IngressConfiguration configuration = configuration(List.of(targets));
-        final ControlFreshness freshness =
-                ControlFreshness.ofMillis(
-                        TIMEOUT_MILLIS, SystemEpochClock.INSTANCE, System.nanoTime());
-        freshness.confirm(System.nanoTime());
         final ForwardingEnvironment environment =
-                new ForwardingEnvironment(
-                        loop,
-                        SystemNanoClock.INSTANCE,
-                        new Random(1),
-                        null,
-                        () -> Optional.of(configuration),
-                        null,
-                        new GatewayBackends(),
-                        null,
-                        null,
-                        null,
-                        KeyedAdmission.of(freshness, 1),
-                        freshness,
-                        null,
-                        streams,
-                        new ScriptedLeader(),
-                        IdleCrashGuard.create(),
-                        null);
+                ForwardingEnvironmentBuilder.of(
+                                loop, configuration(List.of(targets)), new ScriptedLeader())
+                        .freshMillis(TIMEOUT_MILLIS)
+                        .streams(streams)
+                        .build();
         admission = new RequestAdmission(environment, request);
         admission.identify(System.nanoTime());
         return new StreamContinuation(environment, request, admission);
