Run traffic beside failures of instances in one place

No change for callers. Three tests of InstanceFailureTest each began traffic through a balancer, did something to the instances, and waited for the report.

Change: one method does that; each test says what is done meanwhile and which calls are expected.

--- a/bench/src/test/java/org/crocushaven/bench/failure/InstanceFailureTest.java
+++ b/bench/src/test/java/org/crocushaven/bench/failure/InstanceFailureTest.java
@@ -11,8 +11,10 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.crocushaven.bench.demo.Balancer;
 import org.crocushaven.bench.load.CallOutcome;
+import org.crocushaven.bench.load.CallRecord;
 import org.crocushaven.bench.load.CallerKey;
 import org.crocushaven.bench.load.LoadReport;
 import org.crocushaven.bench.load.LoadRun;
@@ -57,28 +59,47 @@
         }
     }
 
+    /** Sends traffic through a balancer, and does something to the instances meanwhile. */
+    private LoadReport trafficBeside(Duration duration, long seed, Disturbance disturbance)
+            throws Exception {
+        final LoadRun run = fixture.traffic(duration, seed);
+        try (Balancer balancer = Balancer.start(fixture.instances(), run)) {
+            final CompletableFuture<LoadReport> traffic = FailureFixture.begin(run);
+            disturbance.disturb(run);
+            return traffic.join();
+        }
+    }
+
+    private static void assertEach(LoadReport report, Predicate<CallRecord> isExpected) {
+        assertEquals(List.of(), FailureFixture.unexpected(report, isExpected));
+    }
+
+    /** Does something to the instances while traffic runs. */
+    @FunctionalInterface
+    private interface Disturbance {
+        void disturb(LoadRun run) throws Exception;
+    }
+
     @Nested
     class Loss {
         @Test
         void ofAnInstanceIsSeenOnlyByItsOwnCallers() throws Exception {
             final InstanceFleet instances = fixture.instances();
-            final LoadRun run = fixture.traffic(Duration.ofSeconds(6), 11);
-            final LoadReport report;
-            try (Balancer balancer = Balancer.start(instances, run)) {
-                final CompletableFuture<LoadReport> traffic = FailureFixture.begin(run);
-                Thread.sleep(2_000);
-                instances.process(OTHER).kill();
-                report = traffic.join();
-            }
+            final LoadReport report =
+                    trafficBeside(
+                            Duration.ofSeconds(6),
+                            11,
+                            run -> {
+                                Thread.sleep(2_000);
+                                instances.process(OTHER).kill();
+                            });
             fixture.assertSound(report);
-            assertEquals(
-                    List.of(),
-                    FailureFixture.unexpected(
-                            report,
-                            record ->
-                                    record.instance() == OTHER
-                                            || record.verdict() == Verdict.WHOLE
-                                            || record.verdict() == Verdict.REFUSED));
+            assertEach(
+                    report,
+                    record ->
+                            record.instance() == OTHER
+                                    || record.verdict() == Verdict.WHOLE
+                                    || record.verdict() == Verdict.REFUSED);
             assertTrue(report.count(Verdict.WHOLE) > 200, "whole answers");
             instances.start(OTHER);
             fixture.awaitServing(OTHER);
@@ -116,26 +137,24 @@
         @Test
         void keepsTheOthersServing() throws Exception {
             final InstanceFleet instances = fixture.instances();
-            final LoadRun run = fixture.traffic(Duration.ofSeconds(7), 12);
-            final LoadReport report;
-            try (Balancer balancer = Balancer.start(instances, run)) {
-                final CompletableFuture<LoadReport> traffic = FailureFixture.begin(run);
-                Thread.sleep(1_000);
-                instances.process(OTHER).freeze();
-                Thread.sleep(4_000);
-                instances.process(OTHER).resume();
-                report = traffic.join();
-            }
+            final LoadReport report =
+                    trafficBeside(
+                            Duration.ofSeconds(7),
+                            12,
+                            run -> {
+                                Thread.sleep(1_000);
+                                instances.process(OTHER).freeze();
+                                Thread.sleep(4_000);
+                                instances.process(OTHER).resume();
+                            });
             fixture.assertSound(report);
-            assertEquals(
-                    List.of(),
-                    FailureFixture.unexpected(
-                            report,
-                            record ->
-                                    record.instance() == OTHER
-                                            || record.verdict() == Verdict.WHOLE
-                                            || record.verdict() == Verdict.REFUSED
-                                            || record.verdict() == Verdict.FAILED));
+            assertEach(
+                    report,
+                    record ->
+                            record.instance() == OTHER
+                                    || record.verdict() == Verdict.WHOLE
+                                    || record.verdict() == Verdict.REFUSED
+                                    || record.verdict() == Verdict.FAILED);
             fixture.awaitServing(OTHER);
         }
     }
@@ -145,33 +164,32 @@
         @Test
         void cutsNothing() throws Exception {
             final InstanceFleet instances = fixture.instances();
-            final LoadRun run = fixture.traffic(Duration.ofSeconds(6), 13);
-            final LoadReport report;
             final List<CompletableFuture<CallOutcome>> streams = new ArrayList<>();
-            try (Balancer balancer = Balancer.start(instances, run)) {
-                final CompletableFuture<LoadReport> traffic = FailureFixture.begin(run);
-                Thread.sleep(1_500);
-                for (int stream = 0; stream < 8; stream++) {
-                    streams.add(fixture.chat(OTHER, fixture.key(), MODEL, 200, true));
-                }
-                Thread.sleep(300);
-                run.avoid(OTHER);
-                instances.process(OTHER).terminate();
-                report = traffic.join();
-            }
+            final LoadReport report =
+                    trafficBeside(
+                            Duration.ofSeconds(6),
+                            13,
+                            run -> {
+                                Thread.sleep(1_500);
+                                for (int stream = 0; stream < 8; stream++) {
+                                    streams.add(
+                                            fixture.chat(OTHER, fixture.key(), MODEL, 200, true));
+                                }
+                                Thread.sleep(300);
+                                run.avoid(OTHER);
+                                instances.process(OTHER).terminate();
+                            });
             for (final CompletableFuture<CallOutcome> stream : streams) {
                 assertTrue(stream.join().answered(), stream.join().toString());
             }
             fixture.assertSound(report);
-            assertEquals(
-                    List.of(),
-                    FailureFixture.unexpected(
-                            report,
-                            record ->
-                                    record.verdict() == Verdict.WHOLE
-                                            || record.verdict() == Verdict.REFUSED
-                                            || record.verdict() == Verdict.UNREACHABLE
-                                                    && record.instance() == OTHER));
+            assertEach(
+                    report,
+                    record ->
+                            record.verdict() == Verdict.WHOLE
+                                    || record.verdict() == Verdict.REFUSED
+                                    || record.verdict() == Verdict.UNREACHABLE
+                                            && record.instance() == OTHER);
             assertTrue(instances.process(OTHER).awaitExit(Duration.ofSeconds(10)));
             instances.start(OTHER);
             fixture.awaitServing(OTHER);
