Name in the line of a broken attempt what of its request may be guilty

The lines name parts of prompts only; a plain request has none, and whether two requests are the same could not be told from any line.

No decision uses it yet.

--- a/daemon/src/main/java/org/crocushaven/forwarding/ForwardedRequest.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/ForwardedRequest.java
@@ -21,6 +21,8 @@
     private final AttemptsInFlight attempts;
     private final List<AnswerMemory.Share> answerShares = new ArrayList<>();
     private final RequestGuard guard;
+    private final byte[] bodyDigest;
+    private RequestTraits traits = RequestTraits.UNKNOWN;
     private String lastBackend = "-";
     private String lastSoftwareVersion = "-";
     private long adapterWaitMillis;
@@ -29,13 +31,14 @@
     private boolean done;
     private long firstByteNanos;
 
-    ForwardedRequest(ForwardingEnvironment environment, IngressRequest request) {
+    ForwardedRequest(ForwardingEnvironment environment, IngressRequest request, byte[] bodyDigest) {
         this.environment = environment;
         this.request = request;
         this.arrivedNanos = environment.nowNanos();
         this.admission = new RequestAdmission(environment, request);
         this.continuation = new StreamContinuation(environment, request, admission);
         this.attempts = new AttemptsInFlight(environment.view());
+        this.bodyDigest = bodyDigest;
         this.guard = environment.crashes().of(request);
     }
 
@@ -71,6 +74,11 @@
         return guard;
     }
 
+    /** Finds out what of the request may be guilty; to be called once its caller is known. */
+    void identifyTraits() {
+        traits = RequestTraits.of(request, admission.organisationName(), bodyDigest);
+    }
+
     IngressRoute route() {
         return admission.route();
     }
@@ -163,6 +171,11 @@
         environment
                 .observer()
                 .attemptFailed(
-                        request, failed.target().backend(), failed.number(), mayHaveRun, reason);
+                        request,
+                        traits.traits(),
+                        failed.target().backend(),
+                        failed.number(),
+                        mayHaveRun,
+                        reason);
     }
 }
--- a/daemon/src/main/java/org/crocushaven/forwarding/ForwardingObserver.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/ForwardingObserver.java
@@ -1,5 +1,6 @@
 package org.crocushaven.forwarding;
 
+import java.util.List;
 import java.util.OptionalDouble;
 import org.crocushaven.fleet.BackendRecord;
 import org.crocushaven.ingress.IngressRequest;
@@ -40,10 +41,12 @@
     /**
      * Called when an attempt fails.
      *
+     * @param traits what of the request may be guilty if the backend server has ended
      * @param mayHaveRun whether the request may have run
      */
     void attemptFailed(
             IngressRequest request,
+            List<Long> traits,
             BackendRecord backend,
             int attempt,
             boolean mayHaveRun,
--- a/daemon/src/main/java/org/crocushaven/forwarding/IngressConnection.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/IngressConnection.java
@@ -171,7 +171,7 @@
         if (forwarding != null) {
             forwarding.clientDisconnected();
         }
-        pipelined.forEach(received -> received.body().release());
+        pipelined.forEach(received -> received.body().bytes().release());
         pipelined.clear();
     }
 
@@ -234,7 +234,7 @@
                 new ClientExchange(this, channel, HttpUtil.isKeepAlive(received.head()));
         current = exchange;
         if (server.isRefusing()) {
-            received.body().release();
+            received.body().bytes().release();
             final ResultException refusal = StopRefusals.notRun();
             server.environment()
                     .observer()
@@ -246,14 +246,14 @@
         try {
             request = server.environment().dialect().decodeRequest(received.head());
         } catch (ResultException refusal) {
-            received.body().release();
+            received.body().bytes().release();
             server.environment()
                     .observer()
                     .refusedBeforeDecoding(refusal.code(), refusal.getMessage(), false);
             exchange.refuse(refusal);
             return;
         } catch (RuntimeException fault) {
-            received.body().release();
+            received.body().bytes().release();
             server.environment().observer().faulted(fault, true);
             exchange.refuse(
                     ResultException.of(ResultCode.INTERNAL, fault.getClass().getSimpleName())
--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestAssembly.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestAssembly.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
+import java.security.MessageDigest;
 import java.util.Optional;
 import org.crocushaven.result.ResultCode;
 import org.crocushaven.result.ResultException;
@@ -20,6 +21,7 @@
     private final LimitsInForce limits;
     private HttpRequest head;
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
+    private final MessageDigest digest = RequestBody.newDigest();
 
     RequestAssembly(LimitsInForce limits) {
         this.limits = limits;
@@ -39,6 +41,7 @@
         requireDecoded(request.decoderResult());
         head = request;
         body = Unpooled.EMPTY_BUFFER;
+        digest.reset();
     }
 
     /**
@@ -52,7 +55,8 @@
         if (!(content instanceof LastHttpContent)) {
             return Optional.empty();
         }
-        final ReceivedRequest received = new ReceivedRequest(head, body);
+        final ReceivedRequest received =
+                new ReceivedRequest(head, new RequestBody(body, digest.digest()));
         head = null;
         body = Unpooled.EMPTY_BUFFER;
         return Optional.of(received);
@@ -69,6 +73,7 @@
         if (body == Unpooled.EMPTY_BUFFER) {
             body = Unpooled.buffer(data.readableBytes());
         }
+        digest.update(data.nioBuffer());
         body.writeBytes(data);
     }
 
--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
@@ -27,24 +27,25 @@
     private RequestForwarding(
             ForwardingEnvironment environment,
             IngressRequest request,
-            ByteBuf body,
+            RequestBody body,
             ClientAnswer client) {
         final PauseMeter pauses = new PauseMeter();
         this.environment = environment;
-        this.served = new ForwardedRequest(environment, request);
+        this.served = new ForwardedRequest(environment, request, body.digest());
         this.succession = new AttemptSuccession(served, this);
-        this.end = new RequestEnd(served, body, client, succession, pauses);
+        this.end = new RequestEnd(served, body.bytes(), client, succession, pauses);
         this.targets = new TargetWait(served, end, this);
         this.failures = new AttemptFailures(served, succession, end, targets);
         this.stream = new StreamForwarding(served, client, succession, failures, end, pauses);
-        this.sender = new AttemptSender(environment, request, body, served.admission(), this);
+        this.sender =
+                new AttemptSender(environment, request, body.bytes(), served.admission(), this);
     }
 
     /** Starts serving a request; takes over the reference to its body. */
     static RequestForwarding start(
             ForwardingEnvironment environment,
             IngressRequest request,
-            ByteBuf body,
+            RequestBody body,
             ClientAnswer client) {
         final RequestForwarding forwarding =
                 new RequestForwarding(environment, request, body, client);
@@ -242,6 +243,7 @@
     /** Starts the time limit and charges the request. */
     private void admit() {
         served.admission().identify(arrivedNanos());
+        served.identifyTraits();
         served.guard().requireAllowed();
         request().lastEventId().ifPresent(succession.splitter()::resumeAfter);
         end.startTimeLimit();
--- a/daemon/src/main/java/org/crocushaven/instance/ForwardingLog.java
+++ b/daemon/src/main/java/org/crocushaven/instance/ForwardingLog.java
@@ -8,10 +8,12 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Locale;
 import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
 import org.crocushaven.fleet.BackendRecord;
+import org.crocushaven.fleet.Trait;
 import org.crocushaven.forwarding.ForwardingObserver;
 import org.crocushaven.forwarding.ForwardingSummary;
 import org.crocushaven.forwarding.UnfinishedWork;
@@ -189,6 +191,7 @@
     @Override
     public void attemptFailed(
             IngressRequest request,
+            List<Long> traits,
             BackendRecord backend,
             int attempt,
             boolean mayHaveRun,
@@ -204,6 +207,7 @@
                 .with("started_ms", backend.startedMillis())
                 .with("model", request.model().map(Object::toString).orElse("-"))
                 .with("parts", PromptPart.list(request.promptParts()))
+                .with("traits", Trait.list(traits))
                 .info();
     }
 
--- a/daemon/src/test/java/org/crocushaven/forwarding/ChatRequestBuilder.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/ChatRequestBuilder.java
@@ -11,7 +11,10 @@
 
 /** Builds requests that clients send to the route of {@link ChatRouteBuilder}. */
 final class ChatRequestBuilder {
+    private static final String PATH = "/chat/x";
+
     private String requestId = "request";
+    private String target = PATH;
     private Optional<String> key = Optional.empty();
     private Optional<ModelReference> model = Optional.empty();
     private List<PromptPart> promptParts = List.of();
@@ -35,6 +38,12 @@
         return this;
     }
 
+    /** Sets the path with its query. */
+    ChatRequestBuilder target(String pathAndQuery) {
+        target = pathAndQuery;
+        return this;
+    }
+
     ChatRequestBuilder key(String ofOrganisation) {
         key = Optional.of(ofOrganisation);
         return this;
@@ -61,9 +70,9 @@
         return new IngressRequest(
                 requestId,
                 HttpMethod.POST,
-                "/chat/x",
+                target,
                 "host",
-                "/chat/x",
+                PATH,
                 new DefaultHttpHeaders(),
                 OptionalLong.empty(),
                 key,
--- a/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
@@ -1,7 +1,6 @@
 package org.crocushaven.forwarding;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -322,7 +321,7 @@
                                         RequestForwarding.start(
                                                 environment(),
                                                 request(),
-                                                Unpooled.EMPTY_BUFFER,
+                                                RequestBody.empty(),
                                                 answer))
                 .get();
         return answer;
@@ -515,6 +514,7 @@
         @Override
         public void attemptFailed(
                 IngressRequest request,
+                List<Long> traits,
                 BackendRecord backend,
                 int attempt,
                 boolean mayHaveRun,
--- a/daemon/src/test/java/org/crocushaven/forwarding/IgnoringObserver.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/IgnoringObserver.java
@@ -1,5 +1,6 @@
 package org.crocushaven.forwarding;
 
+import java.util.List;
 import java.util.OptionalDouble;
 import org.crocushaven.fleet.BackendRecord;
 import org.crocushaven.ingress.IngressRequest;
@@ -31,6 +32,7 @@
     @Override
     public void attemptFailed(
             IngressRequest request,
+            List<Long> traits,
             BackendRecord backend,
             int attempt,
             boolean mayHaveRun,
--- a/daemon/src/test/java/org/crocushaven/forwarding/NoticeFixture.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/NoticeFixture.java
@@ -1,7 +1,6 @@
 package org.crocushaven.forwarding;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -135,7 +134,7 @@
         loop.execute(
                 () -> {
                     RequestForwarding.start(
-                            environment, ingressRequest(), Unpooled.EMPTY_BUFFER, client);
+                            environment, ingressRequest(), RequestBody.empty(), client);
                     next.run();
                 });
         return new PendingResult(client);
--- a/daemon/src/test/java/org/crocushaven/forwarding/RequestForwardingTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/RequestForwardingTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -102,7 +101,7 @@
                             backend(LEAVING, BackendState.READY),
                             backend(STAYING, BackendState.READY));
                     RequestForwarding.start(
-                            environment(), request(), Unpooled.EMPTY_BUFFER, new RefusalRecorder());
+                            environment(), request(), RequestBody.empty(), new RefusalRecorder());
                     change.run();
                 });
     }
