--- a/daemon/src/main/java/org/crocushaven/fleet/BackendCrash.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/BackendCrash.java
@@ -59,9 +59,10 @@
     }
 
     /** Returns the verdicts that explain the crash, since a request under them was there. */
-    Set<PartVerdict> explainedBy(VerdictIndex verdicts) {
-        final Set<PartVerdict> explaining = new HashSet<>();
-        broken.forEach(request -> explaining.addAll(verdicts.on(request.model(), request.parts())));
+    Set<TraitVerdict> explainedBy(VerdictIndex verdicts) {
+        final Set<TraitVerdict> explaining = new HashSet<>();
+        broken.forEach(
+                request -> explaining.addAll(verdicts.on(request.model(), request.traits())));
         return explaining;
     }
 }
--- a/daemon/src/main/java/org/crocushaven/fleet/BrokenStart.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/BrokenStart.java
@@ -9,14 +9,14 @@
  * @param start the start of the backend server that had the request
  * @param request a hash of the request's identifier
  * @param model name of the base model; empty if the request names none
- * @param parts identifiers of the parts of its prompt, without the last and without those on which
- *     an answer went on at the reporting gateway
+ * @param traits identifiers of the traits, without the last and without those on which an answer
+ *     went on at the reporting gateway
  * @param ageMillis time since the connection ended, when it is reported
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record BrokenStart(
-        BackendStart start, long request, String model, List<Long> parts, long ageMillis) {
+        BackendStart start, long request, String model, List<Long> traits, long ageMillis) {
     public BrokenStart {
-        parts = List.copyOf(parts);
+        traits = List.copyOf(traits);
     }
 }
--- a/daemon/src/main/java/org/crocushaven/fleet/CrashEvidence.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/CrashEvidence.java
@@ -31,7 +31,7 @@
             };
 
     /** Takes in a gateway's report; returns whether anything was new. */
-    boolean add(PartReport report, long nowNanos) {
+    boolean add(TraitReport report, long nowNanos) {
         boolean isNew = false;
         for (final BrokenStart broken : report.broken()) {
             isNew |= at(broken, nowNanos).add(broken);
--- a/daemon/src/main/java/org/crocushaven/fleet/FleetCommand.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/FleetCommand.java
@@ -13,7 +13,7 @@
  * @param gatewaysRemoved gateways that no longer hold shares
  * @param departuresAdded announcements of backend servers that leave or have left
  * @param departuresRemoved those that no longer have to be remembered
- * @param verdicts change of the verdicts on parts of prompts
+ * @param verdicts change of the verdicts on traits of requests
  * @param softwareVersions software versions in use; null if the command does not change them
  * @param snapshotRevision revision of the state of which this is a snapshot; 0 in a change, and in
  *     snapshots of software without this component
@@ -107,7 +107,7 @@
                 0);
     }
 
-    /** Returns the command that changes the verdicts on parts of prompts. */
+    /** Returns the command that changes the verdicts on traits of requests. */
     public static FleetCommand verdicts(VerdictChange change) {
         return withoutLists(change, null);
     }
--- a/daemon/src/main/java/org/crocushaven/fleet/FleetLeader.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/FleetLeader.java
@@ -37,7 +37,7 @@
     private final BackendChanges changes;
     private final LeaderLoad load;
     private final StreamDirectory streams;
-    private final PartVerdicts verdicts;
+    private final TraitVerdicts verdicts;
     private long configuredRevision = -1;
     private Optional<IngressConfiguration> configuration = Optional.empty();
     private long passedNanos;
@@ -50,7 +50,7 @@
      *     of an earlier leader may still arrive
      * @param registration proposes changes of the gateways that may hold shares
      * @param streams where the streams began that gateways reported in this term
-     * @param verdicts decides on parts of prompts in this term
+     * @param verdicts decides on traits of requests in this term
      */
     FleetLeader(
             EngineOrderContext orders,
@@ -61,7 +61,7 @@
             double rateSlack,
             Consumer<FleetCommand> registration,
             StreamDirectory streams,
-            PartVerdicts verdicts) {
+            TraitVerdicts verdicts) {
         this.epoch = orders.token();
         this.registry = registry;
         this.state = state;
--- a/daemon/src/main/java/org/crocushaven/fleet/FleetState.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/FleetState.java
@@ -12,8 +12,8 @@
 
 /**
  * The replicated state of a fleet: the newest configuration, the newest adapter versions, the
- * gateways that may hold shares, the backend servers that leave, the verdicts on parts of prompts,
- * and the software versions in use.
+ * gateways that may hold shares, the backend servers that leave, the verdicts on traits of
+ * requests, and the software versions in use.
  *
  * <p>A configuration or adapter version that is not higher than the current one changes nothing.
  * Thread-safe; guarded by its own monitor.
@@ -30,8 +30,8 @@
     private final Set<String> gateways = new TreeSet<>();
     private Set<String> gatewaysView = Set.of();
     private final Map<String, BackendAnnouncement> departures = new TreeMap<>();
-    private final Map<List<Long>, PartVerdict> verdicts = new LinkedHashMap<>();
-    private List<PartVerdict> verdictList = List.of();
+    private final Map<List<Long>, TraitVerdict> verdicts = new LinkedHashMap<>();
+    private List<TraitVerdict> verdictList = List.of();
     private volatile SoftwareVersionsInUse softwareVersions = SoftwareVersionsInUse.NONE_KNOWN;
 
     /** The last term that began, as far as applied. */
@@ -180,7 +180,7 @@
             return;
         }
         change.removed().forEach(verdicts::remove);
-        change.put().forEach(verdict -> verdicts.put(verdict.parts(), verdict));
+        change.put().forEach(verdict -> verdicts.put(verdict.traits(), verdict));
         verdictList = List.copyOf(verdicts.values());
         revision = index;
     }
@@ -202,12 +202,12 @@
      * @param configurationVersion version of the configuration; 0 when none is known
      * @param document the configuration as the operator sent it, compressed
      * @param adapterVersions versions that the operator requires
-     * @param verdicts verdicts on parts of prompts
+     * @param verdicts verdicts on traits of requests
      */
     public record View(
             long revision,
             long configurationVersion,
             byte[] document,
             List<AdapterVersion> adapterVersions,
-            List<PartVerdict> verdicts) {}
+            List<TraitVerdict> verdicts) {}
 }
--- a/daemon/src/main/java/org/crocushaven/fleet/GatewayReport.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/GatewayReport.java
@@ -18,7 +18,7 @@
  * @param shares its report on organisations' shares
  * @param streams streams that began since the last acknowledged report; none if the gateway runs
  *     software without this component
- * @param parts what it knows of parts of prompts that may end backend servers; nothing if the
+ * @param traits what it knows of traits of requests that may end backend servers; nothing if the
  *     gateway runs software without this component
  * @param limits backend servers that name limits; none if the gateway runs software without this
  *     component
@@ -34,14 +34,14 @@
         List<AdapterUse> uses,
         ShareReport shares,
         List<BegunStreams> streams,
-        PartReport parts,
+        TraitReport traits,
         List<LimitUse> limits)
         implements Message {
     public GatewayReport {
         loads = List.copyOf(loads);
         uses = List.copyOf(uses);
         streams = streams == null ? List.of() : List.copyOf(streams);
-        parts = parts == null ? PartReport.EMPTY : parts;
+        traits = traits == null ? TraitReport.EMPTY : traits;
         limits = limits == null ? List.of() : List.copyOf(limits);
     }
 }
--- a/daemon/src/main/java/org/crocushaven/fleet/GatewayUpdate.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/GatewayUpdate.java
@@ -25,8 +25,8 @@
  * @param gateways number of gateways that report to this leader
  * @param controlInstances names of the instances that hold control state
  * @param shares answer on organisations' shares; empty while the gateway may not hold any
- * @param parts parts of prompts that may end backend servers; nothing if the leader runs software
- *     without this component
+ * @param traits traits of requests that may end backend servers; nothing if the leader runs
+ *     software without this component
  * @param limits backend servers that name limits, and the requests that the gateway may send there;
  *     none if the leader runs software without this component
  */
@@ -46,7 +46,7 @@
         int gateways,
         List<String> controlInstances,
         Optional<ShareGrant> shares,
-        PartUpdate parts,
+        TraitUpdate traits,
         List<LimitGrant> limits)
         implements Message {
     public GatewayUpdate {
@@ -55,7 +55,7 @@
         gone = List.copyOf(gone);
         otherLoads = List.copyOf(otherLoads);
         controlInstances = List.copyOf(controlInstances);
-        parts = parts == null ? PartUpdate.EMPTY : parts;
+        traits = traits == null ? TraitUpdate.EMPTY : traits;
         limits = limits == null ? List.of() : List.copyOf(limits);
     }
 }
--- a/daemon/src/main/java/org/crocushaven/fleet/LeaderTerms.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/LeaderTerms.java
@@ -42,8 +42,8 @@
 
     private long streamsTerm;
 
-    /** Decides on parts of prompts, for the last term in which this instance led. */
-    private PartVerdicts verdicts;
+    /** Decides on traits of requests, for the last term in which this instance led. */
+    private TraitVerdicts verdicts;
 
     private long distrustedUntilNanos;
 
@@ -156,10 +156,10 @@
     }
 
     /** Keeps the evidence of the same term, because gateways do not report it again. */
-    private PartVerdicts verdictsOf(long term) {
+    private TraitVerdicts verdictsOf(long term) {
         if (verdicts == null || verdicts.epoch() != term) {
             verdicts =
-                    new PartVerdicts(
+                    new TraitVerdicts(
                             settings.instance(),
                             term,
                             state,
--- a/daemon/src/main/java/org/crocushaven/fleet/ModelPart.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/ModelTrait.java
@@ -3,10 +3,10 @@
 import com.fasterxml.jackson.annotation.JsonFormat;
 
 /**
- * A part of a prompt at one base model.
+ * A trait of a request at one base model.
  *
  * @param model name of the base model; empty if the request names none
- * @param part identifier of the part
+ * @param trait identifier of the trait
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-public record ModelPart(String model, long part) {}
+public record ModelTrait(String model, long trait) {}
--- a/daemon/src/main/java/org/crocushaven/fleet/ProbeSchedule.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/ProbeSchedule.java
@@ -12,7 +12,7 @@
 
 /**
  * Decides for the leader of a term when a single request may show whether a verdict still holds,
- * and when a verdict is forgotten since nobody asks for its parts any more.
+ * and when a verdict is forgotten since nobody asks for its traits any more.
  *
  * <p>A probe may end a backend server, so there are at most two for each verdict. The intervals
  * begin anew with each term. Not thread-safe.
@@ -32,8 +32,8 @@
     private final Map<String, Set<List<Long>>> granted = new HashMap<>();
 
     /** Records that a gateway refused requests under a verdict. */
-    void refused(List<Long> parts, String gateway, long nowNanos) {
-        final Entry entry = entries.get(parts);
+    void refused(List<Long> traits, String gateway, long nowNanos) {
+        final Entry entry = entries.get(traits);
         if (entry != null) {
             entry.refusedNanos = nowNanos;
             entry.gateway = gateway;
@@ -41,22 +41,22 @@
     }
 
     /** Takes over the verdicts in force. */
-    void retain(Collection<PartVerdict> verdicts, long nowNanos) {
-        final Set<List<Long>> parts = new HashSet<>();
-        for (final PartVerdict verdict : verdicts) {
-            parts.add(verdict.parts());
-            entries.computeIfAbsent(verdict.parts(), added -> new Entry(nowNanos));
+    void retain(Collection<TraitVerdict> verdicts, long nowNanos) {
+        final Set<List<Long>> traits = new HashSet<>();
+        for (final TraitVerdict verdict : verdicts) {
+            traits.add(verdict.traits());
+            entries.computeIfAbsent(verdict.traits(), added -> new Entry(nowNanos));
         }
-        entries.keySet().retainAll(parts);
+        entries.keySet().retainAll(traits);
     }
 
     /** Returns a verdict of which a probe is due. */
-    Optional<PartVerdict> due(Collection<PartVerdict> verdicts, long nowNanos) {
+    Optional<TraitVerdict> due(Collection<TraitVerdict> verdicts, long nowNanos) {
         return verdicts.stream().filter(verdict -> isDue(verdict, nowNanos)).findFirst();
     }
 
-    private boolean isDue(PartVerdict verdict, long nowNanos) {
-        final Entry entry = entries.get(verdict.parts());
+    private boolean isDue(TraitVerdict verdict, long nowNanos) {
+        final Entry entry = entries.get(verdict.traits());
         return entry != null
                 && verdict.probes() < INTERVAL_NANOS.length
                 && nowNanos - entry.sinceNanos >= INTERVAL_NANOS[verdict.probes()]
@@ -65,31 +65,31 @@
     }
 
     /** Grants a committed probe to the gateway that refused last; returns its name. */
-    String grant(List<Long> parts, long nowNanos) {
-        final Entry entry = entries.get(parts);
+    String grant(List<Long> traits, long nowNanos) {
+        final Entry entry = entries.get(traits);
         if (entry == null) {
             return "";
         }
         entry.sinceNanos = nowNanos;
-        granted.computeIfAbsent(entry.gateway, name -> new HashSet<>()).add(parts);
+        granted.computeIfAbsent(entry.gateway, name -> new HashSet<>()).add(traits);
         return entry.gateway;
     }
 
     /** Returns the verdicts of which a gateway may send a probe; each grant is returned once. */
-    List<PartVerdict> takeGrants(String gateway, Collection<PartVerdict> verdicts) {
+    List<TraitVerdict> takeGrants(String gateway, Collection<TraitVerdict> verdicts) {
         final Set<List<Long>> taken = granted.remove(gateway);
         return taken == null
                 ? List.of()
-                : verdicts.stream().filter(verdict -> taken.contains(verdict.parts())).toList();
+                : verdicts.stream().filter(verdict -> taken.contains(verdict.traits())).toList();
     }
 
-    /** Returns the parts of verdicts under which no request has been refused for long. */
+    /** Returns the traits of verdicts under which no request has been refused for long. */
     List<List<Long>> forgotten(long nowNanos) {
         final List<List<Long>> forgotten = new ArrayList<>();
         entries.forEach(
-                (parts, entry) -> {
+                (traits, entry) -> {
                     if (nowNanos - entry.refusedNanos > FORGOTTEN_NANOS) {
-                        forgotten.add(parts);
+                        forgotten.add(traits);
                     }
                 });
         return forgotten;
--- a/daemon/src/main/java/org/crocushaven/fleet/PartSuspect.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/TraitSuspect.java
@@ -3,11 +3,11 @@
 import com.fasterxml.jackson.annotation.JsonFormat;
 
 /**
- * A part of a prompt that backend servers were answering on when they ended, and on which no answer
- * is known to have gone on.
+ * A trait of a request that backend servers were answering on when they ended, and on which no
+ * answer is known to have gone on.
  *
- * @param part identifier of the part
+ * @param trait identifier of the trait
  * @param crashes number of backend servers that ended; those of one moment count once
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-public record PartSuspect(long part, int crashes) {}
+public record TraitSuspect(long trait, int crashes) {}
--- a/daemon/src/main/java/org/crocushaven/fleet/PartSuspicion.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/TraitSuspicion.java
@@ -15,19 +15,19 @@
 import java.util.function.Predicate;
 
 /**
- * Weighs which parts of prompts may be guilty of crashes: those that were in several crashes and on
- * which no answer went on.
+ * Weighs which traits of requests may be guilty of crashes: those that were in several crashes and
+ * on which no answer went on.
  *
  * <p>Crashes of one moment count once, since failure domains end at once. A crash that a verdict
- * explains counts against the parts of that verdict only, if there are several. Immutable.
+ * explains counts against the traits of that verdict only, if there are several. Immutable.
  */
-final class PartSuspicion {
+final class TraitSuspicion {
     /** Crashes within this time are taken for one event. */
     private static final long ONE_EVENT_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
     private final Map<Long, Suspect> suspects;
 
-    private PartSuspicion(Map<Long, Suspect> suspects) {
+    private TraitSuspicion(Map<Long, Suspect> suspects) {
         this.suspects = suspects;
     }
 
@@ -35,43 +35,43 @@
      * Weighs crashes.
      *
      * @param crashes crashes in the order in which the connections ended
-     * @param isSound whether an answer on a part went on lately
+     * @param isSound whether an answer on a trait went on lately
      */
-    static PartSuspicion of(
+    static TraitSuspicion of(
             List<BackendCrash> crashes,
-            Collection<PartVerdict> verdicts,
-            Predicate<ModelPart> isSound) {
+            Collection<TraitVerdict> verdicts,
+            Predicate<ModelTrait> isSound) {
         final Map<Long, Suspect> suspects = new TreeMap<>();
         final VerdictIndex index = VerdictIndex.of(verdicts);
         for (final BackendCrash crash : crashes) {
             final Set<Long> explaining = new HashSet<>();
-            final Set<PartVerdict> explained = crash.explainedBy(index);
+            final Set<TraitVerdict> explained = crash.explainedBy(index);
             explained.stream()
-                    .filter(verdict -> verdict.parts().size() > 1)
-                    .forEach(verdict -> explaining.addAll(verdict.parts()));
+                    .filter(verdict -> verdict.traits().size() > 1)
+                    .forEach(verdict -> explaining.addAll(verdict.traits()));
             for (final BrokenStart broken : crash.broken()) {
-                final Set<Long> unsound = unsoundParts(broken, isSound);
-                for (final long part : unsound) {
-                    if (explained.isEmpty() || explaining.contains(part)) {
-                        suspects.computeIfAbsent(part, Suspect::new).add(crash, broken, unsound);
+                final Set<Long> unsound = unsoundTraits(broken, isSound);
+                for (final long trait : unsound) {
+                    if (explained.isEmpty() || explaining.contains(trait)) {
+                        suspects.computeIfAbsent(trait, Suspect::new).add(crash, broken, unsound);
                     }
                 }
             }
         }
-        return new PartSuspicion(suspects);
+        return new TraitSuspicion(suspects);
     }
 
-    private static Set<Long> unsoundParts(BrokenStart broken, Predicate<ModelPart> isSound) {
-        final Set<Long> unsound = new TreeSet<>(broken.parts());
-        unsound.removeIf(part -> isSound.test(new ModelPart(broken.model(), part)));
+    private static Set<Long> unsoundTraits(BrokenStart broken, Predicate<ModelTrait> isSound) {
+        final Set<Long> unsound = new TreeSet<>(broken.traits());
+        unsound.removeIf(trait -> isSound.test(new ModelTrait(broken.model(), trait)));
         return unsound;
     }
 
     /** Returns the suspects with the most crashes, at most the given number. */
-    List<PartSuspect> strongest(int maximum) {
+    List<TraitSuspect> strongest(int maximum) {
         return inOrder().stream()
                 .limit(maximum)
-                .map(suspect -> new PartSuspect(suspect.part, suspect.events))
+                .map(suspect -> new TraitSuspect(suspect.trait, suspect.events))
                 .toList();
     }
 
@@ -82,7 +82,7 @@
      */
     Optional<Suspect> strongest(int crashes, Predicate<Long> isEligible) {
         final List<Suspect> inOrder =
-                inOrder().stream().filter(suspect -> isEligible.test(suspect.part)).toList();
+                inOrder().stream().filter(suspect -> isEligible.test(suspect.trait)).toList();
         if (inOrder.isEmpty()) {
             return Optional.empty();
         }
@@ -91,7 +91,7 @@
                 inOrder.stream()
                         .allMatch(
                                 other ->
-                                        first.together.contains(other.part)
+                                        first.together.contains(other.trait)
                                                 || first.compareTo(other) < 0
                                                 || first.sharesNoCrashWith(other));
         return first.events >= crashes && first.requests.size() >= crashes && isAlone
@@ -103,9 +103,9 @@
         return suspects.values().stream().sorted().toList();
     }
 
-    /** What speaks against one part. */
+    /** What speaks against one trait. */
     static final class Suspect implements Comparable<Suspect> {
-        private final long part;
+        private final long trait;
         private final Set<Long> requests = new HashSet<>();
         private final Set<String> models = new TreeSet<>();
         private final Map<BackendStart, Long> crashes = new HashMap<>();
@@ -113,8 +113,8 @@
         private long eventNanos;
         private int events;
 
-        private Suspect(long part) {
-            this.part = part;
+        private Suspect(long trait) {
+            this.trait = trait;
         }
 
         private void add(BackendCrash crash, BrokenStart broken, Set<Long> beside) {
@@ -136,8 +136,8 @@
             return Collections.disjoint(crashes.keySet(), other.crashes.keySet());
         }
 
-        /** Returns the parts that were in all the same requests, ascending. */
-        List<Long> parts() {
+        /** Returns the traits that were in all the same requests, ascending. */
+        List<Long> traits() {
             return new ArrayList<>(together);
         }
 
--- a/daemon/src/main/java/org/crocushaven/fleet/PartTrial.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/TraitTrial.java
@@ -11,13 +11,13 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Decides for the leader of a term which parts of prompts end backend servers, and which of the
+ * Decides for the leader of a term which traits of requests end backend servers, and which of the
  * earlier verdicts no longer hold.
  *
- * <p>A part is condemned once it was in three crashes under three different requests, all gateways
+ * <p>A trait is condemned once it was in three crashes under three different requests, all gateways
  * have compared it with their memories, and none has seen an answer on it go on. Not thread-safe.
  */
-final class PartTrial {
+final class TraitTrial {
     /** Crashes on which a verdict rests. */
     static final int CRASHES = 3;
 
@@ -26,7 +26,7 @@
 
     private static final int MAXIMUM_SUSPECTS = 64;
 
-    /** Parts on which answers went on, as gateways say in every report: only suspects' parts. */
+    /** Traits on which answers went on, as gateways say in every report: only suspects' traits. */
     private static final int MAXIMUM_SOUND = 4_096;
 
     /** Gateways repeat what they know with each report. */
@@ -37,10 +37,10 @@
 
     private final String instance;
     private final CrashEvidence evidence = new CrashEvidence();
-    private final SoundParts sound = SoundParts.of(MAXIMUM_SOUND, SOUND_MILLIS);
+    private final SoundTraits sound = SoundTraits.of(MAXIMUM_SOUND, SOUND_MILLIS);
     private final Map<String, Long> answered = new HashMap<>();
     private final Map<Long, Suspected> suspectedSince = new HashMap<>();
-    private List<PartSuspect> suspects = List.of();
+    private List<TraitSuspect> suspects = List.of();
     private long revision = 1;
 
     /**
@@ -48,7 +48,7 @@
      *
      * @param instance the instance that leads
      */
-    PartTrial(String instance) {
+    TraitTrial(String instance) {
         this.instance = instance;
     }
 
@@ -57,15 +57,15 @@
         return revision;
     }
 
-    /** Returns the parts under suspicion. */
-    List<PartSuspect> suspects() {
+    /** Returns the traits under suspicion. */
+    List<TraitSuspect> suspects() {
         return suspects;
     }
 
     /** Takes in a gateway's report; returns whether it tells anything new of crashes. */
-    boolean report(String gateway, PartReport report, long nowNanos) {
+    boolean report(String gateway, TraitReport report, long nowNanos) {
         answered.put(gateway, report.suspectsRevision());
-        report.wentOn().forEach(part -> sound.add(part, nowNanos));
+        report.wentOn().forEach(trait -> sound.add(trait, nowNanos));
         return evidence.add(report, nowNanos);
     }
 
@@ -82,50 +82,50 @@
      * @param nowMillis Unix time, in milliseconds
      */
     VerdictChange weigh(
-            Collection<PartVerdict> verdicts,
+            Collection<TraitVerdict> verdicts,
             Collection<String> gateways,
             long nowNanos,
             long nowMillis) {
         evidence.expire(nowNanos);
         answered.keySet().retainAll(gateways);
-        final List<PartVerdict> put = new ArrayList<>();
+        final List<TraitVerdict> put = new ArrayList<>();
         final List<List<Long>> removed = new ArrayList<>();
-        final List<PartVerdict> standing = acquit(verdicts, put, removed, nowNanos);
-        final PartSuspicion suspicion =
-                PartSuspicion.of(
-                        evidence.crashes(), standing, part -> sound.contains(part, nowNanos));
+        final List<TraitVerdict> standing = acquit(verdicts, put, removed, nowNanos);
+        final TraitSuspicion suspicion =
+                TraitSuspicion.of(
+                        evidence.crashes(), standing, trait -> sound.contains(trait, nowNanos));
         suspect(suspicion.strongest(MAXIMUM_SUSPECTS), nowNanos);
         suspicion
-                .strongest(CRASHES, part -> isAnswered(part, gateways, nowNanos))
+                .strongest(CRASHES, trait -> isAnswered(trait, gateways, nowNanos))
                 .flatMap(found -> condemn(found, standing, nowNanos, nowMillis))
                 .ifPresent(verdict -> add(verdict, standing, put, removed));
         return new VerdictChange(put, removed);
     }
 
     /** Takes out of the verdicts what answers have shown to be sound; returns those that stand. */
-    private List<PartVerdict> acquit(
-            Collection<PartVerdict> verdicts,
-            List<PartVerdict> put,
+    private List<TraitVerdict> acquit(
+            Collection<TraitVerdict> verdicts,
+            List<TraitVerdict> put,
             List<List<Long>> removed,
             long nowNanos) {
-        final List<PartVerdict> standing = new ArrayList<>();
-        for (final PartVerdict verdict : verdicts) {
-            final Set<Long> soundParts = new HashSet<>();
+        final List<TraitVerdict> standing = new ArrayList<>();
+        for (final TraitVerdict verdict : verdicts) {
+            final Set<Long> soundTraits = new HashSet<>();
             final Set<String> spared = new HashSet<>(verdict.sparedModels());
-            for (final long part : verdict.parts()) {
-                final List<String> models = sound.modelsOf(part, nowNanos);
+            for (final long trait : verdict.traits()) {
+                final List<String> models = sound.modelsOf(trait, nowNanos);
                 if (models.stream().anyMatch(verdict.models()::contains)) {
-                    soundParts.add(part);
+                    soundTraits.add(trait);
                 } else {
                     spared.addAll(models);
                 }
             }
-            final PartVerdict left =
-                    verdict.withoutParts(soundParts).sparing(spared.stream().sorted().toList());
-            if (!left.parts().equals(verdict.parts())) {
-                removed.add(verdict.parts());
+            final TraitVerdict left =
+                    verdict.withoutTraits(soundTraits).sparing(spared.stream().sorted().toList());
+            if (!left.traits().equals(verdict.traits())) {
+                removed.add(verdict.traits());
             }
-            if (!left.parts().isEmpty()) {
+            if (!left.traits().isEmpty()) {
                 standing.add(left);
                 if (!left.equals(verdict)) {
                     put.add(left);
@@ -135,22 +135,22 @@
         return standing;
     }
 
-    private void suspect(List<PartSuspect> found, long nowNanos) {
+    private void suspect(List<TraitSuspect> found, long nowNanos) {
         if (found.equals(suspects)) {
             return;
         }
         suspects = found;
         revision++;
-        final Set<Long> parts = new HashSet<>();
-        for (final PartSuspect suspect : found) {
-            parts.add(suspect.part());
-            suspectedSince.putIfAbsent(suspect.part(), new Suspected(revision, nowNanos));
+        final Set<Long> traits = new HashSet<>();
+        for (final TraitSuspect suspect : found) {
+            traits.add(suspect.trait());
+            suspectedSince.putIfAbsent(suspect.trait(), new Suspected(revision, nowNanos));
         }
-        suspectedSince.keySet().retainAll(parts);
+        suspectedSince.keySet().retainAll(traits);
     }
 
-    private boolean isAnswered(long part, Collection<String> gateways, long nowNanos) {
-        final Suspected since = suspectedSince.get(part);
+    private boolean isAnswered(long trait, Collection<String> gateways, long nowNanos) {
+        final Suspected since = suspectedSince.get(trait);
         return since != null
                 && (nowNanos - since.nanos() >= ANSWER_NANOS
                         || gateways.stream()
@@ -160,46 +160,52 @@
                                                         >= since.revision()));
     }
 
-    private Optional<PartVerdict> condemn(
-            PartSuspicion.Suspect found,
-            List<PartVerdict> standing,
+    private Optional<TraitVerdict> condemn(
+            TraitSuspicion.Suspect found,
+            List<TraitVerdict> standing,
             long nowNanos,
             long nowMillis) {
-        final List<Long> parts = found.parts();
-        if (standing.stream().anyMatch(verdict -> parts.containsAll(verdict.parts()))) {
+        final List<Long> traits = found.traits();
+        if (standing.stream().anyMatch(verdict -> traits.containsAll(verdict.traits()))) {
             return Optional.empty();
         }
         final List<String> spared =
-                parts.stream()
-                        .flatMap(part -> sound.modelsOf(part, nowNanos).stream())
+                traits.stream()
+                        .flatMap(trait -> sound.modelsOf(trait, nowNanos).stream())
                         .distinct()
                         .sorted()
                         .toList();
         return Optional.of(
-                new PartVerdict(
-                        parts, found.models(), spared, found.crashCount(), instance, nowMillis, 0));
+                new TraitVerdict(
+                        traits,
+                        found.models(),
+                        spared,
+                        found.crashCount(),
+                        instance,
+                        nowMillis,
+                        0));
     }
 
     /** Adds a verdict in place of those that it includes, and of the oldest if there are many. */
     private static void add(
-            PartVerdict verdict,
-            List<PartVerdict> standing,
-            List<PartVerdict> put,
+            TraitVerdict verdict,
+            List<TraitVerdict> standing,
+            List<TraitVerdict> put,
             List<List<Long>> removed) {
-        for (final PartVerdict other : standing) {
-            if (other.parts().containsAll(verdict.parts())) {
-                removed.add(other.parts());
+        for (final TraitVerdict other : standing) {
+            if (other.traits().containsAll(verdict.traits())) {
+                removed.add(other.traits());
                 put.remove(other);
             }
         }
         if (standing.size() >= MAXIMUM_VERDICTS) {
             standing.stream()
                     .min((left, right) -> Long.compare(left.decidedMillis(), right.decidedMillis()))
-                    .ifPresent(oldest -> removed.add(oldest.parts()));
+                    .ifPresent(oldest -> removed.add(oldest.traits()));
         }
         put.add(verdict);
     }
 
-    /** When a part became suspect: the revision that first named it, and the time. */
+    /** When a trait became suspect: the revision that first named it, and the time. */
     private record Suspected(long revision, long nanos) {}
 }
--- a/daemon/src/main/java/org/crocushaven/fleet/PartVerdicts.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/TraitVerdicts.java
@@ -11,11 +11,11 @@
 import org.crocushaven.observability.EventLine;
 
 /**
- * Performs the leader's part in protecting backend servers from parts of prompts that end them:
+ * Performs the leader's trait in protecting backend servers from traits of requests that end them:
  * hears gateways, decides, commits the verdicts so that every later leader has them, and tells the
  * gateways. One command is proposed at a time. Used on one event loop only.
  */
-public final class PartVerdicts {
+public final class TraitVerdicts {
     /** Shortest time between two weighings, which read all evidence. */
     private static final long WEIGH_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
@@ -25,7 +25,7 @@
     private final EpochClock epochClock;
     private final Function<FleetCommand, CompletableFuture<Void>> proposer;
     private final Runnable notice;
-    private final PartTrial trial;
+    private final TraitTrial trial;
     private final ProbeSchedule probes = new ProbeSchedule();
     private long weighedNanos;
     private boolean proposing;
@@ -37,7 +37,7 @@
      * @param proposer commits a command; the future completes on the event loop
      * @param notice tells the gateways that there is news
      */
-    public PartVerdicts(
+    public TraitVerdicts(
             String instance,
             long epoch,
             FleetState state,
@@ -51,7 +51,7 @@
         this.epochClock = epochClock;
         this.proposer = proposer;
         this.notice = notice;
-        this.trial = new PartTrial(instance);
+        this.trial = new TraitTrial(instance);
         this.weighedNanos = clock.nanoTime() - WEIGH_INTERVAL_NANOS;
     }
 
@@ -63,28 +63,28 @@
     /** Takes in a gateway's report. */
     public void report(GatewayReport report, Collection<String> gateways) {
         final long nowNanos = clock.nanoTime();
-        final PartReport parts = answeredHere(report);
-        final boolean isNew = trial.report(report.gateway(), parts, nowNanos);
-        parts.refused().forEach(refused -> probes.refused(refused, report.gateway(), nowNanos));
-        final boolean isOpen = !trial.suspects().isEmpty() || !parts.wentOn().isEmpty();
+        final TraitReport traits = answeredHere(report);
+        final boolean isNew = trial.report(report.gateway(), traits, nowNanos);
+        traits.refused().forEach(refused -> probes.refused(refused, report.gateway(), nowNanos));
+        final boolean isOpen = !trial.suspects().isEmpty() || !traits.wentOn().isEmpty();
         if ((isNew || isOpen) && nowNanos - weighedNanos >= WEIGH_INTERVAL_NANOS) {
             weigh(gateways);
         }
     }
 
     /** Returns a report with the revision of suspects only if this leader sent it. */
-    private PartReport answeredHere(GatewayReport report) {
-        final PartReport parts = report.parts();
+    private TraitReport answeredHere(GatewayReport report) {
+        final TraitReport traits = report.traits();
         return report.epoch() == epoch
-                ? parts
-                : new PartReport(
-                        parts.broken(), parts.ended(), -1, parts.wentOn(), parts.refused());
+                ? traits
+                : new TraitReport(
+                        traits.broken(), traits.ended(), -1, traits.wentOn(), traits.refused());
     }
 
     /** Returns what a gateway has to know. */
-    public PartUpdate update(GatewayReport report, boolean withState) {
-        final List<PartVerdict> verdicts = state.view().verdicts();
-        return new PartUpdate(
+    public TraitUpdate update(GatewayReport report, boolean withState) {
+        final List<TraitVerdict> verdicts = state.view().verdicts();
+        return new TraitUpdate(
                 trial.revision(),
                 trial.suspects(),
                 withState ? verdicts : List.of(),
@@ -100,10 +100,10 @@
     public void tick(Collection<String> gateways) {
         weigh(gateways);
         final long nowNanos = clock.nanoTime();
-        final List<PartVerdict> verdicts = state.view().verdicts();
+        final List<TraitVerdict> verdicts = state.view().verdicts();
         probes.retain(verdicts, nowNanos);
         final List<List<Long>> forgotten = probes.forgotten(nowNanos);
-        final Optional<PartVerdict> due = probes.due(verdicts, nowNanos);
+        final Optional<TraitVerdict> due = probes.due(verdicts, nowNanos);
         if (!forgotten.isEmpty()) {
             propose(new VerdictChange(List.of(), forgotten), () -> {});
         } else if (due.isPresent()) {
@@ -113,11 +113,11 @@
         }
     }
 
-    private void grant(PartVerdict verdict) {
-        EventLine.of("part-probe-granted")
-                .with("parts", verdict.partList())
+    private void grant(TraitVerdict verdict) {
+        EventLine.of("trait-probe-granted")
+                .with("traits", verdict.traitList())
                 .with("probe", verdict.probes() + 1)
-                .with("gateway", probes.grant(verdict.parts(), clock.nanoTime()))
+                .with("gateway", probes.grant(verdict.traits(), clock.nanoTime()))
                 .warn();
     }
 
@@ -152,10 +152,10 @@
     }
 
     private void logSuspects() {
-        for (final PartSuspect suspect : trial.suspects()) {
+        for (final TraitSuspect suspect : trial.suspects()) {
             if (suspect.crashes() > 1) {
-                EventLine.of("part-suspected")
-                        .with("part", Long.toHexString(suspect.part()))
+                EventLine.of("trait-suspected")
+                        .with("trait", Long.toHexString(suspect.trait()))
                         .with("crashes", suspect.crashes())
                         .with("revision", trial.revision())
                         .info();
@@ -164,9 +164,9 @@
     }
 
     private void log(VerdictChange change) {
-        for (final PartVerdict verdict : change.put()) {
-            EventLine.of("part-condemned")
-                    .with("parts", verdict.partList())
+        for (final TraitVerdict verdict : change.put()) {
+            EventLine.of("trait-condemned")
+                    .with("traits", verdict.traitList())
                     .with("models", String.join(",", verdict.models()))
                     .with("spared_models", String.join(",", verdict.sparedModels()))
                     .with("crashes", verdict.crashes())
@@ -177,8 +177,8 @@
                     .warn();
         }
         for (final List<Long> removed : change.removed()) {
-            EventLine.of("part-verdict-ended")
-                    .with("parts", removed.stream().map(Long::toHexString).toList())
+            EventLine.of("trait-verdict-ended")
+                    .with("traits", removed.stream().map(Long::toHexString).toList())
                     .with("epoch", epoch)
                     .warn();
         }
--- a/daemon/src/main/java/org/crocushaven/fleet/VerdictChange.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/VerdictChange.java
@@ -4,13 +4,13 @@
 import java.util.List;
 
 /**
- * A change of the verdicts on parts of prompts.
+ * A change of the verdicts on traits of requests.
  *
- * @param put verdicts that are added, or replace those on the same parts
- * @param removed the parts of verdicts that end
+ * @param put verdicts that are added, or replace those on the same traits
+ * @param removed the traits of verdicts that end
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-public record VerdictChange(List<PartVerdict> put, List<List<Long>> removed) {
+public record VerdictChange(List<TraitVerdict> put, List<List<Long>> removed) {
     /** Changes nothing. */
     static final VerdictChange NONE = new VerdictChange(List.of(), List.of());
 
--- a/daemon/src/main/java/org/crocushaven/forwarding/CondemnedParts.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/CondemnedTraits.java
@@ -8,17 +8,17 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import org.crocushaven.fleet.PartSuspect;
-import org.crocushaven.fleet.PartUpdate;
-import org.crocushaven.fleet.PartVerdict;
+import org.crocushaven.fleet.TraitSuspect;
+import org.crocushaven.fleet.TraitUpdate;
+import org.crocushaven.fleet.TraitVerdict;
 import org.crocushaven.fleet.VerdictIndex;
 
 /**
- * Knows which parts of prompts the leader suspects or has condemned for ending backend servers. Not
- * thread-safe.
+ * Knows which traits of requests the leader suspects or has condemned for ending backend servers.
+ * Not thread-safe.
  */
-final class CondemnedParts {
-    /** Crashes from which on requests with a suspect part are not repeated. */
+final class CondemnedTraits {
+    /** Crashes from which on requests with a suspect trait are not repeated. */
     private static final int REPEATED_CRASHES = 2;
 
     /** Time within which a granted probe may be sent. */
@@ -34,48 +34,48 @@
     private long suspectsRevision = -1;
 
     /** Applies what the leader tells. */
-    void apply(PartUpdate update, boolean hasState, long nowNanos) {
+    void apply(TraitUpdate update, boolean hasState, long nowNanos) {
         suspectsRevision = update.suspectsRevision();
         suspects.clear();
-        for (final PartSuspect suspect : update.suspects()) {
-            suspects.put(suspect.part(), suspect.crashes());
+        for (final TraitSuspect suspect : update.suspects()) {
+            suspects.put(suspect.trait(), suspect.crashes());
         }
         if (hasState) {
             verdicts = VerdictIndex.of(update.verdicts());
         }
-        for (final PartVerdict probe : update.probes()) {
-            probesUntilNanos.put(probe.parts(), nowNanos + PROBE_NANOS);
+        for (final TraitVerdict probe : update.probes()) {
+            probesUntilNanos.put(probe.traits(), nowNanos + PROBE_NANOS);
         }
     }
 
     /** Returns the verdict under which a request is refused. */
-    Optional<PartVerdict> verdictOn(SharedParts request) {
+    Optional<TraitVerdict> verdictOn(SharedParts request) {
         return verdicts.on(request.model(), request.parts()).stream().findFirst();
     }
 
     /** Records that a request was refused under a verdict. */
-    void recordRefused(PartVerdict verdict) {
+    void recordRefused(TraitVerdict verdict) {
         if (refused.size() < MAXIMUM_REFUSED) {
-            refused.add(verdict.parts());
+            refused.add(verdict.traits());
         }
     }
 
     /** Returns whether a request may go out as the probe of a verdict; each grant is for one. */
-    boolean takeProbe(PartVerdict verdict, long nowNanos) {
-        final Long untilNanos = probesUntilNanos.remove(verdict.parts());
+    boolean takeProbe(TraitVerdict verdict, long nowNanos) {
+        final Long untilNanos = probesUntilNanos.remove(verdict.traits());
         return untilNanos != null && nowNanos - untilNanos < 0;
     }
 
-    /** Returns whether a part is under suspicion after several crashes. */
-    boolean isSuspect(long part) {
-        return suspects.getOrDefault(part, 0) >= REPEATED_CRASHES;
+    /** Returns whether a trait is under suspicion after several crashes. */
+    boolean isSuspect(long trait) {
+        return suspects.getOrDefault(trait, 0) >= REPEATED_CRASHES;
     }
 
-    /** Returns the parts of all suspects and verdicts. */
-    Set<Long> parts() {
-        final Set<Long> parts = new HashSet<>(suspects.keySet());
-        verdicts.all().forEach(verdict -> parts.addAll(verdict.parts()));
-        return parts;
+    /** Returns the traits of all suspects and verdicts. */
+    Set<Long> traits() {
+        final Set<Long> traits = new HashSet<>(suspects.keySet());
+        verdicts.all().forEach(verdict -> traits.addAll(verdict.traits()));
+        return traits;
     }
 
     /** Returns the revision of the suspects; -1 before the first update. */
@@ -83,7 +83,7 @@
         return suspectsRevision;
     }
 
-    /** Returns the parts of verdicts under which requests were refused since the last call. */
+    /** Returns the traits of verdicts under which requests were refused since the last call. */
     List<List<Long>> drainRefused() {
         final List<List<Long>> drained = List.copyOf(refused);
         refused.clear();
--- a/daemon/src/main/java/org/crocushaven/forwarding/CrashGuard.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/CrashGuard.java
@@ -11,11 +11,11 @@
 import org.crocushaven.fleet.BackendRecord;
 import org.crocushaven.fleet.BackendStart;
 import org.crocushaven.fleet.GatewayUpdate;
-import org.crocushaven.fleet.ModelPart;
-import org.crocushaven.fleet.PartReport;
-import org.crocushaven.fleet.PartVerdict;
-import org.crocushaven.fleet.SoundParts;
+import org.crocushaven.fleet.ModelTrait;
+import org.crocushaven.fleet.SoundTraits;
 import org.crocushaven.fleet.StreamIdentifier;
+import org.crocushaven.fleet.TraitReport;
+import org.crocushaven.fleet.TraitVerdict;
 import org.crocushaven.ingress.IngressRequest;
 import org.crocushaven.observability.EventLine;
 import org.crocushaven.result.ResultCode;
@@ -46,9 +46,9 @@
     private final NanoClock clock;
     private final EndCheck endCheck;
     private final Runnable reportSoon;
-    private final SoundParts sound = SoundParts.of(SOUND_CAPACITY, SOUND_MILLIS);
+    private final SoundTraits sound = SoundTraits.of(SOUND_CAPACITY, SOUND_MILLIS);
     private final CrashReports reports = new CrashReports();
-    private final CondemnedParts condemned = new CondemnedParts();
+    private final CondemnedTraits condemned = new CondemnedTraits();
     private final Set<BackendStart> checked = new LinkedHashSet<>();
 
     /**
@@ -69,21 +69,21 @@
     }
 
     /** Returns the verdict under which a request is refused. */
-    Optional<PartVerdict> verdictOn(SharedParts shared) {
+    Optional<TraitVerdict> verdictOn(SharedParts shared) {
         return condemned.verdictOn(shared);
     }
 
     /** Returns whether a request may go out as a probe that the leader has granted. */
-    boolean takeProbe(PartVerdict verdict) {
+    boolean takeProbe(TraitVerdict verdict) {
         return condemned.takeProbe(verdict, clock.nanoTime());
     }
 
     /** Returns the refusal under a verdict, and counts it for the leader. */
-    ResultException refuse(PartVerdict verdict) {
+    ResultException refuse(TraitVerdict verdict) {
         condemned.recordRefused(verdict);
         return ResultException.of(
                         ResultCode.PROMPT_PART_CONDEMNED,
-                        verdict.partList(),
+                        verdict.traitList(),
                         verdict.crashes(),
                         verdict.decidedBy())
                 .withRetryAfter(RETRY_DELAY);
@@ -94,13 +94,13 @@
         final long nowNanos = clock.nanoTime();
         return shared.parts().stream()
                 .filter(condemned::isSuspect)
-                .anyMatch(part -> !sound.contains(new ModelPart(shared.model(), part), nowNanos));
+                .anyMatch(part -> !sound.contains(new ModelTrait(shared.model(), part), nowNanos));
     }
 
     /** Records that an answer goes on: it has a second event, or is complete. */
     void wentOn(SharedParts shared) {
         final long nowNanos = clock.nanoTime();
-        shared.parts().forEach(part -> sound.add(new ModelPart(shared.model(), part), nowNanos));
+        shared.parts().forEach(part -> sound.add(new ModelTrait(shared.model(), part), nowNanos));
     }
 
     /** Records that the connection of a request ended before its answer had gone on. */
@@ -111,7 +111,7 @@
                         .filter(
                                 part ->
                                         !sound.contains(
-                                                new ModelPart(shared.model(), part), nowNanos))
+                                                new ModelTrait(shared.model(), part), nowNanos))
                         .limit(MAXIMUM_PARTS)
                         .toList();
         if (unsound.isEmpty()) {
@@ -147,19 +147,20 @@
     }
 
     /** Returns what the leader should know. */
-    PartReport report(long nowNanos) {
-        return new PartReport(
+    TraitReport report(long nowNanos) {
+        return new TraitReport(
                 reports.unreportedBroken(nowNanos),
                 reports.unreportedEnded(nowNanos),
                 condemned.suspectsRevision(),
-                soundAmong(condemned.parts(), nowNanos),
+                soundAmong(condemned.traits(), nowNanos),
                 condemned.drainRefused());
     }
 
-    private List<ModelPart> soundAmong(Set<Long> parts, long nowNanos) {
-        final List<ModelPart> found = new ArrayList<>();
-        for (final long part : parts) {
-            sound.modelsOf(part, nowNanos).forEach(model -> found.add(new ModelPart(model, part)));
+    private List<ModelTrait> soundAmong(Set<Long> traits, long nowNanos) {
+        final List<ModelTrait> found = new ArrayList<>();
+        for (final long trait : traits) {
+            sound.modelsOf(trait, nowNanos)
+                    .forEach(model -> found.add(new ModelTrait(model, trait)));
         }
         return found;
     }
@@ -167,7 +168,7 @@
     /** Applies the leader's update. */
     void apply(GatewayUpdate update, boolean hasState, long nowNanos) {
         reports.reportAnswered(update.epoch());
-        condemned.apply(update.parts(), hasState, nowNanos);
+        condemned.apply(update.traits(), hasState, nowNanos);
     }
 
     /** Finds out whether a start of a backend server has ended. */
--- a/daemon/src/main/java/org/crocushaven/forwarding/CrashReports.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/CrashReports.java
@@ -32,8 +32,8 @@
 
     /** Remembers a request whose connection ended before its answer had gone on. */
     void addBroken(
-            BackendStart start, long request, String model, List<Long> parts, long nowNanos) {
-        add(broken, new Broken(start, request, model, parts), nowNanos);
+            BackendStart start, long request, String model, List<Long> traits, long nowNanos) {
+        add(broken, new Broken(start, request, model, traits), nowNanos);
     }
 
     /** Remembers that a start of a backend server has ended. */
@@ -74,10 +74,10 @@
 
     private record Numbered<T>(long number, T value, long nanos) {}
 
-    private record Broken(BackendStart start, long request, String model, List<Long> parts) {
+    private record Broken(BackendStart start, long request, String model, List<Long> traits) {
         private BrokenStart at(long ageNanos) {
             return new BrokenStart(
-                    start, request, model, parts, TimeUnit.NANOSECONDS.toMillis(ageNanos));
+                    start, request, model, traits, TimeUnit.NANOSECONDS.toMillis(ageNanos));
         }
     }
 }
--- a/daemon/src/test/java/org/crocushaven/fleet/ControlFleet.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/ControlFleet.java
@@ -129,7 +129,7 @@
                 List.of(),
                 ShareHolder.create(1).report(System.nanoTime()),
                 List.of(),
-                PartReport.EMPTY,
+                TraitReport.EMPTY,
                 List.of());
     }
 
--- a/daemon/src/test/java/org/crocushaven/fleet/FleetLeaderTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/FleetLeaderTest.java
@@ -57,7 +57,7 @@
                                     return CompletableFuture.completedFuture(null);
                                 },
                                 System.nanoTime())),
-                new PartVerdicts(
+                new TraitVerdicts(
                         "leader",
                         1,
                         state,
@@ -102,7 +102,7 @@
                 List.of(),
                 ShareHolder.create(1).report(System.nanoTime()),
                 List.of(),
-                PartReport.EMPTY,
+                TraitReport.EMPTY,
                 List.of());
     }
 
--- a/daemon/src/test/java/org/crocushaven/fleet/FleetStateTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/FleetStateTest.java
@@ -243,10 +243,10 @@
 
     @Test
     void verdictsSurviveSnapshotAndEndByTheirParts() {
-        final PartVerdict first =
-                new PartVerdict(List.of(1L, 2L), List.of(MODEL), List.of(), 3, "leader", 1, 0);
-        final PartVerdict second =
-                new PartVerdict(List.of(3L), List.of(MODEL), List.of("other"), 4, "leader", 2, 1);
+        final TraitVerdict first =
+                new TraitVerdict(List.of(1L, 2L), List.of(MODEL), List.of(), 3, "leader", 1, 0);
+        final TraitVerdict second =
+                new TraitVerdict(List.of(3L), List.of(MODEL), List.of("other"), 4, "leader", 2, 1);
         final FleetState state = FleetState.create();
         state.apply(
                 1,
@@ -261,7 +261,7 @@
                 2,
                 MessageCodec.encodeValue(
                         FleetCommand.verdicts(
-                                new VerdictChange(List.of(), List.of(first.parts())))));
+                                new VerdictChange(List.of(), List.of(first.traits())))));
 
         assertEquals(List.of(second), restored.view().verdicts());
         assertEquals(2, restored.view().revision());
--- a/daemon/src/test/java/org/crocushaven/fleet/GatewayReportsTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/GatewayReportsTest.java
@@ -32,7 +32,7 @@
                         List.of(),
                         ShareHolder.create(1).report(nowNanos),
                         List.of(),
-                        PartReport.EMPTY,
+                        TraitReport.EMPTY,
                         List.of()),
                 nowNanos);
     }
@@ -125,7 +125,7 @@
                 List.of(),
                 ShareHolder.create(1).report(nowNanos),
                 List.of(),
-                PartReport.EMPTY,
+                TraitReport.EMPTY,
                 List.of());
     }
 
--- a/daemon/src/test/java/org/crocushaven/fleet/ProbeScheduleTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/ProbeScheduleTest.java
@@ -12,8 +12,8 @@
     private static final String GATEWAY = "gateway";
 
     private final ProbeSchedule probes = new ProbeSchedule();
-    private PartVerdict verdict =
-            new PartVerdict(PARTS, List.of("base"), List.of(), 3, "leader", 1, 0);
+    private TraitVerdict verdict =
+            new TraitVerdict(PARTS, List.of("base"), List.of(), 3, "leader", 1, 0);
 
     /** Lets a request be refused in each second; returns the second of the next probe. */
     private long secondOfProbe(long fromSeconds, long untilSeconds) {
@@ -21,7 +21,7 @@
             final long nowNanos = TimeUnit.SECONDS.toNanos(second);
             probes.retain(List.of(verdict), nowNanos);
             probes.refused(PARTS, GATEWAY, nowNanos);
-            final Optional<PartVerdict> due = probes.due(List.of(verdict), nowNanos);
+            final Optional<TraitVerdict> due = probes.due(List.of(verdict), nowNanos);
             if (due.isPresent()) {
                 verdict = verdict.withOneMoreProbe();
                 probes.grant(PARTS, nowNanos);
--- a/daemon/src/test/java/org/crocushaven/fleet/ShareLendingTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/ShareLendingTest.java
@@ -33,7 +33,7 @@
                         List.of(),
                         ShareHolder.create(1).report(nowNanos),
                         List.of(),
-                        PartReport.EMPTY,
+                        TraitReport.EMPTY,
                         List.of()),
                 nowNanos);
     }
--- a/daemon/src/test/java/org/crocushaven/fleet/PartTrialTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/TraitTrialTest.java
@@ -10,7 +10,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
-class PartTrialTest {
+class TraitTrialTest {
     private static final String GATEWAY = "gateway-1";
     private static final String OTHER_GATEWAY = "gateway-2";
     private static final List<String> GATEWAYS = List.of(GATEWAY, OTHER_GATEWAY);
@@ -18,8 +18,8 @@
     private static final long GUILTY = 66;
     private static final long BESIDE = 77;
 
-    private final PartTrial trial = new PartTrial("leader");
-    private List<PartVerdict> verdicts = List.of();
+    private final TraitTrial trial = new TraitTrial("leader");
+    private List<TraitVerdict> verdicts = List.of();
     private long nowMillis = 1_000;
     private long requests;
     private int backends;
@@ -28,29 +28,29 @@
         return new BackendStart("backend-" + number, 1, "10.0.0." + number + ":80");
     }
 
-    private PartReport broken(BackendStart start, long request, String model, Long... parts) {
-        return new PartReport(
-                List.of(new BrokenStart(start, request, model, Arrays.asList(parts), 0)),
+    private TraitReport broken(BackendStart start, long request, String model, Long... traits) {
+        return new TraitReport(
+                List.of(new BrokenStart(start, request, model, Arrays.asList(traits), 0)),
                 List.of(),
                 trial.revision(),
                 List.of(),
                 List.of());
     }
 
-    private PartReport ended(BackendStart start) {
-        return new PartReport(List.of(), List.of(start), trial.revision(), List.of(), List.of());
+    private TraitReport ended(BackendStart start) {
+        return new TraitReport(List.of(), List.of(start), trial.revision(), List.of(), List.of());
     }
 
-    private PartReport wentOn(String model, long part) {
-        return new PartReport(
+    private TraitReport wentOn(String model, long trait) {
+        return new TraitReport(
                 List.of(),
                 List.of(),
                 trial.revision(),
-                List.of(new ModelPart(model, part)),
+                List.of(new ModelTrait(model, trait)),
                 List.of());
     }
 
-    private void report(String gateway, PartReport report) {
+    private void report(String gateway, TraitReport report) {
         trial.report(gateway, report, TimeUnit.MILLISECONDS.toNanos(nowMillis));
         weigh();
     }
@@ -59,27 +59,27 @@
         final VerdictChange change =
                 trial.weigh(
                         verdicts, GATEWAYS, TimeUnit.MILLISECONDS.toNanos(nowMillis), nowMillis);
-        final List<PartVerdict> next = new ArrayList<>(verdicts);
-        next.removeIf(verdict -> change.removed().contains(verdict.parts()));
-        for (final PartVerdict put : change.put()) {
-            next.removeIf(verdict -> verdict.parts().equals(put.parts()));
+        final List<TraitVerdict> next = new ArrayList<>(verdicts);
+        next.removeIf(verdict -> change.removed().contains(verdict.traits()));
+        for (final TraitVerdict put : change.put()) {
+            next.removeIf(verdict -> verdict.traits().equals(put.traits()));
             next.add(put);
         }
         verdicts = next;
     }
 
     /** Lets a backend server end under a request, as one gateway sees it. */
-    private void crash(Long... parts) {
-        crashAt(MODEL, parts);
+    private void crash(Long... traits) {
+        crashAt(MODEL, traits);
     }
 
-    private void crashAt(String model, Long... parts) {
-        crashUnder(++requests, model, parts);
+    private void crashAt(String model, Long... traits) {
+        crashUnder(++requests, model, traits);
     }
 
-    private void crashUnder(long request, String model, Long... parts) {
+    private void crashUnder(long request, String model, Long... traits) {
         final BackendStart start = start(++backends);
-        report(GATEWAY, broken(start, request, model, parts));
+        report(GATEWAY, broken(start, request, model, traits));
         report(GATEWAY, ended(start));
         answer();
         nowMillis += 500;
@@ -90,18 +90,18 @@
         for (final String gateway : GATEWAYS) {
             report(
                     gateway,
-                    new PartReport(List.of(), List.of(), trial.revision(), List.of(), List.of()));
+                    new TraitReport(List.of(), List.of(), trial.revision(), List.of(), List.of()));
         }
     }
 
     private List<List<Long>> condemned() {
-        return verdicts.stream().map(PartVerdict::parts).toList();
+        return verdicts.stream().map(TraitVerdict::traits).toList();
     }
 
     @Nested
     class Condemning {
         @Test
-        void partInThreeCrashesOnWhichNoAnswerWentOnIsCondemned() {
+        void traitInThreeCrashesOnWhichNoAnswerWentOnIsCondemned() {
             crash(GUILTY);
             crash(GUILTY);
             assertEquals(List.of(), condemned());
@@ -165,7 +165,7 @@
             assertEquals(List.of(List.of(GUILTY)), condemned());
         }
 
-        /** Guards against a verdict on a popular part after the loss of a failure domain. */
+        /** Guards against a verdict on a popular trait after the loss of a failure domain. */
         @Test
         void crashesOfOneMomentCountOnce() {
             for (int number = 1; number <= 12; number++) {
@@ -176,10 +176,10 @@
             answer();
 
             assertEquals(List.of(), condemned());
-            assertEquals(List.of(new PartSuspect(GUILTY, 1)), trial.suspects());
+            assertEquals(List.of(new TraitSuspect(GUILTY, 1)), trial.suspects());
         }
 
-        /** Guards against a verdict on the parts of a sound request that met three crashes. */
+        /** Guards against a verdict on the traits of a sound request that met three crashes. */
         @Test
         void repeatsOfOneRequestAreNotEnough() {
             for (int number = 0; number < 4; number++) {
@@ -208,7 +208,7 @@
     @Nested
     class TellingPartsApart {
         @Test
-        void partOnWhichAnswersGoOnIsNotCondemned() {
+        void traitOnWhichAnswersGoOnIsNotCondemned() {
             for (int number = 0; number < 10; number++) {
                 report(OTHER_GATEWAY, wentOn(MODEL, BESIDE));
                 crash(BESIDE, GUILTY);
@@ -218,7 +218,7 @@
         }
 
         @Test
-        void partsThatWereAlwaysTogetherAreCondemnedTogether() {
+        void traitsThatWereAlwaysTogetherAreCondemnedTogether() {
             crash(BESIDE, GUILTY);
             crash(BESIDE, GUILTY);
             crash(BESIDE, GUILTY);
@@ -230,7 +230,7 @@
 
         @Test
         void laterCrashNarrowsTheVerdict() {
-            partsThatWereAlwaysTogetherAreCondemnedTogether();
+            traitsThatWereAlwaysTogetherAreCondemnedTogether();
 
             crash(GUILTY);
 
@@ -238,17 +238,17 @@
         }
 
         @Test
-        void soundPartOfTheVerdictIsTakenOut() {
-            partsThatWereAlwaysTogetherAreCondemnedTogether();
+        void soundTraitOfTheVerdictIsTakenOut() {
+            traitsThatWereAlwaysTogetherAreCondemnedTogether();
 
             report(OTHER_GATEWAY, wentOn(MODEL, BESIDE));
 
             assertEquals(List.of(List.of(GUILTY)), condemned());
         }
 
-        /** Guards against verdicts on the parts of requests that ran beside a guilty one. */
+        /** Guards against verdicts on the traits of requests that ran beside a guilty one. */
         @Test
-        void crashThatVerdictExplainsCountsForNoOtherPart() {
+        void crashThatVerdictExplainsCountsForNoOtherTrait() {
             crash(GUILTY);
             crash(GUILTY);
             crash(GUILTY);
@@ -304,14 +304,14 @@
 
         @Test
         void numberOfVerdictsIsBounded() {
-            for (long part = 0; part < PartTrial.MAXIMUM_VERDICTS + 10; part++) {
-                crash(part);
-                crash(part);
-                crash(part);
+            for (long trait = 0; trait < TraitTrial.MAXIMUM_VERDICTS + 10; trait++) {
+                crash(trait);
+                crash(trait);
+                crash(trait);
             }
 
-            assertEquals(PartTrial.MAXIMUM_VERDICTS, condemned().size());
-            assertTrue(condemned().contains(List.of(PartTrial.MAXIMUM_VERDICTS + 9L)));
+            assertEquals(TraitTrial.MAXIMUM_VERDICTS, condemned().size());
+            assertTrue(condemned().contains(List.of(TraitTrial.MAXIMUM_VERDICTS + 9L)));
         }
     }
 }
--- a/daemon/src/test/java/org/crocushaven/forwarding/CondemnedPromptTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/CondemnedPromptTest.java
@@ -3,9 +3,9 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.util.List;
-import org.crocushaven.fleet.PartSuspect;
-import org.crocushaven.fleet.PartUpdate;
-import org.crocushaven.fleet.PartVerdict;
+import org.crocushaven.fleet.TraitSuspect;
+import org.crocushaven.fleet.TraitUpdate;
+import org.crocushaven.fleet.TraitVerdict;
 import org.crocushaven.ingress.RouteKind;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -13,13 +13,13 @@
 
 /** Tests what callers get whose prompts end backend servers. */
 class CondemnedPromptTest {
-    private static final PartUpdate SUSPECTED =
-            new PartUpdate(1, List.of(new PartSuspect(66, 2)), List.of(), List.of());
-    private static final PartUpdate CONDEMNED =
-            new PartUpdate(
+    private static final TraitUpdate SUSPECTED =
+            new TraitUpdate(1, List.of(new TraitSuspect(66, 2)), List.of(), List.of());
+    private static final TraitUpdate CONDEMNED =
+            new TraitUpdate(
                     2,
                     List.of(),
-                    List.of(new PartVerdict(List.of(66L), List.of(), List.of(), 3, "l", 1, 0)),
+                    List.of(new TraitVerdict(List.of(66L), List.of(), List.of(), 3, "l", 1, 0)),
                     List.of());
 
     private StandInServer first;
@@ -50,7 +50,7 @@
     @Test
     void refusedPromptIsNeitherSentNorCharged() throws Exception {
         fixture.allowOneRequest();
-        fixture.tellOfParts(CONDEMNED);
+        fixture.tellOfTraits(CONDEMNED);
 
         assertEquals("refused PROMPT_PART_CONDEMNED", fixture.start().awaitEnd());
         assertEquals(0, fixture.pendingSends());
@@ -66,7 +66,7 @@
     void promptThatIsCondemnedAfterItsFirstSendFailsAndIsNotSentAgain() throws Exception {
         final ForwardingFixture.RecordedAnswer answer = fixture.start();
         final StandInServer.Exchange running = awaitRequest().begin();
-        fixture.tellOfParts(CONDEMNED);
+        fixture.tellOfTraits(CONDEMNED);
 
         running.close();
 
@@ -76,7 +76,7 @@
 
     @Test
     void suspectPromptIsNotSentAgain() throws Exception {
-        fixture.tellOfParts(SUSPECTED);
+        fixture.tellOfTraits(SUSPECTED);
         final ForwardingFixture.RecordedAnswer answer = fixture.start();
 
         awaitRequest().begin().close();
@@ -87,7 +87,7 @@
 
     @Test
     void otherPromptIsSentAgain() throws Exception {
-        fixture.tellOfParts(SUSPECTED);
+        fixture.tellOfTraits(SUSPECTED);
         fixture.setPromptParts(1, 99);
         final ForwardingFixture.RecordedAnswer answer = fixture.start();
 
--- a/daemon/src/test/java/org/crocushaven/forwarding/CrashGuardTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/CrashGuardTest.java
@@ -11,10 +11,10 @@
 import org.crocushaven.fleet.BackendStart;
 import org.crocushaven.fleet.BrokenStart;
 import org.crocushaven.fleet.GatewayUpdate;
-import org.crocushaven.fleet.ModelPart;
-import org.crocushaven.fleet.PartSuspect;
-import org.crocushaven.fleet.PartUpdate;
-import org.crocushaven.fleet.PartVerdict;
+import org.crocushaven.fleet.ModelTrait;
+import org.crocushaven.fleet.TraitSuspect;
+import org.crocushaven.fleet.TraitUpdate;
+import org.crocushaven.fleet.TraitVerdict;
 import org.crocushaven.ingress.PromptPart;
 import org.crocushaven.result.ResultCode;
 import org.crocushaven.result.ResultException;
@@ -24,8 +24,8 @@
 class CrashGuardTest {
     private static final BackendRecord BACKEND =
             BackendRecordBuilder.of("b", "engines").running("v1").startedAt(7).build();
-    private static final PartVerdict VERDICT =
-            new PartVerdict(List.of(66L), List.of("base"), List.of("spared"), 3, "leader", 1, 0);
+    private static final TraitVerdict VERDICT =
+            new TraitVerdict(List.of(66L), List.of("base"), List.of("spared"), 3, "leader", 1, 0);
 
     private final List<BackendStart> checked = new ArrayList<>();
     private int reportsSoon;
@@ -53,14 +53,14 @@
                         .build());
     }
 
-    private void update(long epoch, PartUpdate parts) {
+    private void update(long epoch, TraitUpdate traits) {
         final GatewayUpdate update =
-                GatewayUpdateBuilder.ofTerm(epoch).state(1, true).parts(parts).build();
+                GatewayUpdateBuilder.ofTerm(epoch).state(1, true).traits(traits).build();
         guard.apply(update, true, nowNanos);
     }
 
-    private void condemn(PartVerdict... probes) {
-        update(1, new PartUpdate(1, List.of(), List.of(VERDICT), List.of(probes)));
+    private void condemn(TraitVerdict... probes) {
+        update(1, new TraitUpdate(1, List.of(), List.of(VERDICT), List.of(probes)));
     }
 
     private List<BrokenStart> reported() {
@@ -75,7 +75,7 @@
 
             request(1, 66, 100).recordConnectionEnded(BACKEND, 1);
 
-            assertEquals(List.of(66L), reported().get(0).parts());
+            assertEquals(List.of(66L), reported().get(0).traits());
             assertEquals(List.of(BackendStart.of(BACKEND)), checked);
             assertEquals(List.of(BackendStart.of(BACKEND)), guard.report(nowNanos).ended());
             assertTrue(reportsSoon > 0);
@@ -98,13 +98,13 @@
 
         @Test
         void newLeaderIsToldAgain() {
-            update(1, PartUpdate.EMPTY);
+            update(1, TraitUpdate.EMPTY);
             request(1, 66, 100).recordConnectionEnded(BACKEND, 0);
             assertEquals(1, reported().size());
-            update(1, PartUpdate.EMPTY);
+            update(1, TraitUpdate.EMPTY);
             assertEquals(0, reported().size());
 
-            update(2, PartUpdate.EMPTY);
+            update(2, TraitUpdate.EMPTY);
 
             assertEquals(1, reported().size());
             assertEquals(1, guard.report(nowNanos).ended().size());
@@ -116,13 +116,13 @@
 
             update(
                     1,
-                    new PartUpdate(
+                    new TraitUpdate(
                             5,
-                            List.of(new PartSuspect(66, 1), new PartSuspect(67, 1)),
+                            List.of(new TraitSuspect(66, 1), new TraitSuspect(67, 1)),
                             List.of(),
                             List.of()));
 
-            assertEquals(List.of(new ModelPart("base", 66)), guard.report(nowNanos).wentOn());
+            assertEquals(List.of(new ModelTrait("base", 66)), guard.report(nowNanos).wentOn());
             assertEquals(5, guard.report(nowNanos).suspectsRevision());
         }
 
@@ -138,7 +138,7 @@
             }
 
             assertTrue(reported().size() <= 512);
-            assertTrue(reported().stream().allMatch(broken -> broken.parts().size() <= 32));
+            assertTrue(reported().stream().allMatch(broken -> broken.traits().size() <= 32));
         }
     }
 
@@ -189,9 +189,9 @@
         void suspectAfterTwoCrashesIsNotRepeatedUnlessItWentOnHere() {
             update(
                     1,
-                    new PartUpdate(
+                    new TraitUpdate(
                             2,
-                            List.of(new PartSuspect(66, 2), new PartSuspect(67, 1)),
+                            List.of(new TraitSuspect(66, 2), new TraitSuspect(67, 1)),
                             List.of(),
                             List.of()));
 
--- a/daemon/src/test/java/org/crocushaven/forwarding/CrashScenario.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/CrashScenario.java
@@ -12,8 +12,8 @@
 import org.crocushaven.fleet.BackendStart;
 import org.crocushaven.fleet.FleetCommand;
 import org.crocushaven.fleet.FleetState;
-import org.crocushaven.fleet.PartVerdict;
-import org.crocushaven.fleet.PartVerdicts;
+import org.crocushaven.fleet.TraitVerdict;
+import org.crocushaven.fleet.TraitVerdicts;
 import org.crocushaven.fuzz.FaultCounts;
 import org.crocushaven.protocol.MessageCodec;
 import org.crocushaven.result.ResultException;
@@ -40,9 +40,9 @@
     private final Map<Long, List<Long>> crashMillis = new HashMap<>();
     private final Map<Long, List<Long>> countedArrivals = new HashMap<>();
     private final FleetState state = FleetState.create();
-    private List<PartVerdict> knownVerdicts = List.of();
+    private List<TraitVerdict> knownVerdicts = List.of();
     private long index;
-    private PartVerdicts leader;
+    private TraitVerdicts leader;
     private long epoch;
     private long leaderChangedMillis;
     private long requests;
@@ -72,7 +72,7 @@
         return random;
     }
 
-    Optional<PartVerdicts> leader() {
+    Optional<TraitVerdicts> leader() {
         return Optional.ofNullable(leader);
     }
 
@@ -109,7 +109,7 @@
         reportedMillis.clear();
         final long term = epoch;
         leader =
-                new PartVerdicts(
+                new TraitVerdicts(
                         "leader-" + term,
                         term,
                         state,
@@ -145,10 +145,10 @@
         return committed;
     }
 
-    private void judge(List<PartVerdict> verdicts) {
-        for (final PartVerdict verdict : verdicts) {
-            if (knownVerdicts.stream().noneMatch(old -> old.parts().equals(verdict.parts()))) {
-                if (verdict.parts().stream().anyMatch(guilty::contains)) {
+    private void judge(List<TraitVerdict> verdicts) {
+        for (final TraitVerdict verdict : verdicts) {
+            if (knownVerdicts.stream().noneMatch(old -> old.traits().equals(verdict.traits()))) {
+                if (verdict.traits().stream().anyMatch(guilty::contains)) {
                     counts.count(CrashFault.GUILTY_CONDEMNED);
                 } else {
                     falseVerdicts++;
--- a/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
@@ -30,9 +30,9 @@
 import org.crocushaven.fleet.AdapterRequest;
 import org.crocushaven.fleet.BackendRecord;
 import org.crocushaven.fleet.GatewayUpdate;
-import org.crocushaven.fleet.PartUpdate;
 import org.crocushaven.fleet.StreamOriginAnswer;
 import org.crocushaven.fleet.StreamOriginQuery;
+import org.crocushaven.fleet.TraitUpdate;
 import org.crocushaven.ingress.IngressConfiguration;
 import org.crocushaven.ingress.IngressLimits;
 import org.crocushaven.ingress.IngressRequest;
@@ -253,10 +253,10 @@
         promptParts = Arrays.stream(parts).mapToObj(part -> new PromptPart(part, 1)).toList();
     }
 
-    /** Applies what the leader tells of parts of prompts. */
-    void tellOfParts(PartUpdate parts) throws Exception {
+    /** Applies what the leader tells of traits of requests. */
+    void tellOfTraits(TraitUpdate traits) throws Exception {
         final GatewayUpdate update =
-                GatewayUpdateBuilder.ofTerm(1).state(0, true).parts(parts).build();
+                GatewayUpdateBuilder.ofTerm(1).state(0, true).traits(traits).build();
         run(() -> environment().crashes().apply(update, true, System.nanoTime()));
     }
 
--- a/daemon/src/test/java/org/crocushaven/forwarding/GatewayUpdateBuilder.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/GatewayUpdateBuilder.java
@@ -6,7 +6,7 @@
 import org.crocushaven.fleet.BackendLoad;
 import org.crocushaven.fleet.BackendRecord;
 import org.crocushaven.fleet.GatewayUpdate;
-import org.crocushaven.fleet.PartUpdate;
+import org.crocushaven.fleet.TraitUpdate;
 
 /** Builds updates that tell a gateway only what a test sets. */
 final class GatewayUpdateBuilder {
@@ -20,7 +20,7 @@
     private List<String> gone = List.of();
     private List<BackendLoad> otherLoads = List.of();
     private List<String> controlInstances = List.of();
-    private PartUpdate parts = PartUpdate.EMPTY;
+    private TraitUpdate traits = TraitUpdate.EMPTY;
 
     private GatewayUpdateBuilder(long epoch) {
         this.epoch = epoch;
@@ -79,8 +79,8 @@
         return this;
     }
 
-    GatewayUpdateBuilder parts(PartUpdate update) {
-        parts = update;
+    GatewayUpdateBuilder traits(TraitUpdate update) {
+        traits = update;
         return this;
     }
 
@@ -100,7 +100,7 @@
                 1,
                 controlInstances,
                 Optional.empty(),
-                parts,
+                traits,
                 List.of());
     }
 }
--- a/daemon/src/test/java/org/crocushaven/forwarding/LeaderLinkTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/LeaderLinkTest.java
@@ -20,7 +20,7 @@
 import org.crocushaven.fleet.ControlHint;
 import org.crocushaven.fleet.GatewayReport;
 import org.crocushaven.fleet.GatewayUpdate;
-import org.crocushaven.fleet.PartReport;
+import org.crocushaven.fleet.TraitReport;
 import org.crocushaven.protocol.Message;
 import org.crocushaven.protocol.MessageHandler;
 import org.crocushaven.protocol.PeerTransport;
@@ -80,7 +80,7 @@
                 List.of(),
                 ShareHolder.create(1).report(nowNanos),
                 List.of(),
-                PartReport.EMPTY,
+                TraitReport.EMPTY,
                 List.of());
     }
 
--- a/daemon/src/test/java/org/crocushaven/forwarding/SimulatedGateway.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/SimulatedGateway.java
@@ -8,8 +8,8 @@
 import org.crocushaven.fleet.BackendStart;
 import org.crocushaven.fleet.GatewayReport;
 import org.crocushaven.fleet.GatewayUpdate;
-import org.crocushaven.fleet.PartUpdate;
-import org.crocushaven.fleet.PartVerdicts;
+import org.crocushaven.fleet.TraitUpdate;
+import org.crocushaven.fleet.TraitVerdicts;
 import org.crocushaven.fuzz.FaultCounts;
 
 /** A gateway's guard, and its reports to the simulated leader. */
@@ -117,7 +117,7 @@
         if (current != life || inFlight) {
             return;
         }
-        final Optional<PartVerdicts> leader = scenario.leader();
+        final Optional<TraitVerdicts> leader = scenario.leader();
         final GatewayReport report =
                 new GatewayReport(
                         name,
@@ -141,7 +141,7 @@
                 1 + random.nextLong(LATENCY_MILLIS), () -> received(current, leader.get(), report));
     }
 
-    private void received(long current, PartVerdicts leader, GatewayReport report) {
+    private void received(long current, TraitVerdicts leader, GatewayReport report) {
         if (scenario.leader().filter(leader::equals).isEmpty()) {
             time.after(TIMEOUT_MILLIS, () -> ended(current));
             return;
@@ -179,7 +179,7 @@
     }
 
     private static GatewayUpdate update(
-            long epoch, long revision, boolean hasState, PartUpdate parts) {
-        return GatewayUpdateBuilder.ofTerm(epoch).state(revision, hasState).parts(parts).build();
+            long epoch, long revision, boolean hasState, TraitUpdate traits) {
+        return GatewayUpdateBuilder.ofTerm(epoch).state(revision, hasState).traits(traits).build();
     }
 }
