Condemn a whole request that crashes backend servers, as one more trait

Cause: what may be guilty had no identity but a part of a prompt. A plain request has none, so its breaks were not even reported; the parts of the guilty prompt were sound, since others share them.

Change: the whole request is a trait beside parts, with the same evidence, trial, verdict, refusal and probe. Of whole requests the leader asks only from their second crash on. Crashes that one try meets in turn count each, though within 100 ms. A victim beside the guilty one meets the same crashes: the verdict waits until every gateway has reported after the last one, and must stand out among all suspects, not only those already asked about. A part may still be condemned behind a condemned request.

TraitTrialTest's answer() lets 30 ms pass, as reports after the crash are waited for. Code 1412 is REQUEST_CONDEMNED; its number and meaning to callers stay.

--- a/daemon/src/main/java/org/crocushaven/fleet/BackendCrash.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/BackendCrash.java
@@ -10,7 +10,7 @@
  */
 final class BackendCrash {
     /** Requests that are remembered; a crash under more is judged by these. */
-    private static final int MAXIMUM_BROKEN = 64;
+    private static final int MAXIMUM_BROKEN = 128;
 
     private final BackendStart start;
     private final List<BrokenStart> broken = new ArrayList<>();
--- a/daemon/src/main/java/org/crocushaven/fleet/TraitSuspicion.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/TraitSuspicion.java
@@ -18,13 +18,17 @@
  * Weighs which traits of requests may be guilty of crashes: those that were in several crashes and
  * on which no answer went on.
  *
- * <p>Crashes of one moment count once, since failure domains end at once. A crash that a verdict
- * explains counts against the traits of that verdict only, if there are several. Immutable.
+ * <p>Crashes of one moment count once, since failure domains end at once, unless the same try of a
+ * whole request met them one after the other. A crash that a verdict explains counts only against
+ * what may stand behind that verdict. Immutable.
  */
 final class TraitSuspicion {
     /** Crashes within this time are taken for one event. */
     private static final long ONE_EVENT_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
+    /** Events from which on gateways are asked whether a whole request went on. */
+    private static final int ASKED_EVENTS_OF_REQUEST = 2;
+
     private final Map<Long, Suspect> suspects;
 
     private TraitSuspicion(Map<Long, Suspect> suspects) {
@@ -44,15 +48,11 @@
         final Map<Long, Suspect> suspects = new TreeMap<>();
         final VerdictIndex index = VerdictIndex.of(verdicts);
         for (final BackendCrash crash : crashes) {
-            final Set<Long> explaining = new HashSet<>();
-            final Set<TraitVerdict> explained = crash.explainedBy(index);
-            explained.stream()
-                    .filter(verdict -> verdict.traits().size() > 1)
-                    .forEach(verdict -> explaining.addAll(verdict.traits()));
+            final CrashExplanation explanation = CrashExplanation.of(crash, index);
             for (final BrokenStart broken : crash.broken()) {
                 final Set<Long> unsound = unsoundTraits(broken, isSound);
                 for (final long trait : unsound) {
-                    if (explained.isEmpty() || explaining.contains(trait)) {
+                    if (explanation.mayBeGuilty(trait, broken)) {
                         suspects.computeIfAbsent(trait, Suspect::new).add(crash, broken, unsound);
                     }
                 }
@@ -67,36 +67,30 @@
         return unsound;
     }
 
-    /** Returns the suspects with the most crashes, at most the given number. */
+    /** Returns the suspects that gateways are asked about, the strongest first. */
     List<TraitSuspect> strongest(int maximum) {
         return inOrder().stream()
+                .filter(Suspect::isAskedAbout)
                 .limit(maximum)
                 .map(suspect -> new TraitSuspect(suspect.trait, suspect.events))
                 .toList();
     }
 
     /**
-     * Returns the suspect with the most crashes, if it was in as many as given, under at least as
-     * many different requests, and in more of either than any that was in the same crashes, but for
-     * those that were always with it.
+     * Returns what is guilty: the strongest suspect, or else the strongest whole request, if it was
+     * in as many crashes as given, under at least as many tries of clients, and in more of either
+     * than any other that was in the same crashes, but for those that were always with it.
+     *
+     * @param isEligible whether all is known of a suspect
      */
-    Optional<Suspect> strongest(int crashes, Predicate<Long> isEligible) {
-        final List<Suspect> inOrder =
-                inOrder().stream().filter(suspect -> isEligible.test(suspect.trait)).toList();
-        if (inOrder.isEmpty()) {
-            return Optional.empty();
-        }
-        final Suspect first = inOrder.get(0);
-        final boolean isAlone =
-                inOrder.stream()
-                        .allMatch(
-                                other ->
-                                        first.together.contains(other.trait)
-                                                || first.compareTo(other) < 0
-                                                || first.sharesNoCrashWith(other));
-        return first.events >= crashes && first.requests.size() >= crashes && isAlone
-                ? Optional.of(first)
-                : Optional.empty();
+    Optional<Suspect> guilty(int crashes, Predicate<Suspect> isEligible) {
+        final List<Suspect> inOrder = inOrder();
+        return inOrder.stream()
+                .filter(suspect -> suspect == inOrder.get(0) || suspect.isRequest())
+                .filter(suspect -> suspect.isInEnough(crashes))
+                .filter(isEligible)
+                .filter(suspect -> inOrder.stream().allMatch(suspect::isStrongerThan))
+                .findFirst();
     }
 
     private List<Suspect> inOrder() {
@@ -109,6 +103,7 @@
         private final Set<Long> requests = new HashSet<>();
         private final Set<String> models = new TreeSet<>();
         private final Map<BackendStart, Long> crashes = new HashMap<>();
+        private final Set<BackendStart> counted = new HashSet<>();
         private Set<Long> together;
         private long eventNanos;
         private int events;
@@ -118,27 +113,55 @@
         }
 
         private void add(BackendCrash crash, BrokenStart broken, Set<Long> beside) {
-            requests.add(broken.request());
+            final boolean wasInEarlierCrash = !requests.add(broken.request());
             models.add(broken.model());
             if (together == null) {
                 together = new TreeSet<>(beside);
             } else {
                 together.retainAll(beside);
             }
-            if (crashes.put(crash.start(), crash.brokenNanos()) == null
-                    && (events == 0 || crash.brokenNanos() - eventNanos > ONE_EVENT_NANOS)) {
+            crashes.put(crash.start(), crash.brokenNanos());
+            final boolean isLater =
+                    events == 0 || crash.brokenNanos() - eventNanos > ONE_EVENT_NANOS;
+            if ((isLater || isRequest() && wasInEarlierCrash) && counted.add(crash.start())) {
                 eventNanos = crash.brokenNanos();
                 events++;
             }
         }
 
-        private boolean sharesNoCrashWith(Suspect other) {
-            return Collections.disjoint(crashes.keySet(), other.crashes.keySet());
+        private boolean isAskedAbout() {
+            return !isRequest() || events >= ASKED_EVENTS_OF_REQUEST;
+        }
+
+        private boolean isInEnough(int crashesNeeded) {
+            return events >= crashesNeeded && requests.size() >= crashesNeeded;
+        }
+
+        private boolean isStrongerThan(Suspect other) {
+            return together.contains(other.trait)
+                    || compareTo(other) < 0
+                    || Collections.disjoint(crashes.keySet(), other.crashes.keySet());
+        }
+
+        private boolean isRequest() {
+            return Trait.isRequest(trait);
+        }
+
+        long trait() {
+            return trait;
+        }
+
+        /** Returns the time of the last crash, by which all gateways must have reported. */
+        long lastCrashNanos() {
+            return Collections.max(crashes.values());
         }
 
-        /** Returns the traits that were in all the same requests, ascending. */
+        /**
+         * Returns what a verdict is on, ascending: the whole request alone, or the traits that were
+         * in all the same requests.
+         */
         List<Long> traits() {
-            return new ArrayList<>(together);
+            return isRequest() ? List.of(trait) : new ArrayList<>(together);
         }
 
         List<String> models() {
--- a/daemon/src/main/java/org/crocushaven/fleet/TraitTrial.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/TraitTrial.java
@@ -14,8 +14,9 @@
  * Decides for the leader of a term which traits of requests end backend servers, and which of the
  * earlier verdicts no longer hold.
  *
- * <p>A trait is condemned once it was in three crashes under three different requests, all gateways
- * have compared it with their memories, and none has seen an answer on it go on. Not thread-safe.
+ * <p>A trait is condemned once it was in three crashes under three different tries of clients, all
+ * gateways have compared it with their memories and reported since the last crash, and none has
+ * seen an answer on it go on. Not thread-safe.
  */
 final class TraitTrial {
     /** Crashes on which a verdict rests. */
@@ -35,10 +36,14 @@
     /** Time after which a gateway that has not answered is not waited for. */
     private static final long ANSWER_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
 
+    /** Time within which a gateway sees that connections have ended, and sends its report. */
+    private static final long SETTLING_NANOS = TimeUnit.MILLISECONDS.toNanos(30);
+
     private final String instance;
     private final CrashEvidence evidence = new CrashEvidence();
     private final SoundTraits sound = SoundTraits.of(MAXIMUM_SOUND, SOUND_MILLIS);
     private final Map<String, Long> answered = new HashMap<>();
+    private final Map<String, Long> reportedNanos = new HashMap<>();
     private final Map<Long, Suspected> suspectedSince = new HashMap<>();
     private List<TraitSuspect> suspects = List.of();
     private long revision = 1;
@@ -65,6 +70,7 @@
     /** Takes in a gateway's report; returns whether it tells anything new of crashes. */
     boolean report(String gateway, TraitReport report, long nowNanos) {
         answered.put(gateway, report.suspectsRevision());
+        reportedNanos.put(gateway, nowNanos);
         report.wentOn().forEach(trait -> sound.add(trait, nowNanos));
         return evidence.add(report, nowNanos);
     }
@@ -88,6 +94,7 @@
             long nowMillis) {
         evidence.expire(nowNanos);
         answered.keySet().retainAll(gateways);
+        reportedNanos.keySet().retainAll(gateways);
         final List<TraitVerdict> put = new ArrayList<>();
         final List<List<Long>> removed = new ArrayList<>();
         final List<TraitVerdict> standing = acquit(verdicts, put, removed, nowNanos);
@@ -96,7 +103,7 @@
                         evidence.crashes(), standing, trait -> sound.contains(trait, nowNanos));
         suspect(suspicion.strongest(MAXIMUM_SUSPECTS), nowNanos);
         suspicion
-                .strongest(CRASHES, trait -> isAnswered(trait, gateways, nowNanos))
+                .guilty(CRASHES, suspect -> isAnswered(suspect, gateways, nowNanos))
                 .flatMap(found -> condemn(found, standing, nowNanos, nowMillis))
                 .ifPresent(verdict -> add(verdict, standing, put, removed));
         return new VerdictChange(put, removed);
@@ -149,7 +156,21 @@
         suspectedSince.keySet().retainAll(traits);
     }
 
-    private boolean isAnswered(long trait, Collection<String> gateways, long nowNanos) {
+    /** Returns whether all gateways have told what they know of a suspect and its crashes. */
+    private boolean isAnswered(
+            TraitSuspicion.Suspect suspect, Collection<String> gateways, long nowNanos) {
+        return isCompared(suspect.trait(), gateways, nowNanos)
+                && isReportedAfter(suspect.lastCrashNanos(), gateways, nowNanos);
+    }
+
+    private boolean isReportedAfter(long crashNanos, Collection<String> gateways, long nowNanos) {
+        return nowNanos - crashNanos >= ANSWER_NANOS
+                || gateways.stream()
+                        .map(gateway -> reportedNanos.getOrDefault(gateway, crashNanos))
+                        .allMatch(reported -> reported - crashNanos >= SETTLING_NANOS);
+    }
+
+    private boolean isCompared(long trait, Collection<String> gateways, long nowNanos) {
         final Suspected since = suspectedSince.get(trait);
         return since != null
                 && (nowNanos - since.nanos() >= ANSWER_NANOS
--- a/daemon/src/main/java/org/crocushaven/forwarding/CondemnedTraits.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/CondemnedTraits.java
@@ -49,8 +49,8 @@
     }
 
     /** Returns the verdict under which a request is refused. */
-    Optional<TraitVerdict> verdictOn(SharedParts request) {
-        return verdicts.on(request.model(), request.parts()).stream().findFirst();
+    Optional<TraitVerdict> verdictOn(RequestTraits request) {
+        return verdicts.on(request.model(), request.traits()).stream().findFirst();
     }
 
     /** Records that a request was refused under a verdict. */
--- a/daemon/src/main/java/org/crocushaven/forwarding/CrashGuard.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/CrashGuard.java
@@ -1,7 +1,6 @@
 package org.crocushaven.forwarding;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
@@ -11,8 +10,6 @@
 import org.crocushaven.fleet.BackendRecord;
 import org.crocushaven.fleet.BackendStart;
 import org.crocushaven.fleet.GatewayUpdate;
-import org.crocushaven.fleet.ModelTrait;
-import org.crocushaven.fleet.SoundTraits;
 import org.crocushaven.fleet.StreamIdentifier;
 import org.crocushaven.fleet.TraitReport;
 import org.crocushaven.fleet.TraitVerdict;
@@ -22,20 +19,15 @@
 import org.crocushaven.result.ResultException;
 
 /**
- * Keeps requests away from backend servers whose prompts have a part that ends those that answer on
- * it, and tells the leader what shows which part that is.
+ * Keeps requests away from backend servers that have a trait which ends those that run them, and
+ * tells the leader what shows which trait that is.
  *
  * <p>The gateway only gathers evidence; the leader joins that of all gateways and decides. Used on
  * the event loop only.
  */
 final class CrashGuard {
-    /** Parts on which answers went on; those of the last minute count. */
-    private static final int SOUND_CAPACITY = 32_768;
-
-    private static final long SOUND_MILLIS = 60_000;
-
-    /** Parts of one request that are reported. */
-    private static final int MAXIMUM_PARTS = 32;
+    /** Traits of one request that are reported. */
+    private static final int MAXIMUM_TRAITS = 32;
 
     /** Starts of backend servers whose end was looked into. */
     private static final int MAXIMUM_CHECKED = 256;
@@ -46,7 +38,7 @@
     private final NanoClock clock;
     private final EndCheck endCheck;
     private final Runnable reportSoon;
-    private final SoundTraits sound = SoundTraits.of(SOUND_CAPACITY, SOUND_MILLIS);
+    private final SoundMemory sound = new SoundMemory();
     private final CrashReports reports = new CrashReports();
     private final CondemnedTraits condemned = new CondemnedTraits();
     private final Set<BackendStart> checked = new LinkedHashSet<>();
@@ -65,12 +57,12 @@
 
     /** Returns the guard of one request. */
     RequestGuard of(IngressRequest request) {
-        return new RequestGuard(this, request.requestId(), SharedParts.of(request));
+        return new RequestGuard(this, request.requestId());
     }
 
     /** Returns the verdict under which a request is refused. */
-    Optional<TraitVerdict> verdictOn(SharedParts shared) {
-        return condemned.verdictOn(shared);
+    Optional<TraitVerdict> verdictOn(RequestTraits traits) {
+        return condemned.verdictOn(traits);
     }
 
     /** Returns whether a request may go out as a probe that the leader has granted. */
@@ -82,44 +74,40 @@
     ResultException refuse(TraitVerdict verdict) {
         condemned.recordRefused(verdict);
         return ResultException.of(
-                        ResultCode.PROMPT_PART_CONDEMNED,
+                        ResultCode.REQUEST_CONDEMNED,
                         verdict.traitList(),
                         verdict.crashes(),
                         verdict.decidedBy())
                 .withRetryAfter(RETRY_DELAY);
     }
 
-    /** Returns whether one of the parts is suspect, and no answer on it went on here lately. */
-    boolean isSuspect(SharedParts shared) {
+    /** Returns whether one of the traits is suspect, and no answer on it went on here lately. */
+    boolean isSuspect(RequestTraits traits) {
         final long nowNanos = clock.nanoTime();
-        return shared.parts().stream()
+        return traits.traits().stream()
                 .filter(condemned::isSuspect)
-                .anyMatch(part -> !sound.contains(new ModelTrait(shared.model(), part), nowNanos));
+                .anyMatch(trait -> !sound.contains(traits.model(), trait, nowNanos));
     }
 
     /** Records that an answer goes on: it has a second event, or is complete. */
-    void wentOn(SharedParts shared) {
-        final long nowNanos = clock.nanoTime();
-        shared.parts().forEach(part -> sound.add(new ModelTrait(shared.model(), part), nowNanos));
+    void wentOn(RequestTraits traits) {
+        sound.add(traits, clock.nanoTime());
     }
 
     /** Records that the connection of a request ended before its answer had gone on. */
-    void broken(String requestId, SharedParts shared, BackendRecord backend) {
+    void broken(String requestId, RequestTraits traits, BackendRecord backend) {
         final long nowNanos = clock.nanoTime();
         final List<Long> unsound =
-                shared.parts().stream()
-                        .filter(
-                                part ->
-                                        !sound.contains(
-                                                new ModelTrait(shared.model(), part), nowNanos))
-                        .limit(MAXIMUM_PARTS)
+                traits.traits().stream()
+                        .filter(trait -> !sound.contains(traits.model(), trait, nowNanos))
+                        .limit(MAXIMUM_TRAITS)
                         .toList();
         if (unsound.isEmpty()) {
             return;
         }
         final BackendStart start = BackendStart.of(backend);
         final long request = StreamIdentifier.of(requestId);
-        reports.addBroken(start, request, shared.model(), unsound, nowNanos);
+        reports.addBroken(start, request, traits.model(), unsound, nowNanos);
         reportSoon.run();
         checkEnd(start);
     }
@@ -152,19 +140,10 @@
                 reports.unreportedBroken(nowNanos),
                 reports.unreportedEnded(nowNanos),
                 condemned.suspectsRevision(),
-                soundAmong(condemned.traits(), nowNanos),
+                sound.among(condemned.traits(), nowNanos),
                 condemned.drainRefused());
     }
 
-    private List<ModelTrait> soundAmong(Set<Long> traits, long nowNanos) {
-        final List<ModelTrait> found = new ArrayList<>();
-        for (final long trait : traits) {
-            sound.modelsOf(trait, nowNanos)
-                    .forEach(model -> found.add(new ModelTrait(model, trait)));
-        }
-        return found;
-    }
-
     /** Applies the leader's update. */
     void apply(GatewayUpdate update, boolean hasState, long nowNanos) {
         reports.reportAnswered(update.epoch());
--- a/daemon/src/main/java/org/crocushaven/forwarding/ForwardedRequest.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/ForwardedRequest.java
@@ -77,6 +77,7 @@
     /** Finds out what of the request may be guilty; to be called once its caller is known. */
     void identifyTraits() {
         traits = RequestTraits.of(request, admission.organisationName(), bodyDigest);
+        guard.identify(traits);
     }
 
     IngressRoute route() {
--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestGuard.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestGuard.java
@@ -5,8 +5,8 @@
 import org.crocushaven.result.ResultException;
 
 /**
- * Decides for one request whether its prompt may be sent to backend servers, and passes on how its
- * attempts ended. Used on the event loop only.
+ * Decides for one request whether it may be sent to backend servers, and passes on how its attempts
+ * ended. Used on the event loop only.
  */
 final class RequestGuard {
     /** A backend server may end as it writes the first event. */
@@ -14,37 +14,45 @@
 
     private final CrashGuard guard;
     private final String requestId;
-    private final SharedParts shared;
+    private RequestTraits traits = RequestTraits.UNKNOWN;
     private boolean probe;
     private boolean wentOn;
 
-    RequestGuard(CrashGuard guard, String requestId, SharedParts shared) {
+    RequestGuard(CrashGuard guard, String requestId) {
         this.guard = guard;
         this.requestId = requestId;
-        this.shared = shared;
+    }
+
+    /** Sets what of the request may be guilty; nothing is decided before. */
+    void identify(RequestTraits identified) {
+        traits = identified;
+    }
+
+    RequestTraits traits() {
+        return traits;
     }
 
     /**
      * Checks a request that arrives; it may also be the probe that the leader has granted.
      *
-     * @throws ResultException when its prompt is condemned
+     * @throws ResultException when the request is condemned
      */
     void requireAllowed() {
-        probe = guard.verdictOn(shared).filter(guard::takeProbe).isPresent();
+        probe = guard.verdictOn(traits).filter(guard::takeProbe).isPresent();
         final Optional<ResultException> refusal = refusal();
         if (refusal.isPresent()) {
             throw refusal.get();
         }
     }
 
-    /** Returns the refusal of a request whose prompt was condemned since it arrived. */
+    /** Returns the refusal of a request that was condemned since it arrived. */
     Optional<ResultException> refusal() {
-        return probe ? Optional.empty() : guard.verdictOn(shared).map(guard::refuse);
+        return probe ? Optional.empty() : guard.verdictOn(traits).map(guard::refuse);
     }
 
     /** Returns whether the request may be sent once more after it may have run. */
     boolean mayRepeat() {
-        return !probe && !guard.isSuspect(shared);
+        return !probe && !guard.isSuspect(traits);
     }
 
     /** Records how many events of an answer have come; the second shows that it goes on. */
@@ -57,13 +65,13 @@
     /** Records that an answer goes on or is complete. */
     void recordWentOn() {
         wentOn = true;
-        guard.wentOn(shared);
+        guard.wentOn(traits);
     }
 
     /** Records that a connection ended after some events of its answer. */
     void recordConnectionEnded(BackendRecord backend, long events) {
         if (events < EVENTS_GOING_ON) {
-            guard.broken(requestId, shared, backend);
+            guard.broken(requestId, traits, backend);
         }
     }
 }
--- a/daemon/src/test/java/org/crocushaven/fleet/TraitTrialTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/TraitTrialTest.java
@@ -17,6 +17,10 @@
     private static final String MODEL = "base";
     private static final long GUILTY = 66;
     private static final long BESIDE = 77;
+    private static final long REQUEST = Trait.ofRequest(1);
+    private static final long OTHER_REQUEST = Trait.ofRequest(2);
+    private static final long VICTIM = Trait.ofRequest(3);
+    private static final long SETTLING_MILLIS = 30;
 
     private final TraitTrial trial = new TraitTrial("leader");
     private List<TraitVerdict> verdicts = List.of();
@@ -85,8 +89,23 @@
         nowMillis += 500;
     }
 
-    /** Lets both gateways compare the suspects with their memories. */
+    /** Lets a backend server end under a try 80 ms after the last, with nothing told meanwhile. */
+    private void crashInTurn(long request, Long trait) {
+        final BackendStart start = start(++backends);
+        nowMillis += 80;
+        report(GATEWAY, broken(start, request, MODEL, trait));
+        report(GATEWAY, ended(start));
+    }
+
+    /** Lets both gateways report twice, so that what was asked last is answered. */
+    private void settle() {
+        answer();
+        answer();
+    }
+
+    /** Lets both gateways compare the suspects with their memories, and tell what they know. */
     private void answer() {
+        nowMillis += SETTLING_MILLIS;
         for (final String gateway : GATEWAYS) {
             report(
                     gateway,
@@ -113,6 +132,61 @@
             assertEquals("leader", verdicts.get(0).decidedBy());
         }
 
+        @Test
+        void wholeRequestInThreeCrashesUnderThreeTriesIsCondemnedAlone() {
+            crash(REQUEST, GUILTY);
+            crash(REQUEST, GUILTY);
+            assertEquals(List.of(), condemned());
+
+            crash(REQUEST, GUILTY);
+
+            assertEquals(List.of(List.of(REQUEST)), condemned());
+        }
+
+        /** Guards against crashes that one try meets in 0.1 s and that count as one. */
+        @Test
+        void crashesThatOneTryMeetsOneAfterTheOtherCountEach() {
+            crashInTurn(1, REQUEST);
+            crashInTurn(1, REQUEST);
+            crashInTurn(2, REQUEST);
+            crashInTurn(3, REQUEST);
+            settle();
+
+            assertEquals(List.of(List.of(REQUEST)), condemned());
+        }
+
+        /** Guards against a victim whose gateway reports before that of the guilty request. */
+        @Test
+        void victimIsNotCondemnedBeforeAllGatewaysHaveReportedTheCrash() {
+            for (int number = 1; number <= 3; number++) {
+                final BackendStart start = start(++backends);
+                nowMillis += 500;
+                report(GATEWAY, broken(start, number, MODEL, VICTIM));
+                report(GATEWAY, ended(start));
+                report(OTHER_GATEWAY, broken(start, 10 + number, MODEL, REQUEST));
+                if (number < 3) {
+                    answer();
+                }
+            }
+            assertEquals(List.of(), condemned());
+
+            crash(REQUEST);
+
+            assertEquals(List.of(List.of(REQUEST)), condemned());
+        }
+
+        @Test
+        void partBehindCondemnedRequestIsCondemnedOnceOtherRequestsHaveIt() {
+            crash(REQUEST, GUILTY);
+            crash(REQUEST, GUILTY);
+            crash(REQUEST, GUILTY);
+            assertEquals(List.of(List.of(REQUEST)), condemned());
+
+            crash(OTHER_REQUEST, GUILTY);
+
+            assertTrue(condemned().contains(List.of(GUILTY)));
+        }
+
         @Test
         void connectionsThatEndAreNoCrash() {
             for (int number = 0; number < 10; number++) {
--- a/daemon/src/test/java/org/crocushaven/forwarding/CondemnedPromptTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/CondemnedPromptTest.java
@@ -52,7 +52,7 @@
         fixture.allowOneRequest();
         fixture.tellOfTraits(CONDEMNED);
 
-        assertEquals("refused PROMPT_PART_CONDEMNED", fixture.start().awaitEnd());
+        assertEquals("refused REQUEST_CONDEMNED", fixture.start().awaitEnd());
         assertEquals(0, fixture.pendingSends());
 
         fixture.setPromptParts(1, 99);
--- a/daemon/src/test/java/org/crocushaven/forwarding/CrashFault.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/CrashFault.java
@@ -20,6 +20,14 @@
     RARE_PART_BROKEN,
     /** Two parts are guilty at once. */
     TWO_GUILTY_PARTS,
+    /** A guilty request comes again and again. */
+    GUILTY_REQUEST_REPEATED,
+    /** A guilty request is condemned. */
+    GUILTY_REQUEST_CONDEMNED,
+    /** A sound request, the same each time, is in flight when a backend server ends. */
+    POPULAR_REQUEST_BROKEN,
+    /** All backend servers end one after the other. */
+    WAVE_OF_CRASHES,
     /** A gateway starts anew. */
     GATEWAY_RESTARTED,
     /** A report or its answer is lost. */
--- a/daemon/src/test/java/org/crocushaven/forwarding/CrashGuardFuzzTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/CrashGuardFuzzTest.java
@@ -24,6 +24,11 @@
     private static final long DAYS_WITHOUT_FALSE_VERDICT = 20;
 
     private static final List<Long> GUILTY = List.of(66L, 67L);
+    private static final List<Long> GUILTY_BODIES = List.of(-66L, -67L);
+
+    /** Requests that callers send again and again, and which are sound. */
+    private static final int POPULAR_REQUESTS = 12;
+
     private static final long FIRST_RARE_PART = 1_000;
     private static final int RARE_PARTS = 300;
     private static final int FLOODED_PARTS = 500;
@@ -36,7 +41,7 @@
     private long falseRefusals;
 
     @Test
-    void atMostThreeRequestsWithGuiltyPartReachBackendServersAfterItsFifthCrash() {
+    void atMostThreeGuiltyRequestsReachBackendServersAfterTheCountedCrash() {
         try {
             FuzzSettings.forEachCase("crash-guard", CASES, this::run);
         } finally {
@@ -62,13 +67,20 @@
 
     private void run(long seed) {
         final int guiltyParts = (int) Math.floorMod(seed, 3L);
-        final CrashScenario day = new CrashScenario(seed, GUILTY.subList(0, guiltyParts), counts);
+        final int guiltyBodies = (int) Math.floorMod(seed / 3, 3L);
+        final CrashScenario day =
+                new CrashScenario(
+                        seed,
+                        GUILTY.subList(0, guiltyParts),
+                        GUILTY_BODIES.subList(0, guiltyBodies),
+                        counts);
         if (guiltyParts > 1) {
             counts.count(CrashFault.TWO_GUILTY_PARTS);
         }
         for (long millis = 0; millis < DAY_MILLIS; millis += STEP_MILLIS) {
             day.time().runUntilMillis(millis);
             callers(day, guiltyParts);
+            repeatingCallers(day, guiltyBodies);
             disrupt(day);
         }
         day.time().runUntilMillis(DAY_MILLIS);
@@ -78,7 +90,7 @@
         falseRefusals += day.falseRefusals();
         assertTrue(
                 day.lateArrivals() <= ALLOWED_ARRIVALS,
-                () -> day.lateArrivals() + " requests with a guilty part arrived too late");
+                () -> day.lateArrivals() + " guilty requests arrived too late");
     }
 
     private void callers(CrashScenario day, int guiltyParts) {
@@ -100,6 +112,24 @@
         }
     }
 
+    /** Sends requests that are the same each time; a third of them are plain. */
+    private void repeatingCallers(CrashScenario day, int guiltyBodies) {
+        final RandomGenerator random = day.random();
+        if (random.nextInt(2) == 0) {
+            final int popular = random.nextInt(POPULAR_REQUESTS);
+            day.repeatedRequest(-1_000L - popular, popular % 3 == 0);
+        }
+        if (day.time().millis() < GUILTY_BEGIN_MILLIS) {
+            return;
+        }
+        for (final long body : GUILTY_BODIES.subList(0, guiltyBodies)) {
+            if (random.nextInt(12) == 0) {
+                counts.count(CrashFault.GUILTY_REQUEST_REPEATED);
+                day.repeatedRequest(body, body == GUILTY_BODIES.get(0));
+            }
+        }
+    }
+
     private void disrupt(CrashScenario day) {
         final RandomGenerator random = day.random();
         if (random.nextInt(60) == 0) {
@@ -119,6 +149,10 @@
             new ArrayList<>(day.backends())
                     .stream().filter(backend -> random.nextInt(7) == 0).forEach(day::crash);
         }
+        if (random.nextInt(1_000) == 0) {
+            counts.count(CrashFault.WAVE_OF_CRASHES);
+            wave(day);
+        }
         if (random.nextInt(30) == 0 && day.cutOne(true)) {
             counts.count(CrashFault.CONNECTION_RESET);
             counts.count(CrashFault.RARE_PART_BROKEN);
@@ -140,6 +174,15 @@
         }
     }
 
+    private void wave(CrashScenario day) {
+        final long gapMillis = 20 + day.random().nextLong(400);
+        long afterMillis = 0;
+        for (final SimulatedBackend backend : day.backends()) {
+            day.time().after(afterMillis, () -> day.crash(backend));
+            afterMillis += gapMillis;
+        }
+    }
+
     private void popularPart(CrashScenario day) {
         counts.count(CrashFault.POPULAR_PART_BEGAN);
         final long part = nextPart++;
--- a/daemon/src/test/java/org/crocushaven/forwarding/CrashGuardTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/CrashGuardTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -12,9 +13,11 @@
 import org.crocushaven.fleet.BrokenStart;
 import org.crocushaven.fleet.GatewayUpdate;
 import org.crocushaven.fleet.ModelTrait;
+import org.crocushaven.fleet.Trait;
 import org.crocushaven.fleet.TraitSuspect;
 import org.crocushaven.fleet.TraitUpdate;
 import org.crocushaven.fleet.TraitVerdict;
+import org.crocushaven.ingress.IngressRequest;
 import org.crocushaven.ingress.PromptPart;
 import org.crocushaven.result.ResultCode;
 import org.crocushaven.result.ResultException;
@@ -29,6 +32,7 @@
 
     private final List<BackendStart> checked = new ArrayList<>();
     private int reportsSoon;
+    private int bodies;
     private long nowNanos;
     private final CrashGuard guard =
             new CrashGuard(
@@ -44,13 +48,28 @@
     }
 
     private RequestGuard requestAt(String model, long... parts) {
-        return guard.of(
+        return requestWithBody(model, "body " + bodies++, parts);
+    }
+
+    private RequestGuard requestWithBody(String model, String body, long... parts) {
+        final IngressRequest request =
                 ChatRequestBuilder.of(model, "adapter")
                         .promptParts(
                                 Arrays.stream(parts)
                                         .mapToObj(part -> new PromptPart(part, 1))
                                         .toList())
-                        .build());
+                        .build();
+        final RequestGuard created = guard.of(request);
+        created.identify(traits(request, body));
+        return created;
+    }
+
+    private static RequestTraits traits(IngressRequest request, String body) {
+        return RequestTraits.of(request, "first", body.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static List<Long> partsOf(BrokenStart broken) {
+        return broken.traits().stream().filter(trait -> !Trait.isRequest(trait)).toList();
     }
 
     private void update(long epoch, TraitUpdate traits) {
@@ -75,12 +94,42 @@
 
             request(1, 66, 100).recordConnectionEnded(BACKEND, 1);
 
-            assertEquals(List.of(66L), reported().get(0).traits());
+            assertEquals(List.of(66L), partsOf(reported().get(0)));
             assertEquals(List.of(BackendStart.of(BACKEND)), checked);
             assertEquals(List.of(BackendStart.of(BACKEND)), guard.report(nowNanos).ended());
             assertTrue(reportsSoon > 0);
         }
 
+        @Test
+        void brokenRequestWithoutPartsIsReportedAsWhole() {
+            request().recordConnectionEnded(BACKEND, 0);
+
+            assertEquals(1, reported().get(0).traits().size());
+            assertTrue(Trait.isRequest(reported().get(0).traits().get(0)));
+        }
+
+        @Test
+        void brokenRequestOfWhichAnotherTryWentOnIsNotReported() {
+            requestWithBody("base", "popular").recordWentOn();
+
+            requestWithBody("base", "popular").recordConnectionEnded(BACKEND, 0);
+
+            assertEquals(List.of(), reported());
+        }
+
+        /** Guards against requests that push the parts they share out of the gateway's memory. */
+        @Test
+        void partsStaySoundBesideVeryManyRequests() {
+            request(66, 99).recordEvents(2);
+            for (int number = 0; number < 40_000; number++) {
+                request().recordWentOn();
+            }
+
+            request(66, 98).recordConnectionEnded(BACKEND, 0);
+
+            assertEquals(List.of(), partsOf(reported().get(0)));
+        }
+
         @Test
         void requestWhoseAnswerHadGoneOnIsNotReported() {
             request(1, 66, 100).recordConnectionEnded(BACKEND, 2);
@@ -151,10 +200,31 @@
             final ResultException refusal =
                     assertThrows(ResultException.class, () -> request(1, 66, 99).requireAllowed());
 
-            assertEquals(ResultCode.PROMPT_PART_CONDEMNED, refusal.code());
+            assertEquals(ResultCode.REQUEST_CONDEMNED, refusal.code());
             assertEquals(List.of(List.of(66L)), guard.report(nowNanos).refused());
         }
 
+        @Test
+        void condemnedRequestIsRefusedWhereOthersOfItsCallerAreNot() {
+            final RequestGuard guilty = requestWithBody("base", "guilty");
+            guilty.recordConnectionEnded(BACKEND, 0);
+            final TraitVerdict onRequest =
+                    new TraitVerdict(
+                            reported().get(0).traits(),
+                            List.of("base"),
+                            List.of(),
+                            3,
+                            "leader",
+                            1,
+                            0);
+            update(1, new TraitUpdate(1, List.of(), List.of(onRequest), List.of()));
+
+            assertThrows(
+                    ResultException.class,
+                    () -> requestWithBody("base", "guilty").requireAllowed());
+            requestWithBody("base", "other").requireAllowed();
+        }
+
         @Test
         void lastPartAndSparedModelAreNotRefused() {
             condemn();
--- a/daemon/src/test/java/org/crocushaven/forwarding/CrashScenario.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/CrashScenario.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
@@ -26,6 +28,7 @@
     private static final int MAXIMUM_ATTEMPTS = 3;
     private static final long TOUCH_MILLIS = 3_000;
     private static final int COUNTED_CRASH = 5;
+    private static final int COUNTED_CRASH_OF_REQUEST = 3;
     private static final long TICK_MILLIS = 200;
     private static final long COMMIT_MILLIS = 50;
     private static final long SILENT_MILLIS = 3_000;
@@ -34,6 +37,8 @@
     private final RandomGenerator random;
     private final FaultCounts<CrashFault> counts;
     private final List<Long> guilty;
+    private final List<Long> guiltyBodies;
+    private final Set<Long> guiltyTraits = new HashSet<>();
     private final List<SimulatedGateway> gateways = new ArrayList<>();
     private final List<SimulatedBackend> backends = new ArrayList<>();
     private final Map<String, Long> reportedMillis = new HashMap<>();
@@ -46,12 +51,15 @@
     private long epoch;
     private long leaderChangedMillis;
     private long requests;
+    private long tries;
     private int falseVerdicts;
     private long falseRefusals;
 
-    CrashScenario(long seed, List<Long> guilty, FaultCounts<CrashFault> counts) {
+    CrashScenario(
+            long seed, List<Long> guilty, List<Long> guiltyBodies, FaultCounts<CrashFault> counts) {
         this.random = RandomGeneratorFactory.of("SplittableRandom").create(seed);
         this.guilty = guilty;
+        this.guiltyBodies = guiltyBodies;
         this.counts = counts;
         final int gatewayCount = 2 + random.nextInt(6);
         for (int number = 0; number < gatewayCount; number++) {
@@ -150,6 +158,8 @@
             if (knownVerdicts.stream().noneMatch(old -> old.traits().equals(verdict.traits()))) {
                 if (verdict.traits().stream().anyMatch(guilty::contains)) {
                     counts.count(CrashFault.GUILTY_CONDEMNED);
+                } else if (verdict.traits().stream().anyMatch(guiltyTraits::contains)) {
+                    counts.count(CrashFault.GUILTY_REQUEST_CONDEMNED);
                 } else {
                     falseVerdicts++;
                 }
@@ -160,21 +170,33 @@
 
     /** A caller sends a request with the given parts, the last of which is its own. */
     void request(List<Long> sharedParts) {
+        requests++;
+        final List<Long> parts = new ArrayList<>(List.of(POPULAR_PART));
+        parts.addAll(sharedParts);
+        parts.add(-requests);
+        arrive(random.nextInt(4) == 0 ? "small" : "large", requests, parts);
+    }
+
+    /** A caller sends a request that it sends again and again; it has no parts if it is plain. */
+    void repeatedRequest(long body, boolean plain) {
+        arrive("large", body, plain ? List.of() : List.of(POPULAR_PART, body));
+    }
+
+    private void arrive(String model, long body, List<Long> parts) {
         final SimulatedGateway gateway = gateways.get(random.nextInt(gateways.size()));
         if (!gateway.isReady()) {
             return;
         }
-        final List<Long> parts = new ArrayList<>(List.of(POPULAR_PART));
-        parts.addAll(sharedParts);
-        requests++;
-        parts.add(-requests);
-        final String model = random.nextInt(4) == 0 ? "small" : "large";
-        final SimulatedRequest request = new SimulatedRequest(gateway, requests, model, parts);
+        tries++;
+        final SimulatedRequest request = new SimulatedRequest(gateway, tries, body, model, parts);
+        if (!guiltIn(request).isEmpty()) {
+            guiltyTraits.add(request.wholeTrait());
+        }
         try {
             request.guard().requireAllowed();
             send(request);
         } catch (ResultException refused) {
-            if (guilty.stream().anyMatch(request::hasPart)) {
+            if (!guiltIn(request).isEmpty()) {
                 counts.count(CrashFault.GUILTY_REFUSED);
             } else {
                 falseRefusals++;
@@ -190,16 +212,26 @@
         final SimulatedBackend backend = up.get(random.nextInt(up.size()));
         final int attempt = request.nextAttempt();
         backend.running().add(request);
-        guilty.stream().filter(request::hasPart).forEach(part -> recordArrival(request, part));
+        guiltIn(request).forEach(part -> recordArrival(request, part));
         time.after(30 + random.nextLong(220), () -> begin(request, backend, attempt));
     }
 
+    /** Returns what of a request is guilty: parts of its prompt, or its body. */
+    private List<Long> guiltIn(SimulatedRequest request) {
+        final List<Long> found = new ArrayList<>(guilty);
+        found.removeIf(part -> !request.hasPart(part));
+        if (guiltyBodies.contains(request.body())) {
+            found.add(request.body());
+        }
+        return found;
+    }
+
     private void recordArrival(SimulatedRequest request, long part) {
         final List<Long> crashes = crashMillis.getOrDefault(part, List.of());
         final long sinceMillis = time.millis() - TOUCH_MILLIS;
         final boolean isCounted =
-                crashes.size() >= COUNTED_CRASH
-                        && crashes.get(COUNTED_CRASH - 1) < sinceMillis
+                crashes.size() >= countedCrash(part)
+                        && crashes.get(countedCrash(part) - 1) < sinceMillis
                         && leader != null
                         && leaderChangedMillis < sinceMillis
                         && request.gateway().ranSince(sinceMillis);
@@ -208,6 +240,10 @@
         }
     }
 
+    private int countedCrash(long guilt) {
+        return guiltyBodies.contains(guilt) ? COUNTED_CRASH_OF_REQUEST : COUNTED_CRASH;
+    }
+
     private boolean isRunning(SimulatedRequest request, SimulatedBackend backend, int attempt) {
         return backend.running().contains(request) && request.attempts() == attempt;
     }
@@ -216,7 +252,7 @@
         if (!isRunning(request, backend, attempt)) {
             return;
         }
-        final List<Long> fatal = guilty.stream().filter(request::hasPart).toList();
+        final List<Long> fatal = guiltIn(request);
         if (!fatal.isEmpty()) {
             counts.count(CrashFault.GUILTY_CRASH);
             fatal.forEach(
@@ -263,6 +299,9 @@
         if (!request.isAlive()) {
             return;
         }
+        if (request.body() < 0 && !guiltyBodies.contains(request.body())) {
+            counts.count(CrashFault.POPULAR_REQUEST_BROKEN);
+        }
         request.guard().recordConnectionEnded(backend, request.events());
         if (request.attempts() < MAXIMUM_ATTEMPTS
                 && request.events() == 0
@@ -308,6 +347,6 @@
     }
 
     long requests() {
-        return requests;
+        return tries;
     }
 }
