Doubt the end of a backend server until other gateways have tried its address

Cause: an end rested on one gateway's word. Change: the leader names the ends that a suspect's verdict would rest on; every gateway tries these addresses; one that is reached, or from which a heartbeat of the same start comes, was no crash. The line backend-end-checked says finding=, no longer ended=.

TraitTrialTest has both, and they fail without the contradiction (condemned). RefusalCheckTest states the three findings where it stated two.

--- a/daemon/src/main/java/org/crocushaven/fleet/BackendStart.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/BackendStart.java
@@ -17,6 +17,13 @@
                 record.backend(), record.startedMillis(), record.host() + ':' + record.port());
     }
 
+    /** Returns whether an announcement comes from this start. */
+    boolean sent(BackendAnnouncement announcement) {
+        return !announcement.isDeregistration()
+                && announcement.startedMillis() == startedMillis
+                && announcement.backend().equals(backend);
+    }
+
     /** Returns whether an announcement shows that this start has ended, since a later one came. */
     boolean isFollowedBy(BackendAnnouncement announcement) {
         return !announcement.isDeregistration()
--- a/daemon/src/main/java/org/crocushaven/fleet/FleetLeader.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/FleetLeader.java
@@ -107,7 +107,7 @@
     /** Applies an announcement that the registry accepted. */
     void announced(BackendAnnouncement announcement) {
         streams.observe(announcement, clock.nanoTime());
-        verdicts.started(announcement);
+        verdicts.announced(announcement);
         final Optional<EngineProfile> profile = profileOf(announcement.service());
         final Optional<BackendAnnouncement> known = registry.find(announcement.backend());
         if (profile.isPresent() && known.isPresent()) {
--- a/daemon/src/main/java/org/crocushaven/fleet/TraitSuspicion.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/TraitSuspicion.java
@@ -5,6 +5,7 @@
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -13,6 +14,7 @@
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 /**
  * Weighs which traits of requests may be guilty of crashes: those that were in several crashes and
@@ -93,6 +95,14 @@
                 .findFirst();
     }
 
+    /** Returns the crashes of all suspects that were in as many as given. */
+    Set<BackendStart> crashesOfSuspectsIn(int crashes) {
+        return suspects.values().stream()
+                .filter(suspect -> suspect.events >= crashes)
+                .flatMap(suspect -> suspect.crashes.keySet().stream())
+                .collect(Collectors.toCollection(LinkedHashSet::new));
+    }
+
     private List<Suspect> inOrder() {
         return suspects.values().stream().sorted().toList();
     }
@@ -151,6 +161,10 @@
             return trait;
         }
 
+        Set<BackendStart> crashes() {
+            return crashes.keySet();
+        }
+
         /** Returns the time of the last crash, by which all gateways must have reported. */
         long lastCrashNanos() {
             return Collections.max(crashes.values());
--- a/daemon/src/main/java/org/crocushaven/fleet/TraitTrial.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/TraitTrial.java
@@ -27,6 +27,11 @@
 
     private static final int MAXIMUM_SUSPECTS = 64;
 
+    /** Crashes of a suspect from which on gateways are asked to confirm them. */
+    private static final int DOUBTED_CRASHES = 2;
+
+    private static final int MAXIMUM_DOUBTED = 32;
+
     /** Traits on which answers went on, as gateways say in every report: only suspects' traits. */
     private static final int MAXIMUM_SOUND = 4_096;
 
@@ -46,6 +51,7 @@
     private final Map<String, Long> reportedNanos = new HashMap<>();
     private final Map<Long, Suspected> suspectedSince = new HashMap<>();
     private List<TraitSuspect> suspects = List.of();
+    private List<BackendStart> doubted = List.of();
     private long revision = 1;
 
     /**
@@ -72,12 +78,17 @@
         answered.put(gateway, report.suspectsRevision());
         reportedNanos.put(gateway, nowNanos);
         report.wentOn().forEach(trait -> sound.add(trait, nowNanos));
-        return evidence.add(report, nowNanos);
+        return evidence.add(gateway, report, nowNanos);
+    }
+
+    /** Returns the starts whose ends gateways should look into. */
+    List<BackendStart> doubted() {
+        return doubted;
     }
 
-    /** Records that a backend server has started; returns whether that tells of a crash. */
-    boolean started(BackendAnnouncement announcement, long nowNanos) {
-        return evidence.started(announcement, nowNanos);
+    /** Records an announcement; returns whether that tells of a crash. */
+    boolean announced(BackendAnnouncement announcement, long nowNanos) {
+        return evidence.announced(announcement, nowNanos);
     }
 
     /**
@@ -102,6 +113,7 @@
                 TraitSuspicion.of(
                         evidence.crashes(), standing, trait -> sound.contains(trait, nowNanos));
         suspect(suspicion.strongest(MAXIMUM_SUSPECTS), nowNanos);
+        doubt(suspicion.crashesOfSuspectsIn(DOUBTED_CRASHES), nowNanos);
         suspicion
                 .guilty(CRASHES, suspect -> isAnswered(suspect, gateways, nowNanos))
                 .flatMap(found -> condemn(found, standing, nowNanos, nowMillis))
@@ -142,6 +154,14 @@
         return standing;
     }
 
+    private void doubt(Set<BackendStart> ends, long nowNanos) {
+        final List<BackendStart> next = evidence.doubt(ends, MAXIMUM_DOUBTED, nowNanos);
+        if (!next.equals(doubted)) {
+            doubted = next;
+            revision++;
+        }
+    }
+
     private void suspect(List<TraitSuspect> found, long nowNanos) {
         if (found.equals(suspects)) {
             return;
@@ -160,7 +180,8 @@
     private boolean isAnswered(
             TraitSuspicion.Suspect suspect, Collection<String> gateways, long nowNanos) {
         return isCompared(suspect.trait(), gateways, nowNanos)
-                && isReportedAfter(suspect.lastCrashNanos(), gateways, nowNanos);
+                && isReportedAfter(suspect.lastCrashNanos(), gateways, nowNanos)
+                && evidence.areConfirmed(suspect.crashes(), gateways, nowNanos);
     }
 
     private boolean isReportedAfter(long crashNanos, Collection<String> gateways, long nowNanos) {
--- a/daemon/src/main/java/org/crocushaven/fleet/TraitVerdicts.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/TraitVerdicts.java
@@ -78,7 +78,12 @@
         return report.epoch() == epoch
                 ? traits
                 : new TraitReport(
-                        traits.broken(), traits.ended(), -1, traits.wentOn(), traits.refused());
+                        traits.broken(),
+                        traits.ended(),
+                        -1,
+                        traits.wentOn(),
+                        traits.refused(),
+                        traits.reached());
     }
 
     /** Returns what a gateway has to know. */
@@ -88,12 +93,13 @@
                 trial.revision(),
                 trial.suspects(),
                 withState ? verdicts : List.of(),
-                probes.takeGrants(report.gateway(), verdicts));
+                probes.takeGrants(report.gateway(), verdicts),
+                trial.doubted());
     }
 
     /** Records an announcement of a backend server. */
-    public void started(BackendAnnouncement announcement) {
-        trial.started(announcement, clock.nanoTime());
+    public void announced(BackendAnnouncement announcement) {
+        trial.announced(announcement, clock.nanoTime());
     }
 
     /** Runs the periodic tasks. */
--- a/daemon/src/main/java/org/crocushaven/forwarding/CrashGuard.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/CrashGuard.java
@@ -1,10 +1,11 @@
 package org.crocushaven.forwarding;
 
 import java.time.Duration;
-import java.util.LinkedHashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.agrona.concurrent.NanoClock;
 import org.crocushaven.fleet.BackendRecord;
@@ -15,6 +16,7 @@
 import org.crocushaven.fleet.TraitVerdict;
 import org.crocushaven.ingress.IngressRequest;
 import org.crocushaven.observability.EventLine;
+import org.crocushaven.outbound.RefusalCheck;
 import org.crocushaven.result.ResultCode;
 import org.crocushaven.result.ResultException;
 
@@ -32,6 +34,9 @@
     /** Starts of backend servers whose end was looked into. */
     private static final int MAXIMUM_CHECKED = 256;
 
+    /** Time after which an end is looked into once more if it is doubted again. */
+    private static final long CHECK_AGAIN_NANOS = TimeUnit.SECONDS.toNanos(2);
+
     /** A verdict stays for minutes at least. */
     private static final Duration RETRY_DELAY = Duration.ofSeconds(60);
 
@@ -41,7 +46,7 @@
     private final SoundMemory sound = new SoundMemory();
     private final CrashReports reports = new CrashReports();
     private final CondemnedTraits condemned = new CondemnedTraits();
-    private final Set<BackendStart> checked = new LinkedHashSet<>();
+    private final Map<BackendStart, Long> checked = new LinkedHashMap<>();
 
     /**
      * Creates a guard that knows nothing yet.
@@ -113,25 +118,32 @@
     }
 
     private void checkEnd(BackendStart start) {
-        if (!checked.add(start)) {
+        final long nowNanos = clock.nanoTime();
+        final Long checkedNanos = checked.get(start);
+        if (checkedNanos != null && nowNanos - checkedNanos < CHECK_AGAIN_NANOS) {
             return;
         }
+        checked.put(start, nowNanos);
         if (checked.size() > MAXIMUM_CHECKED) {
-            checked.remove(checked.iterator().next());
+            checked.remove(checked.keySet().iterator().next());
+        }
+        endCheck.check(start, finding -> endChecked(start, finding));
+    }
+
+    private void endChecked(BackendStart start, RefusalCheck.Finding finding) {
+        EventLine.of("backend-end-checked")
+                .with("backend", start.backend())
+                .with("started_ms", start.startedMillis())
+                .with("finding", finding)
+                .info();
+        switch (finding) {
+            case REFUSED -> reports.addEnded(start, clock.nanoTime());
+            case REACHED -> reports.addReached(start, clock.nanoTime());
+            default -> {
+                return;
+            }
         }
-        endCheck.check(
-                start,
-                ended -> {
-                    EventLine.of("backend-end-checked")
-                            .with("backend", start.backend())
-                            .with("started_ms", start.startedMillis())
-                            .with("ended", ended)
-                            .info();
-                    if (ended) {
-                        reports.addEnded(start, clock.nanoTime());
-                        reportSoon.run();
-                    }
-                });
+        reportSoon.run();
     }
 
     /** Returns what the leader should know. */
@@ -141,18 +153,20 @@
                 reports.unreportedEnded(nowNanos),
                 condemned.suspectsRevision(),
                 sound.among(condemned.traits(), nowNanos),
-                condemned.drainRefused());
+                condemned.drainRefused(),
+                reports.unreportedReached(nowNanos));
     }
 
     /** Applies the leader's update. */
     void apply(GatewayUpdate update, boolean hasState, long nowNanos) {
         reports.reportAnswered(update.epoch());
         condemned.apply(update.traits(), hasState, nowNanos);
+        update.traits().doubted().forEach(this::checkEnd);
     }
 
     /** Finds out whether a start of a backend server has ended. */
     interface EndCheck {
-        /** Passes on whether the address refuses connections; called on the event loop. */
-        void check(BackendStart start, Consumer<Boolean> then);
+        /** Passes on what its address did with a connection; called on the event loop. */
+        void check(BackendStart start, Consumer<RefusalCheck.Finding> then);
     }
 }
--- a/daemon/src/main/java/org/crocushaven/forwarding/CrashReports.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/CrashReports.java
@@ -20,6 +20,7 @@
 
     private final Deque<Numbered<Broken>> broken = new ArrayDeque<>();
     private final Deque<Numbered<BackendStart>> ended = new ArrayDeque<>();
+    private final Deque<Numbered<BackendStart>> reached = new ArrayDeque<>();
     private long nextNumber = 1;
 
     /** Number of the last entry that the leader knows. */
@@ -41,6 +42,11 @@
         add(ended, start, nowNanos);
     }
 
+    /** Remembers that a start of a backend server whose end was doubted took a connection. */
+    void addReached(BackendStart start, long nowNanos) {
+        add(reached, start, nowNanos);
+    }
+
     private <T> void add(Deque<Numbered<T>> entries, T entry, long nowNanos) {
         entries.addLast(new Numbered<>(nextNumber, entry, nowNanos));
         nextNumber++;
@@ -60,6 +66,11 @@
         return unreported(ended, Numbered::value, nowNanos);
     }
 
+    /** Returns the reached starts that the leader does not know yet. */
+    List<BackendStart> unreportedReached(long nowNanos) {
+        return unreported(reached, Numbered::value, nowNanos);
+    }
+
     private <T, R> List<R> unreported(
             Deque<Numbered<T>> entries, Function<Numbered<T>, R> form, long nowNanos) {
         entries.removeIf(entry -> nowNanos - entry.nanos() > RETENTION_NANOS);
--- a/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
@@ -198,7 +198,7 @@
                 view.limits().report(nowNanos));
     }
 
-    private void checkEnd(BackendStart start, Consumer<Boolean> then) {
+    private void checkEnd(BackendStart start, Consumer<RefusalCheck.Finding> then) {
         view.find(start.backend())
                 .filter(record -> record.startedMillis() == start.startedMillis())
                 .ifPresent(
--- a/daemon/src/main/java/org/crocushaven/outbound/RefusalCheck.java
+++ b/daemon/src/main/java/org/crocushaven/outbound/RefusalCheck.java
@@ -13,7 +13,8 @@
 import java.util.function.Consumer;
 
 /**
- * Finds out whether an address refuses connections, which shows that the process there has ended.
+ * Finds out whether an address refuses connections, which shows that the process there has ended,
+ * or that the way to it is cut.
  *
  * <p>No request is sent. A time-out says nothing: the process may be frozen or cut off.
  */
@@ -34,23 +35,23 @@
         return new RefusalCheck(loop);
     }
 
-    /** Opens a connection, and a second one if the first succeeds; passes on if one is refused. */
-    public void check(InetSocketAddress address, Consumer<Boolean> then) {
+    /** Opens a connection, and a second one if the first succeeds; passes on what happened. */
+    public void check(InetSocketAddress address, Consumer<Finding> then) {
         connect(
                 address,
-                refused -> {
-                    if (refused) {
-                        then.accept(true);
-                    } else {
+                first -> {
+                    if (first == Finding.REACHED) {
                         loop.schedule(
                                 () -> connect(address, then),
                                 SECOND_TRY_MILLIS,
                                 TimeUnit.MILLISECONDS);
+                    } else {
+                        then.accept(first);
                     }
                 });
     }
 
-    private void connect(InetSocketAddress address, Consumer<Boolean> then) {
+    private void connect(InetSocketAddress address, Consumer<Finding> then) {
         new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
@@ -60,11 +61,27 @@
                 .addListener(
                         (ChannelFuture opened) -> {
                             opened.channel().close();
-                            then.accept(!opened.isSuccess() && isRefusal(opened.cause()));
+                            then.accept(findingOf(opened));
                         });
     }
 
-    private static boolean isRefusal(Throwable failure) {
-        return failure instanceof ConnectException && !(failure instanceof ConnectTimeoutException);
+    private static Finding findingOf(ChannelFuture opened) {
+        if (opened.isSuccess()) {
+            return Finding.REACHED;
+        }
+        final Throwable failure = opened.cause();
+        return failure instanceof ConnectException && !(failure instanceof ConnectTimeoutException)
+                ? Finding.REFUSED
+                : Finding.UNANSWERED;
+    }
+
+    /** What an address did with a connection. */
+    public enum Finding {
+        /** It took the connection. */
+        REACHED,
+        /** It refused the connection. */
+        REFUSED,
+        /** Nothing came back in time. */
+        UNANSWERED
     }
 }
--- a/daemon/src/test/java/org/crocushaven/fleet/TraitTrialTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/TraitTrialTest.java
@@ -32,17 +32,45 @@
         return new BackendStart("backend-" + number, 1, "10.0.0." + number + ":80");
     }
 
+    /** Returns an announcement of a later start at the address. */
+    private static BackendAnnouncement laterStart(int number) {
+        return announcement("next-" + number, number, 2);
+    }
+
+    /** Returns a heartbeat of the start itself. */
+    private static BackendAnnouncement heartbeat(int number) {
+        return announcement("backend-" + number, number, 1);
+    }
+
+    private static BackendAnnouncement announcement(String backend, int number, long started) {
+        return new BackendAnnouncement(
+                backend,
+                "service",
+                "10.0.0." + number,
+                80,
+                "a",
+                BackendState.READY,
+                4,
+                started,
+                1,
+                false,
+                List.of(),
+                "");
+    }
+
     private TraitReport broken(BackendStart start, long request, String model, Long... traits) {
         return new TraitReport(
                 List.of(new BrokenStart(start, request, model, Arrays.asList(traits), 0)),
                 List.of(),
                 trial.revision(),
                 List.of(),
+                List.of(),
                 List.of());
     }
 
     private TraitReport ended(BackendStart start) {
-        return new TraitReport(List.of(), List.of(start), trial.revision(), List.of(), List.of());
+        return new TraitReport(
+                List.of(), List.of(start), trial.revision(), List.of(), List.of(), List.of());
     }
 
     private TraitReport wentOn(String model, long trait) {
@@ -51,6 +79,7 @@
                 List.of(),
                 trial.revision(),
                 List.of(new ModelTrait(model, trait)),
+                List.of(),
                 List.of());
     }
 
@@ -107,12 +136,15 @@
     private void answer() {
         nowMillis += SETTLING_MILLIS;
         for (final String gateway : GATEWAYS) {
-            report(
-                    gateway,
-                    new TraitReport(List.of(), List.of(), trial.revision(), List.of(), List.of()));
+            report(gateway, witness(trial.doubted(), List.of()));
         }
     }
 
+    /** Returns a report of what a gateway found at addresses. */
+    private TraitReport witness(List<BackendStart> refused, List<BackendStart> reached) {
+        return new TraitReport(List.of(), refused, trial.revision(), List.of(), List.of(), reached);
+    }
+
     private List<List<Long>> condemned() {
         return verdicts.stream().map(TraitVerdict::traits).toList();
     }
@@ -175,6 +207,36 @@
             assertEquals(List.of(List.of(REQUEST)), condemned());
         }
 
+        /** Guards against a gateway that is cut off and swears that all backend servers crashed. */
+        @Test
+        void endsThatOneGatewaySeesWhereAnotherReachesTheAddressAreNone() {
+            for (int number = 1; number <= 5; number++) {
+                final BackendStart start = start(number);
+                report(GATEWAY, broken(start, number, MODEL, REQUEST));
+                report(GATEWAY, ended(start));
+                nowMillis += SETTLING_MILLIS;
+                report(OTHER_GATEWAY, witness(List.of(), trial.doubted()));
+                report(GATEWAY, witness(List.of(), List.of()));
+                nowMillis += 700;
+                weigh();
+            }
+
+            assertEquals(List.of(), condemned());
+        }
+
+        @Test
+        void endIsNoneWhileHeartbeatsOfTheStartGoOn() {
+            for (int number = 1; number <= 3; number++) {
+                report(GATEWAY, broken(start(number), number, MODEL, REQUEST));
+                report(GATEWAY, ended(start(number)));
+                nowMillis += 500;
+                trial.announced(heartbeat(number), TimeUnit.MILLISECONDS.toNanos(nowMillis));
+                answer();
+            }
+
+            assertEquals(List.of(), condemned());
+        }
+
         @Test
         void partBehindCondemnedRequestIsCondemnedOnceOtherRequestsHaveIt() {
             crash(REQUEST, GUILTY);
@@ -203,7 +265,7 @@
         void laterStartAtTheAddressShowsThatTheEarlierOneEnded() {
             for (int number = 1; number <= 3; number++) {
                 report(GATEWAY, broken(start(number), number, MODEL, GUILTY));
-                trial.started(announcement(number), TimeUnit.MILLISECONDS.toNanos(nowMillis));
+                trial.announced(laterStart(number), TimeUnit.MILLISECONDS.toNanos(nowMillis));
                 answer();
                 nowMillis += 500;
             }
@@ -211,22 +273,6 @@
             assertEquals(List.of(List.of(GUILTY)), condemned());
         }
 
-        private BackendAnnouncement announcement(int number) {
-            return new BackendAnnouncement(
-                    "next-" + number,
-                    "service",
-                    "10.0.0." + number,
-                    80,
-                    "a",
-                    BackendState.READY,
-                    4,
-                    2,
-                    1,
-                    false,
-                    List.of(),
-                    "");
-        }
-
         @Test
         void evidenceOfSeveralGatewaysIsJoinedByStart() {
             for (int number = 1; number <= 3; number++) {
--- a/daemon/src/test/java/org/crocushaven/forwarding/CondemnedPromptTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/CondemnedPromptTest.java
@@ -14,12 +14,13 @@
 /** Tests what callers get whose prompts end backend servers. */
 class CondemnedPromptTest {
     private static final TraitUpdate SUSPECTED =
-            new TraitUpdate(1, List.of(new TraitSuspect(66, 2)), List.of(), List.of());
+            new TraitUpdate(1, List.of(new TraitSuspect(66, 2)), List.of(), List.of(), List.of());
     private static final TraitUpdate CONDEMNED =
             new TraitUpdate(
                     2,
                     List.of(),
                     List.of(new TraitVerdict(List.of(66L), List.of(), List.of(), 3, "l", 1, 0)),
+                    List.of(),
                     List.of());
 
     private StandInServer first;
--- a/daemon/src/test/java/org/crocushaven/forwarding/CrashFault.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/CrashFault.java
@@ -28,6 +28,8 @@
     POPULAR_REQUEST_BROKEN,
     /** All backend servers end one after the other. */
     WAVE_OF_CRASHES,
+    /** A gateway's connections are reset, and all backend servers refuse it. */
+    GATEWAY_CUT_OFF,
     /** A gateway starts anew. */
     GATEWAY_RESTARTED,
     /** A report or its answer is lost. */
--- a/daemon/src/test/java/org/crocushaven/forwarding/CrashGuardFuzzTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/CrashGuardFuzzTest.java
@@ -166,6 +166,11 @@
         if (random.nextInt(400) == 0) {
             day.gateways().get(random.nextInt(day.gateways().size())).restart();
         }
+        if (random.nextInt(300) == 0) {
+            day.cutOff(
+                    day.gateways().get(random.nextInt(day.gateways().size())),
+                    200 + random.nextLong(4_000));
+        }
         if (random.nextInt(700) == 0 && day.leader().isPresent()) {
             day.loseLeader();
         }
--- a/daemon/src/test/java/org/crocushaven/forwarding/CrashGuardTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/CrashGuardTest.java
@@ -19,6 +19,7 @@
 import org.crocushaven.fleet.TraitVerdict;
 import org.crocushaven.ingress.IngressRequest;
 import org.crocushaven.ingress.PromptPart;
+import org.crocushaven.outbound.RefusalCheck;
 import org.crocushaven.result.ResultCode;
 import org.crocushaven.result.ResultException;
 import org.junit.jupiter.api.Nested;
@@ -33,13 +34,14 @@
     private final List<BackendStart> checked = new ArrayList<>();
     private int reportsSoon;
     private int bodies;
+    private RefusalCheck.Finding finding = RefusalCheck.Finding.REFUSED;
     private long nowNanos;
     private final CrashGuard guard =
             new CrashGuard(
                     () -> nowNanos,
                     (start, then) -> {
                         checked.add(start);
-                        then.accept(true);
+                        then.accept(finding);
                     },
                     () -> reportsSoon++);
 
@@ -79,7 +81,7 @@
     }
 
     private void condemn(TraitVerdict... probes) {
-        update(1, new TraitUpdate(1, List.of(), List.of(VERDICT), List.of(probes)));
+        update(1, new TraitUpdate(1, List.of(), List.of(VERDICT), List.of(probes), List.of()));
     }
 
     private List<BrokenStart> reported() {
@@ -145,6 +147,29 @@
             assertEquals(1, checked.size());
         }
 
+        @Test
+        void doubtedEndIsLookedIntoAndToldOfWhenTheAddressIsReached() {
+            final BackendStart doubted = BackendStart.of(BACKEND);
+            finding = RefusalCheck.Finding.REACHED;
+
+            update(1, new TraitUpdate(1, List.of(), List.of(), List.of(), List.of(doubted)));
+
+            assertEquals(List.of(doubted), checked);
+            assertEquals(List.of(), guard.report(nowNanos).ended());
+            assertEquals(List.of(doubted), guard.report(nowNanos).reached());
+            assertTrue(reportsSoon > 0);
+        }
+
+        @Test
+        void addressThatDoesNotAnswerTellsNothing() {
+            finding = RefusalCheck.Finding.UNANSWERED;
+
+            request(1, 66, 100).recordConnectionEnded(BACKEND, 0);
+
+            assertEquals(List.of(), guard.report(nowNanos).ended());
+            assertEquals(List.of(), guard.report(nowNanos).reached());
+        }
+
         @Test
         void newLeaderIsToldAgain() {
             update(1, TraitUpdate.EMPTY);
@@ -169,6 +194,7 @@
                             5,
                             List.of(new TraitSuspect(66, 1), new TraitSuspect(67, 1)),
                             List.of(),
+                            List.of(),
                             List.of()));
 
             assertEquals(List.of(new ModelTrait("base", 66)), guard.report(nowNanos).wentOn());
@@ -217,7 +243,7 @@
                             "leader",
                             1,
                             0);
-            update(1, new TraitUpdate(1, List.of(), List.of(onRequest), List.of()));
+            update(1, new TraitUpdate(1, List.of(), List.of(onRequest), List.of(), List.of()));
 
             assertThrows(
                     ResultException.class,
@@ -263,6 +289,7 @@
                             2,
                             List.of(new TraitSuspect(66, 2), new TraitSuspect(67, 1)),
                             List.of(),
+                            List.of(),
                             List.of()));
 
             assertTrue(!request(1, 66, 99).mayRepeat());
--- a/daemon/src/test/java/org/crocushaven/forwarding/CrashScenario.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/CrashScenario.java
@@ -206,7 +206,7 @@
 
     private void send(SimulatedRequest request) {
         final List<SimulatedBackend> up = backends.stream().filter(SimulatedBackend::isUp).toList();
-        if (up.isEmpty() || request.guard().refusal().isPresent()) {
+        if (up.isEmpty() || request.gateway().isCutOff() || request.guard().refusal().isPresent()) {
             return;
         }
         final SimulatedBackend backend = up.get(random.nextInt(up.size()));
@@ -291,7 +291,7 @@
                 1_000 + random.nextLong(3_000),
                 () -> {
                     backend.startAnew();
-                    leader().ifPresent(leading -> leading.started(backend.announcement()));
+                    leader().ifPresent(leading -> leading.announced(backend.announcement()));
                 });
     }
 
@@ -310,6 +310,20 @@
         }
     }
 
+    /** Resets all of a gateway's connections to backend servers, and lets them refuse it. */
+    void cutOff(SimulatedGateway gateway, long millis) {
+        counts.count(CrashFault.GATEWAY_CUT_OFF);
+        gateway.cutOffFor(millis);
+        for (final SimulatedBackend backend : backends) {
+            final List<SimulatedRequest> cut =
+                    backend.running().stream()
+                            .filter(request -> request.gateway() == gateway)
+                            .toList();
+            backend.running().removeAll(cut);
+            cut.forEach(request -> broken(request, backend.record()));
+        }
+    }
+
     /** Cuts one request; its backend server goes on. Returns whether there was one. */
     boolean cutOne(boolean reset) {
         final List<SimulatedBackend> busy =
--- a/daemon/src/test/java/org/crocushaven/forwarding/SimulatedGateway.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/SimulatedGateway.java
@@ -11,6 +11,7 @@
 import org.crocushaven.fleet.TraitUpdate;
 import org.crocushaven.fleet.TraitVerdicts;
 import org.crocushaven.fuzz.FaultCounts;
+import org.crocushaven.outbound.RefusalCheck;
 
 /** A gateway's guard, and its reports to the simulated leader. */
 final class SimulatedGateway {
@@ -31,6 +32,7 @@
     private long stateRevision;
     private long startedMillis = Long.MIN_VALUE / 2;
     private long life;
+    private long cutUntilMillis;
     private boolean inFlight;
     private boolean soonRequested;
 
@@ -78,6 +80,15 @@
         begin();
     }
 
+    /** Loses the way to all backend servers, whose addresses refuse for a while. */
+    void cutOffFor(long millis) {
+        cutUntilMillis = time.millis() + millis;
+    }
+
+    boolean isCutOff() {
+        return time.millis() < cutUntilMillis;
+    }
+
     private void begin() {
         life++;
         epoch = 0;
@@ -88,13 +99,16 @@
         time.after(1, () -> report(current));
     }
 
-    private void checkEnd(BackendStart start, Consumer<Boolean> then) {
+    private void checkEnd(BackendStart start, Consumer<RefusalCheck.Finding> then) {
         final long current = life;
         time.after(
                 1 + random.nextLong(LATENCY_MILLIS),
                 () -> {
                     if (current == life) {
-                        then.accept(scenario.hasEnded(start));
+                        then.accept(
+                                isCutOff() || scenario.hasEnded(start)
+                                        ? RefusalCheck.Finding.REFUSED
+                                        : RefusalCheck.Finding.REACHED);
                     }
                 });
     }
--- a/daemon/src/test/java/org/crocushaven/outbound/RefusalCheckTest.java
+++ b/daemon/src/test/java/org/crocushaven/outbound/RefusalCheckTest.java
@@ -1,7 +1,6 @@
 package org.crocushaven.outbound;
 
-import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -27,10 +26,10 @@
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).await();
     }
 
-    private boolean isRefused(InetSocketAddress address) throws Exception {
-        final CompletableFuture<Boolean> refused = new CompletableFuture<>();
-        RefusalCheck.on((EventLoop) group.next()).check(address, refused::complete);
-        return refused.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    private RefusalCheck.Finding check(InetSocketAddress address) throws Exception {
+        final CompletableFuture<RefusalCheck.Finding> found = new CompletableFuture<>();
+        RefusalCheck.on((EventLoop) group.next()).check(address, found::complete);
+        return found.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private static ServerSocket open() throws IOException {
@@ -44,21 +43,21 @@
                 new InetSocketAddress(socket.getInetAddress(), socket.getLocalPort());
         socket.close();
 
-        assertTrue(isRefused(address));
+        assertEquals(RefusalCheck.Finding.REFUSED, check(address));
     }
 
     @Test
-    void addressThatIsListenedOnDoesNotRefuse() throws Exception {
+    void addressThatIsListenedOnIsReached() throws Exception {
         try (ServerSocket socket = open()) {
-            assertFalse(
-                    isRefused(
-                            new InetSocketAddress(socket.getInetAddress(), socket.getLocalPort())));
+            assertEquals(
+                    RefusalCheck.Finding.REACHED,
+                    check(new InetSocketAddress(socket.getInetAddress(), socket.getLocalPort())));
         }
     }
 
     /** Guards against a frozen or cut-off process that is taken for one that ended. */
     @Test
-    void addressThatDoesNotAnswerDoesNotRefuse() throws Exception {
+    void addressThatDoesNotAnswerNeitherRefusesNorIsReached() throws Exception {
         try (ServerSocket socket = open()) {
             final InetSocketAddress address =
                     new InetSocketAddress(socket.getInetAddress(), socket.getLocalPort());
@@ -67,7 +66,7 @@
                 RefusalCheck.on(loop).check(address, refused -> {});
             }
 
-            assertFalse(isRefused(address));
+            assertEquals(RefusalCheck.Finding.UNANSWERED, check(address));
         }
     }
 }
