Hold a whole request back after three crashes until few tries have told it from victims

Cause: a verdict needs three tries.

Change: a whole request in three confirmed crashes is held back at all gateways from the suspicion on, unless an answer on it went on there: refused as not run (1412), to come back in 1 s. The leader lets one try through a second, two at most, at the gateway that refused last; one that goes on clears the request for a minute, one that ends a server is the evidence that the verdict lacks.

--- a/daemon/src/main/java/org/crocushaven/fleet/TraitSuspicion.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/TraitSuspicion.java
@@ -69,12 +69,19 @@
         return unsound;
     }
 
-    /** Returns the suspects that gateways are asked about, the strongest first. */
-    List<TraitSuspect> strongest(int maximum) {
+    /**
+     * Returns the suspects that gateways are asked about, the strongest first.
+     *
+     * @param isEligible whether all is known of a suspect
+     */
+    List<TraitSuspect> strongest(int maximum, Predicate<Suspect> isEligible) {
         return inOrder().stream()
                 .filter(Suspect::isAskedAbout)
                 .limit(maximum)
-                .map(suspect -> new TraitSuspect(suspect.trait, suspect.events))
+                .map(
+                        suspect ->
+                                new TraitSuspect(
+                                        suspect.trait, suspect.publishedCrashes(isEligible)))
                 .toList();
     }
 
@@ -143,6 +150,12 @@
             return !isRequest() || events >= ASKED_EVENTS_OF_REQUEST;
         }
 
+        private int publishedCrashes(Predicate<Suspect> isEligible) {
+            return !isRequest() || isEligible.test(this)
+                    ? events
+                    : Math.min(events, ASKED_EVENTS_OF_REQUEST);
+        }
+
         private boolean isInEnough(int crashesNeeded) {
             return events >= crashesNeeded && requests.size() >= crashesNeeded;
         }
--- a/daemon/src/main/java/org/crocushaven/fleet/TraitTrial.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/TraitTrial.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 
 /**
  * Decides for the leader of a term which traits of requests end backend servers, and which of the
@@ -35,9 +36,12 @@
     /** Traits on which answers went on, as gateways say in every report: only suspects' traits. */
     private static final int MAXIMUM_SOUND = 4_096;
 
-    /** Gateways repeat what they know with each report. */
+    /** Gateways repeat what they know of parts with each report. */
     private static final long SOUND_MILLIS = 5_000;
 
+    /** A whole request that went on is cleared of the crashes before. */
+    private static final long SOUND_REQUEST_MILLIS = 60_000;
+
     /** Time after which a gateway that has not answered is not waited for. */
     private static final long ANSWER_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
 
@@ -47,6 +51,7 @@
     private final String instance;
     private final CrashEvidence evidence = new CrashEvidence();
     private final SoundTraits sound = SoundTraits.of(MAXIMUM_SOUND, SOUND_MILLIS);
+    private final SoundTraits soundRequests = SoundTraits.of(MAXIMUM_SOUND, SOUND_REQUEST_MILLIS);
     private final Map<String, Long> answered = new HashMap<>();
     private final Map<String, Long> reportedNanos = new HashMap<>();
     private final Map<Long, Suspected> suspectedSince = new HashMap<>();
@@ -63,6 +68,10 @@
         this.instance = instance;
     }
 
+    private SoundTraits memoryOf(long trait) {
+        return Trait.isRequest(trait) ? soundRequests : sound;
+    }
+
     /** Returns the revision of the suspects. */
     long revision() {
         return revision;
@@ -77,7 +86,7 @@
     boolean report(String gateway, TraitReport report, long nowNanos) {
         answered.put(gateway, report.suspectsRevision());
         reportedNanos.put(gateway, nowNanos);
-        report.wentOn().forEach(trait -> sound.add(trait, nowNanos));
+        report.wentOn().forEach(trait -> memoryOf(trait.trait()).add(trait, nowNanos));
         return evidence.add(gateway, report, nowNanos);
     }
 
@@ -111,11 +120,15 @@
         final List<TraitVerdict> standing = acquit(verdicts, put, removed, nowNanos);
         final TraitSuspicion suspicion =
                 TraitSuspicion.of(
-                        evidence.crashes(), standing, trait -> sound.contains(trait, nowNanos));
-        suspect(suspicion.strongest(MAXIMUM_SUSPECTS), nowNanos);
+                        evidence.crashes(),
+                        standing,
+                        trait -> memoryOf(trait.trait()).contains(trait, nowNanos));
+        final Predicate<TraitSuspicion.Suspect> isAnswered =
+                suspect -> isAnswered(suspect, gateways, nowNanos);
+        suspect(suspicion.strongest(MAXIMUM_SUSPECTS, isAnswered), nowNanos);
         doubt(suspicion.crashesOfSuspectsIn(DOUBTED_CRASHES), nowNanos);
         suspicion
-                .guilty(CRASHES, suspect -> isAnswered(suspect, gateways, nowNanos))
+                .guilty(CRASHES, isAnswered)
                 .flatMap(found -> condemn(found, standing, nowNanos, nowMillis))
                 .ifPresent(verdict -> add(verdict, standing, put, removed));
         return new VerdictChange(put, removed);
@@ -132,7 +145,7 @@
             final Set<Long> soundTraits = new HashSet<>();
             final Set<String> spared = new HashSet<>(verdict.sparedModels());
             for (final long trait : verdict.traits()) {
-                final List<String> models = sound.modelsOf(trait, nowNanos);
+                final List<String> models = memoryOf(trait).modelsOf(trait, nowNanos);
                 if (models.stream().anyMatch(verdict.models()::contains)) {
                     soundTraits.add(trait);
                 } else {
@@ -213,7 +226,7 @@
         }
         final List<String> spared =
                 traits.stream()
-                        .flatMap(trait -> sound.modelsOf(trait, nowNanos).stream())
+                        .flatMap(trait -> memoryOf(trait).modelsOf(trait, nowNanos).stream())
                         .distinct()
                         .sorted()
                         .toList();
--- a/daemon/src/main/java/org/crocushaven/fleet/TraitVerdicts.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/TraitVerdicts.java
@@ -1,5 +1,6 @@
 package org.crocushaven.fleet;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
@@ -27,6 +28,8 @@
     private final Runnable notice;
     private final TraitTrial trial;
     private final ProbeSchedule probes = new ProbeSchedule();
+    private final HeldRequests held = new HeldRequests();
+    private final String instance;
     private long weighedNanos;
     private boolean proposing;
 
@@ -45,6 +48,7 @@
             EpochClock epochClock,
             Function<FleetCommand, CompletableFuture<Void>> proposer,
             Runnable notice) {
+        this.instance = instance;
         this.epoch = epoch;
         this.state = state;
         this.clock = clock;
@@ -65,7 +69,10 @@
         final long nowNanos = clock.nanoTime();
         final TraitReport traits = answeredHere(report);
         final boolean isNew = trial.report(report.gateway(), traits, nowNanos);
-        traits.refused().forEach(refused -> probes.refused(refused, report.gateway(), nowNanos));
+        for (final List<Long> refused : traits.refused()) {
+            probes.refused(refused, report.gateway(), nowNanos);
+            held.refused(refused, report.gateway(), nowNanos);
+        }
         final boolean isOpen = !trial.suspects().isEmpty() || !traits.wentOn().isEmpty();
         if ((isNew || isOpen) && nowNanos - weighedNanos >= WEIGH_INTERVAL_NANOS) {
             weigh(gateways);
@@ -93,10 +100,25 @@
                 trial.revision(),
                 trial.suspects(),
                 withState ? verdicts : List.of(),
-                probes.takeGrants(report.gateway(), verdicts),
+                grantsOf(report.gateway(), verdicts),
                 trial.doubted());
     }
 
+    private List<TraitVerdict> grantsOf(String gateway, List<TraitVerdict> verdicts) {
+        final List<TraitVerdict> grants = new ArrayList<>(probes.takeGrants(gateway, verdicts));
+        final List<TraitVerdict> tries =
+                held.takeGrants(gateway, instance, clock.nanoTime(), epochClock.time());
+        tries.forEach(
+                granted ->
+                        EventLine.of("held-request-granted")
+                                .with("trait", granted.traitList())
+                                .with("try", granted.probes())
+                                .with("gateway", gateway)
+                                .info());
+        grants.addAll(tries);
+        return grants;
+    }
+
     /** Records an announcement of a backend server. */
     public void announced(BackendAnnouncement announcement) {
         trial.announced(announcement, clock.nanoTime());
@@ -133,6 +155,7 @@
         final VerdictChange change =
                 trial.weigh(state.view().verdicts(), gateways, clock.nanoTime(), epochClock.time());
         if (trial.revision() != revisionBefore) {
+            held.retain(trial.suspects(), clock.nanoTime());
             logSuspects();
             notice.run();
         }
--- a/daemon/src/main/java/org/crocushaven/forwarding/CondemnedTraits.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/CondemnedTraits.java
@@ -27,6 +27,9 @@
     /** Refused verdicts in one report. */
     private static final int MAXIMUM_REFUSED = 32;
 
+    /** Who decides on requests that are held back. */
+    private static final String SUSPICION = "suspicion";
+
     private final Map<Long, Integer> suspects = new HashMap<>();
     private final Map<List<Long>, Long> probesUntilNanos = new HashMap<>();
     private final Set<List<Long>> refused = new LinkedHashSet<>();
@@ -53,6 +56,33 @@
         return verdicts.on(request.model(), request.traits()).stream().findFirst();
     }
 
+    /** Returns the suspicion for which a whole request is held back, in the form of a verdict. */
+    Optional<TraitVerdict> holdOn(RequestTraits request) {
+        return request.traits().stream()
+                .limit(1)
+                .filter(whole -> new TraitSuspect(whole, crashesOf(whole)).isHeld())
+                .map(
+                        whole ->
+                                new TraitVerdict(
+                                        List.of(whole),
+                                        List.of(),
+                                        List.of(),
+                                        crashesOf(whole),
+                                        SUSPICION,
+                                        0,
+                                        0))
+                .findFirst();
+    }
+
+    /** Returns whether a refusal rests on a verdict, and not on a suspicion. */
+    boolean isVerdict(TraitVerdict refused) {
+        return !refused.decidedBy().equals(SUSPICION);
+    }
+
+    private int crashesOf(long trait) {
+        return suspects.getOrDefault(trait, 0);
+    }
+
     /** Records that a request was refused under a verdict. */
     void recordRefused(TraitVerdict verdict) {
         if (refused.size() < MAXIMUM_REFUSED) {
@@ -68,7 +98,7 @@
 
     /** Returns whether a trait is under suspicion after several crashes. */
     boolean isSuspect(long trait) {
-        return suspects.getOrDefault(trait, 0) >= REPEATED_CRASHES;
+        return crashesOf(trait) >= REPEATED_CRASHES;
     }
 
     /** Returns the traits of all suspects and verdicts. */
--- a/daemon/src/main/java/org/crocushaven/forwarding/CrashGuard.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/CrashGuard.java
@@ -40,6 +40,9 @@
     /** A verdict stays for minutes at least. */
     private static final Duration RETRY_DELAY = Duration.ofSeconds(60);
 
+    /** Time after which the next try of a request that is held back may be let through. */
+    private static final Duration HOLD_DELAY = Duration.ofSeconds(1);
+
     private final NanoClock clock;
     private final EndCheck endCheck;
     private final Runnable reportSoon;
@@ -65,9 +68,15 @@
         return new RequestGuard(this, request.requestId());
     }
 
-    /** Returns the verdict under which a request is refused. */
+    /** Returns the verdict, or the suspicion, under which a request is refused. */
     Optional<TraitVerdict> verdictOn(RequestTraits traits) {
-        return condemned.verdictOn(traits);
+        return condemned
+                .verdictOn(traits)
+                .or(() -> condemned.holdOn(traits).filter(hold -> isUnsound(traits, hold)));
+    }
+
+    private boolean isUnsound(RequestTraits traits, TraitVerdict hold) {
+        return !sound.contains(traits.model(), hold.traits().get(0), clock.nanoTime());
     }
 
     /** Returns whether a request may go out as a probe that the leader has granted. */
@@ -83,7 +92,7 @@
                         verdict.traitList(),
                         verdict.crashes(),
                         verdict.decidedBy())
-                .withRetryAfter(RETRY_DELAY);
+                .withRetryAfter(condemned.isVerdict(verdict) ? RETRY_DELAY : HOLD_DELAY);
     }
 
     /** Returns whether one of the traits is suspect, and no answer on it went on here lately. */
--- a/daemon/src/test/java/org/crocushaven/forwarding/CrashGuardTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/CrashGuardTest.java
@@ -251,6 +251,28 @@
             requestWithBody("base", "other").requireAllowed();
         }
 
+        @Test
+        void requestInThreeCrashesIsHeldBackUnlessItWentOnHereOrIsGranted() {
+            requestWithBody("base", "held").recordConnectionEnded(BACKEND, 0);
+            final long whole = reported().get(0).traits().get(0);
+            final TraitVerdict grant =
+                    new TraitVerdict(List.of(whole), List.of(), List.of(), 3, "leader", 1, 1);
+            final List<TraitSuspect> suspects = List.of(new TraitSuspect(whole, 3));
+            update(1, new TraitUpdate(1, suspects, List.of(), List.of(), List.of()));
+            assertThrows(
+                    ResultException.class, () -> requestWithBody("base", "held").requireAllowed());
+            assertEquals(List.of(List.of(whole)), guard.report(nowNanos).refused());
+
+            update(1, new TraitUpdate(1, suspects, List.of(), List.of(grant), List.of()));
+            final RequestGuard granted = requestWithBody("base", "held");
+            granted.requireAllowed();
+            assertThrows(
+                    ResultException.class, () -> requestWithBody("base", "held").requireAllowed());
+
+            granted.recordWentOn();
+            requestWithBody("base", "held").requireAllowed();
+        }
+
         @Test
         void lastPartAndSparedModelAreNotRefused() {
             condemn();
