Remember crashes for five minutes, so that a request that comes rarely is condemned too

Callers would see (by reading, then a test): a request that ends one backend server every half a minute or more is never condemned, since only crashes of the last minute counted; the rule has no such time.

Change: the leader remembers crashes for five minutes, and gateways tell a new leader of as many. What is remembered stays bounded by number (256 starts, 512 requests a gateway).

--- a/daemon/src/main/java/org/crocushaven/fleet/CrashEvidence.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/CrashEvidence.java
@@ -16,7 +16,7 @@
  */
 final class CrashEvidence {
     /** Time for which a crash is remembered. */
-    private static final long RETENTION_NANOS = TimeUnit.SECONDS.toNanos(60);
+    private static final long RETENTION_NANOS = TimeUnit.MINUTES.toNanos(5);
 
     /** Time after a broken connection within which a later start shows that the server ended. */
     private static final long FOLLOWED_NANOS = TimeUnit.SECONDS.toNanos(10);
--- a/daemon/src/main/java/org/crocushaven/forwarding/CrashReports.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/CrashReports.java
@@ -13,7 +13,7 @@
  * is told of all that are remembered. Bounded; not thread-safe.
  */
 final class CrashReports {
-    private static final long RETENTION_NANOS = TimeUnit.SECONDS.toNanos(30);
+    private static final long RETENTION_NANOS = TimeUnit.MINUTES.toNanos(5);
 
     /** Entries that are remembered of each kind; the oldest go. */
     private static final int CAPACITY = 512;
--- a/daemon/src/test/java/org/crocushaven/fleet/TraitTrialTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/TraitTrialTest.java
@@ -175,6 +175,16 @@
             assertEquals(List.of(List.of(REQUEST)), condemned());
         }
 
+        @Test
+        void requestThatEndsOneBackendServerEachMinuteAndAHalfIsCondemned() {
+            for (int number = 0; number < 3; number++) {
+                crash(REQUEST);
+                nowMillis += 90_000;
+            }
+
+            assertEquals(List.of(List.of(REQUEST)), condemned());
+        }
+
         /** Guards against crashes that one try meets in 0.1 s and that count as one. */
         @Test
         void crashesThatOneTryMeetsOneAfterTheOtherCountEach() {
