--- a/daemon/src/test/java/org/crocushaven/fleet/HeldRequestsTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/HeldRequestsTest.java
@@ -26,7 +26,7 @@
     @Nested
     class Grants {
         @Test
-        void goToTheGatewayThatRefusedOnceInASecondAndTwiceInAll() {
+        void goToTheGatewayThatRefusedOnceInEachSecondAndTwiceAtMost() {
             held.retain(HELD, nowNanos());
             assertEquals(0, refusedAndGranted("g1", "g1"));
 
--- a/daemon/src/test/java/org/crocushaven/fleet/TraitTrialTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/TraitTrialTest.java
@@ -176,7 +176,7 @@
         }
 
         @Test
-        void requestThatEndsOneBackendServerEachMinuteAndAHalfIsCondemned() {
+        void requestThatEndsOneBackendServerIn90SecondsIsCondemned() {
             for (int number = 0; number < 3; number++) {
                 crash(REQUEST);
                 nowMillis += 90_000;
