Show in tests that a gateway without ways to backend servers serves nobody

Two gateways with the same backend servers, on connections of their own; one of them knows addresses that refuse, or that never answer.

--- /dev/null
+++ b/daemon/src/test/java/org/crocushaven/forwarding/PlainDialect.java
@@ -0,0 +1,58 @@
+package org.crocushaven.forwarding;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.crocushaven.ingress.IngressRequest;
+
+/** Headers of tests in which clients, gateways and backend servers all speak over connections. */
+final class PlainDialect implements IngressDialect {
+    static final String REQUEST_ID = "Request-Id";
+    private static final String SIGNATURE = "Signature";
+    private static final String NOT_RUN = "Not-Run";
+    private static final String LAST_EVENT_ID = "Last-Event-Id";
+    private static final String DEADLINE = "Deadline";
+    private static final String KEY = "Key";
+
+    @Override
+    public IngressRequest decodeRequest(HttpRequest head) {
+        final HttpHeaders headers = head.headers();
+        final String deadline = headers.get(DEADLINE);
+        return new IngressRequest(
+                headers.get(REQUEST_ID),
+                head.method(),
+                head.uri(),
+                "host",
+                head.uri(),
+                ForwardableHeaders.copy(headers, Set.of("key", "deadline")),
+                deadline == null ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(deadline)),
+                Optional.ofNullable(headers.get(KEY)),
+                Optional.empty(),
+                Optional.empty(),
+                List.of(),
+                Optional.ofNullable(headers.get(LAST_EVENT_ID)),
+                Optional.empty());
+    }
+
+    @Override
+    public void addForwardingHeaders(HttpHeaders headers, ForwardingFields fields) {
+        headers.set(DEADLINE, fields.remainingMillis());
+        fields.lastEventId().ifPresent(id -> headers.set(LAST_EVENT_ID, id));
+    }
+
+    @Override
+    public BackendAnswerHead decodeAnswer(HttpResponse head) {
+        return new BackendAnswerHead(
+                Optional.empty(),
+                head.headers().contains(SIGNATURE),
+                head.headers().contains(NOT_RUN),
+                Optional.empty(),
+                false,
+                Optional.empty(),
+                NamedLimit.NONE);
+    }
+}
