--- a/daemon/src/main/java/org/crocushaven/fleet/FleetLeader.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/FleetLeader.java
@@ -150,7 +150,8 @@
                         controls,
                         lending.lend(report, nowNanos),
                         verdicts.update(report, !gatewayHasState),
-                        limits.exchange(report.limits(), nowNanos));
+                        limits.exchange(report.limits(), nowNanos),
+                        RelayDirectory.relaysFor(report, reports.latest()));
         load.recordReport(nowNanos, clock.nanoTime(), update.changed().size());
         return update;
     }
--- a/daemon/src/main/java/org/crocushaven/fleet/GatewayReport.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/GatewayReport.java
@@ -22,6 +22,8 @@
  *     gateway runs software without this component
  * @param limits backend servers that name limits; none if the gateway runs software without this
  *     component
+ * @param paths its paths to backend servers; nothing if the gateway runs software without this
+ *     component
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record GatewayReport(
@@ -35,7 +37,8 @@
         ShareReport shares,
         List<BegunStreams> streams,
         TraitReport traits,
-        List<LimitUse> limits)
+        List<LimitUse> limits,
+        PathReport paths)
         implements Message {
     public GatewayReport {
         loads = List.copyOf(loads);
@@ -43,5 +46,6 @@
         streams = streams == null ? List.of() : List.copyOf(streams);
         traits = traits == null ? TraitReport.EMPTY : traits;
         limits = limits == null ? List.of() : List.copyOf(limits);
+        paths = paths == null ? PathReport.EMPTY : paths;
     }
 }
--- a/daemon/src/main/java/org/crocushaven/fleet/GatewayReports.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/GatewayReports.java
@@ -50,6 +50,11 @@
         return List.copyOf(reports.keySet());
     }
 
+    /** Returns the last report of each gateway. */
+    List<GatewayReport> latest() {
+        return reports.values().stream().map(ReceivedReport::report).toList();
+    }
+
     /** Returns the number of gateways. */
     int gatewayCount() {
         return reports.size();
--- a/daemon/src/main/java/org/crocushaven/fleet/GatewayUpdate.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/GatewayUpdate.java
@@ -29,6 +29,8 @@
  *     software without this component
  * @param limits backend servers that name limits, and the requests that the gateway may send there;
  *     none if the leader runs software without this component
+ * @param relays gateways that can take requests over, if the gateway wants any; none if the leader
+ *     runs software without this component
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record GatewayUpdate(
@@ -47,7 +49,8 @@
         List<String> controlInstances,
         Optional<ShareGrant> shares,
         TraitUpdate traits,
-        List<LimitGrant> limits)
+        List<LimitGrant> limits,
+        List<Relay> relays)
         implements Message {
     public GatewayUpdate {
         adapterVersions = List.copyOf(adapterVersions);
@@ -57,5 +60,6 @@
         controlInstances = List.copyOf(controlInstances);
         traits = traits == null ? TraitUpdate.EMPTY : traits;
         limits = limits == null ? List.of() : List.copyOf(limits);
+        relays = relays == null ? List.of() : List.copyOf(relays);
     }
 }
--- a/daemon/src/main/java/org/crocushaven/forwarding/AttemptFailures.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/AttemptFailures.java
@@ -166,6 +166,7 @@
         return (isFirst || served.guard().mayRepeat())
                 && retries.mayTryAnother(
                         served.route(),
+                        served.maximumAttempts(),
                         served.isStreamStarted(),
                         succession.splitter().lastEventId().isPresent());
     }
--- a/daemon/src/main/java/org/crocushaven/forwarding/AttemptSender.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/AttemptSender.java
@@ -54,7 +54,9 @@
     }
 
     private void connected(BackendAttempt attempt, BackendChannel channel, Throwable failure) {
+        final BackendRecord backend = attempt.target().backend();
         if (failure != null) {
+            environment.paths().connectionFailed(backend, environment.nowNanos());
             forwarding.handleFailure(attempt, false, "no connection");
         } else if (forwarding.isStale(attempt) || forwarding.remainingMillis() <= 0) {
             channel.close();
--- a/daemon/src/main/java/org/crocushaven/forwarding/AttemptSuccession.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/AttemptSuccession.java
@@ -46,6 +46,11 @@
                 new InactivityTimer(environment.loop(), environment.clock(), this::backendSilent);
     }
 
+    /** Returns whether the request is answered by a stream. */
+    boolean isStreamRoute() {
+        return forwarding.isStream();
+    }
+
     /** Returns the splitter of the answer that is forwarded. */
     EventSplitter splitter() {
         return splitter;
@@ -188,6 +193,7 @@
             return;
         }
         final BackendAttempt silent = attempts.current();
+        environment.probes().probe(silent.target().backend());
         if (!replacements.lacksSomething()) {
             environment
                     .health()
@@ -197,7 +203,7 @@
             replacements.reportLack("time");
         } else if (!forwarding.mayTryAnother()) {
             replacements.reportLack("attempts");
-        } else {
+        } else if (!forwarding.tryHandOverSilent(silent)) {
             replacements.start(silent, retries.excluded());
         }
     }
--- a/daemon/src/main/java/org/crocushaven/forwarding/BackendAttempt.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/BackendAttempt.java
@@ -116,6 +116,7 @@
 
     @Override
     public boolean head(HttpResponse head) {
+        forwarding.heard(this);
         final BackendAnswerHead decoded = forwarding.dialect().decodeAnswer(head);
         final boolean foreign =
                 decoded.requestId()
@@ -152,6 +153,7 @@
 
     @Override
     public void content(ByteBuf data) {
+        forwarding.heard(this);
         if (answerKind == AnswerKind.EVENT_STREAM) {
             forwarding.streamDataReceived(this, data);
         } else if (answerKind == AnswerKind.COMPLETE_BODY && !body.tryAdd(data)) {
--- a/daemon/src/main/java/org/crocushaven/forwarding/BackendRequestFactory.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/BackendRequestFactory.java
@@ -55,6 +55,18 @@
                                 version,
                                 priority(route, organisation),
                                 lastEventId));
+        return withBody(request, headers, body);
+    }
+
+    /** Returns the request for another gateway; shares the body and retains it. */
+    FullHttpRequest createRelayed(IngressRequest request, ByteBuf body, RelayFields fields) {
+        final HttpHeaders headers = request.headers().copy();
+        environment.dialect().addRelayHeaders(headers, fields);
+        return withBody(request, headers, body);
+    }
+
+    private static FullHttpRequest withBody(
+            IngressRequest request, HttpHeaders headers, ByteBuf body) {
         if (body.isReadable() || !request.method().equals(HttpMethod.GET)) {
             headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
         }
--- a/daemon/src/main/java/org/crocushaven/forwarding/CrashGuard.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/CrashGuard.java
@@ -16,7 +16,7 @@
 import org.crocushaven.fleet.TraitVerdict;
 import org.crocushaven.ingress.IngressRequest;
 import org.crocushaven.observability.EventLine;
-import org.crocushaven.outbound.RefusalCheck;
+import org.crocushaven.outbound.ConnectionTry;
 import org.crocushaven.result.ResultCode;
 import org.crocushaven.result.ResultException;
 
@@ -139,7 +139,7 @@
         endCheck.check(start, finding -> endChecked(start, finding));
     }
 
-    private void endChecked(BackendStart start, RefusalCheck.Finding finding) {
+    private void endChecked(BackendStart start, ConnectionTry.Finding finding) {
         EventLine.of("backend-end-checked")
                 .with("backend", start.backend())
                 .with("started_ms", start.startedMillis())
@@ -176,6 +176,6 @@
     /** Finds out whether a start of a backend server has ended. */
     interface EndCheck {
         /** Passes on what its address did with a connection; called on the event loop. */
-        void check(BackendStart start, Consumer<RefusalCheck.Finding> then);
+        void check(BackendStart start, Consumer<ConnectionTry.Finding> then);
     }
 }
--- a/daemon/src/main/java/org/crocushaven/forwarding/ForwardedRequest.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/ForwardedRequest.java
@@ -80,6 +80,12 @@
         guard.identify(traits);
     }
 
+    /** Returns the number of backend servers to which the request may be sent. */
+    int maximumAttempts() {
+        return Math.min(
+                route().maximumAttempts(), request.relayedAttempts().orElse(Integer.MAX_VALUE));
+    }
+
     IngressRoute route() {
         return admission.route();
     }
--- a/daemon/src/main/java/org/crocushaven/forwarding/ForwardingEnvironment.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/ForwardingEnvironment.java
@@ -28,6 +28,9 @@
  * @param streams where the streams of this gateway began
  * @param leader requests adapter placements and tokens from the leader
  * @param crashes keeps condemned prompts away from backend servers
+ * @param paths which paths of this gateway to backend servers are open
+ * @param probes tries those that may be closed
+ * @param relays other gateways that can take requests over
  * @param observer is notified of sends, failures and results
  */
 record ForwardingEnvironment(
@@ -47,6 +50,9 @@
         BegunStreamMemory streams,
         LeaderRequests leader,
         CrashGuard crashes,
+        BackendPaths paths,
+        PathProbes probes,
+        Relays relays,
         ForwardingObserver observer) {
     long nowNanos() {
         return clock.nanoTime();
--- a/daemon/src/main/java/org/crocushaven/forwarding/ForwardingObserver.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/ForwardingObserver.java
@@ -65,6 +65,12 @@
      */
     void foreignAnswer(IngressRequest request, String backend, int attempt);
 
+    /** Called when a request is handed over to another gateway. */
+    void handedOver(IngressRequest request, String gateway, String reason);
+
+    /** Called when another gateway that has a request fails. */
+    void handOverFailed(IngressRequest request, String gateway, String reason);
+
     /** Called when a request ends. */
     void ended(ForwardingSummary summary);
 
--- a/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
@@ -12,16 +12,19 @@
 import java.util.function.Function;
 import org.agrona.concurrent.EpochClock;
 import org.agrona.concurrent.NanoClock;
+import org.crocushaven.fleet.BackendRecord;
 import org.crocushaven.fleet.BackendStart;
 import org.crocushaven.fleet.Documents;
 import org.crocushaven.fleet.FleetUpdateNotice;
 import org.crocushaven.fleet.GatewayReport;
 import org.crocushaven.fleet.GatewayUpdate;
+import org.crocushaven.fleet.PathReport;
 import org.crocushaven.ingress.IngressConfiguration;
 import org.crocushaven.network.SuspensionDetector;
 import org.crocushaven.observability.EventLine;
 import org.crocushaven.observability.GuardedTask;
 import org.crocushaven.outbound.BackendPool;
+import org.crocushaven.outbound.ConnectionTry;
 import org.crocushaven.outbound.RefusalCheck;
 import org.crocushaven.protocol.PeerTransport;
 
@@ -33,6 +36,9 @@
 public final class Gateway {
     private static final long CHECK_MILLIS = 500;
 
+    /** Many times the way there and back, so that lost packets alone hide it. */
+    private static final int PROBE_TIMEOUT_MILLIS = 200;
+
     private final GatewaySettings settings;
     private final EventLoopGroup group;
     private final EventLoop loop;
@@ -49,6 +55,9 @@
     private final KeyedAdmission admission;
     private final LeaderLink link;
     private final CrashGuard crashes;
+    private final BackendPaths paths;
+    private final PathProbes probes;
+    private final Relays relays = new Relays();
     private final IngressServer server;
     private Optional<IngressConfiguration> configuration = Optional.empty();
     private long stateRevision;
@@ -84,6 +93,8 @@
                         this::applyUpdate,
                         () -> view.hasReportablePrompts(clock.nanoTime()));
         this.crashes = new CrashGuard(clock, this::checkEnd, link::reportSoon);
+        this.paths = new BackendPaths(pool::hasIdle, link::reportSoon, clock.nanoTime());
+        this.probes = new PathProbes(clock, paths, this::openConnection);
         final Random random = new Random(epochClock.time() ^ settings.instance().hashCode());
         this.server =
                 new IngressServer(
@@ -104,6 +115,9 @@
                                 streams,
                                 link,
                                 crashes,
+                                paths,
+                                probes,
+                                relays,
                                 observer));
         transport.registerHandler(
                 FleetUpdateNotice.class,
@@ -145,6 +159,11 @@
                 CHECK_MILLIS,
                 CHECK_MILLIS,
                 TimeUnit.MILLISECONDS);
+        loop.scheduleAtFixedRate(
+                GuardedTask.of(() -> probes.look(view.records(), view.awaited())),
+                PathProbes.INTERVAL_MILLIS,
+                PathProbes.INTERVAL_MILLIS,
+                TimeUnit.MILLISECONDS);
     }
 
     /** Adds instances that may hold control state. */
@@ -195,10 +214,23 @@
                 admission.report(nowNanos),
                 streams.unreported(),
                 crashes.report(nowNanos),
-                view.limits().report(nowNanos));
+                view.limits().report(nowNanos),
+                new PathReport(
+                        settings.failureDomain(),
+                        stopping ? "" : settings.ingress(),
+                        paths.unreachableServices(view.records(), nowNanos),
+                        paths.isAnyClosed()));
+    }
+
+    private void openConnection(BackendRecord backend, Consumer<Boolean> then) {
+        ConnectionTry.open(
+                loop,
+                new InetSocketAddress(backend.host(), backend.port()),
+                PROBE_TIMEOUT_MILLIS,
+                finding -> then.accept(finding == ConnectionTry.Finding.REACHED));
     }
 
-    private void checkEnd(BackendStart start, Consumer<RefusalCheck.Finding> then) {
+    private void checkEnd(BackendStart start, Consumer<ConnectionTry.Finding> then) {
         view.find(start.backend())
                 .filter(record -> record.startedMillis() == start.startedMillis())
                 .ifPresent(
@@ -216,6 +248,8 @@
         crashes.apply(
                 update, update.hasState() && update.stateRevision() >= stateRevision, nowNanos);
         health.retain(view.records());
+        paths.retain(view.records());
+        relays.apply(update.relays());
         retryBudget.setGateways(update.gateways());
         update.shares().ifPresent(grant -> admission.apply(grant, nowNanos));
         if (update.hasState() && update.stateRevision() >= stateRevision) {
--- a/daemon/src/main/java/org/crocushaven/forwarding/GatewayBackends.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/GatewayBackends.java
@@ -252,6 +252,18 @@
         return ownRequests.getOrDefault(backend, 0) + otherRequests.getOrDefault(backend, 0);
     }
 
+    /** Returns the backend servers at which requests of this gateway are in flight. */
+    List<BackendRecord> awaited() {
+        final List<BackendRecord> awaited = new ArrayList<>();
+        ownRequests.forEach(
+                (backend, requests) -> {
+                    if (requests > 0) {
+                        find(backend).ifPresent(awaited::add);
+                    }
+                });
+        return awaited;
+    }
+
     /** Counts a request that is assigned to a backend server. */
     void requestStarted(String backend, AdapterKey key) {
         ownRequests.merge(backend, 1, Integer::sum);
--- a/daemon/src/main/java/org/crocushaven/forwarding/IngressServer.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/IngressServer.java
@@ -80,6 +80,11 @@
                 .forEach(connection -> GuardedTask.of(connection::endRequest).run());
     }
 
+    /** Closes all connections at once. */
+    void closeAll() {
+        List.copyOf(connections).forEach(connection -> connection.channel().close());
+    }
+
     /** Reports what is left of the connections that are busy. */
     void reportUnfinished() {
         connections.forEach(IngressConnection::reportUnfinished);
--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestAdmission.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestAdmission.java
@@ -81,6 +81,7 @@
     void refund() {
         charge.ifPresent(
                 granted -> environment.admission().refund(granted, environment.nowNanos()));
+        charge = Optional.empty();
     }
 
     /** Records that the request has ended, so that nothing more is charged. */
--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestEnd.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestEnd.java
@@ -29,6 +29,7 @@
     private ScheduledFuture<?> limitTimer;
     private ResultException lastRefusal;
     private BackendAttempt lastFailure;
+    private HandOver handOver;
 
     /**
      * Creates the end of one request.
@@ -50,6 +51,11 @@
         this.retries = served.retries();
     }
 
+    /** Sets what may hand the request over, and is ended with it. */
+    void handOverTo(HandOver used) {
+        handOver = used;
+    }
+
     /** Starts the time limit. */
     void startTimeLimit() {
         limitTimer =
@@ -84,13 +90,14 @@
             refuse(
                     ResultException.of(ResultCode.INTERNAL, fault.getClass().getSimpleName())
                             .withExecution(
-                                    served.attempts().isEmpty() && !retries.mayHaveRun()
+                                    served.attempts().isEmpty() && !mayRunElsewhere()
                                             ? Execution.NOT_RUN
                                             : Execution.UNKNOWN));
         }
     }
 
-    private void orAfterFault(Runnable ending) {
+    /** Runs a step of this request, which ends if the step throws. */
+    void orAfterFault(Runnable ending) {
         try {
             ending.run();
         } catch (RuntimeException fault) {
@@ -136,7 +143,7 @@
             finish(ResultCode.ANSWER_INCOMPLETE, 0, "time limit reached within a stream");
         } else if (lastFailure != null) {
             deliver(lastFailure, "backend server failed");
-        } else if (current != null || retries.mayHaveRun()) {
+        } else if (current != null || mayRunElsewhere()) {
             refuse(ResultException.of(ResultCode.BACKEND_SERVER_TIMEOUT, served.lastBackend()));
         } else {
             refuse(
@@ -166,13 +173,17 @@
             finish(ResultCode.ANSWER_INCOMPLETE, 0, "gateway stopped within a stream");
         } else if (lastFailure != null) {
             deliver(lastFailure, "backend server failed");
-        } else if (sent || retries.mayHaveRun()) {
+        } else if (sent || mayRunElsewhere()) {
             refuse(StopRefusals.mayHaveRun(served.lastBackend()));
         } else {
             refuse(StopRefusals.notRun());
         }
     }
 
+    private boolean mayRunElsewhere() {
+        return retries.mayHaveRun() || handOver.wasSent();
+    }
+
     private ResultException incompleteAnswer() {
         return ResultException.of(
                 ResultCode.BACKEND_SERVER_FAILED, served.lastBackend(), "no complete answer");
@@ -201,6 +212,7 @@
             limitTimer.cancel(false);
         }
         succession.endAll(code == ResultCode.OK);
+        handOver.abort();
         served.releaseAnswerShares();
         served.admission().abandon();
         if (code != ResultCode.OK && !retries.mayHaveRun()) {
--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
@@ -23,6 +23,7 @@
     private final AttemptFailures failures;
     private final StreamForwarding stream;
     private final AttemptSender sender;
+    private final HandOver handOver;
 
     private RequestForwarding(
             ForwardingEnvironment environment,
@@ -34,6 +35,8 @@
         this.served = new ForwardedRequest(environment, request, body.digest());
         this.succession = new AttemptSuccession(served, this);
         this.end = new RequestEnd(served, body.bytes(), client, succession, pauses);
+        this.handOver = new HandOver(served, body.bytes(), client, succession, end);
+        this.end.handOverTo(handOver);
         this.targets = new TargetWait(served, end, this);
         this.failures = new AttemptFailures(served, succession, end, targets);
         this.stream = new StreamForwarding(served, client, succession, failures, end, pauses);
@@ -77,6 +80,7 @@
      */
     void clientWritabilityChanged(boolean writable) {
         stream.clientWritabilityChanged(writable);
+        handOver.setReading(writable);
     }
 
     IngressRequest request() {
@@ -113,6 +117,29 @@
         return succession.splitter().lastEventId();
     }
 
+    /** Hands the request over if that is better than any path of this gateway. */
+    boolean tryHandOver(String reason) {
+        return handOver.tryStart(reason);
+    }
+
+    /**
+     * Hands the request over in place of a silent attempt, if no path of this gateway is open;
+     * returns whether it did.
+     */
+    boolean tryHandOverSilent(BackendAttempt silent) {
+        if (!targets.areAllPathsClosed()
+                || !environment.relays().isAnyKnown()
+                || !environment.retryBudget().tryRetry(served.admission().service())) {
+            return false;
+        }
+        served.retries().recordMayHaveRun(true);
+        served.reportFailedAttempt(silent, true, "silent, handed over");
+        silent.abort();
+        succession.end(silent);
+        succession.splitter().discardPartialEvent();
+        return handOver.tryStart("silent");
+    }
+
     boolean isStale(BackendAttempt from) {
         return served.isStale(from);
     }
@@ -125,6 +152,11 @@
         return targets.stillUsable(target);
     }
 
+    /** Called when bytes come from a backend server. */
+    void heard(BackendAttempt from) {
+        environment.paths().heard(from.target().backend(), environment.nowNanos());
+    }
+
     /** Handles what a backend server says of itself in an answer, also in one that is too late. */
     void noticesReceived(BackendAttempt from, BackendAnswerHead head) {
         environment.recordNotices(request(), from.target().backend(), head, from.sentNanos());
--- a/daemon/src/main/java/org/crocushaven/forwarding/RetryState.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RetryState.java
@@ -59,6 +59,11 @@
         return excluded;
     }
 
+    /** Returns the number of backend servers that count as tried. */
+    int serversTried() {
+        return sentTo.size();
+    }
+
     /** Returns the number of sends. */
     int sends() {
         return sends;
@@ -67,11 +72,13 @@
     /**
      * Returns whether the request may be sent to another backend server.
      *
+     * @param maximumAttempts number of backend servers to which it may be sent
      * @param answerStarted whether the client has received a part of the answer
      * @param canResume whether the answer can resume after that part
      */
-    boolean mayTryAnother(IngressRoute route, boolean answerStarted, boolean canResume) {
-        return sentTo.size() < route.maximumAttempts()
+    boolean mayTryAnother(
+            IngressRoute route, int maximumAttempts, boolean answerStarted, boolean canResume) {
+        return sentTo.size() < maximumAttempts
                 && (!mayHaveRun || route.isRetryable())
                 && (!answerStarted || canResume);
     }
--- a/daemon/src/main/java/org/crocushaven/forwarding/TargetFinder.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/TargetFinder.java
@@ -127,6 +127,10 @@
         environment.view().withheldByNotices(service, environment.nowNanos()).stream()
                 .map(BackendRecord::backend)
                 .forEach(all::add);
+        environment.view().ofService(service, environment.nowNanos()).stream()
+                .filter(backend -> !isOnOpenPath(backend))
+                .map(BackendRecord::backend)
+                .forEach(all::add);
         return List.copyOf(all);
     }
 
@@ -145,6 +149,7 @@
                 .earliestHolder(service, key, continuation::allows, nowNanos)
                 .filter(holder -> !excluded.contains(holder.backend().backend()))
                 .filter(holder -> load(holder.backend()) < FULL_LOAD)
+                .filter(holder -> isOnOpenPath(holder.backend()))
                 .filter(holder -> failures(holder.backend(), nowNanos) < 1)
                 .map(
                         holder ->
@@ -206,7 +211,7 @@
         final long nowNanos = environment.nowNanos();
         final String promptReader = environment.promptReaders().lastReader(request);
         final List<BackendSelector.Candidate> candidates = new ArrayList<>(backends.size());
-        for (final BackendRecord backend : backends) {
+        for (final BackendRecord backend : onOpenPaths(backends, request)) {
             if (!excluded.contains(backend.backend())) {
                 candidates.add(
                         new BackendSelector.Candidate(
@@ -220,6 +225,20 @@
         return environment.selector().select(candidates);
     }
 
+    /**
+     * Returns the backend servers with open paths; all if there are none, since a closed path may
+     * be open again, unless another gateway wants to know that there are none.
+     */
+    private List<BackendRecord> onOpenPaths(List<BackendRecord> backends, IngressRequest request) {
+        final List<BackendRecord> open =
+                backends.stream().filter(backend -> isOnOpenPath(backend)).toList();
+        return open.isEmpty() && !request.isRelayed() ? backends : open;
+    }
+
+    private boolean isOnOpenPath(BackendRecord backend) {
+        return environment.paths().isOpen(backend, environment.nowNanos());
+    }
+
     private static CompletableFuture<Target> refused(
             ResultCode code, String service, Duration retryAfter) {
         return CompletableFuture.failedFuture(refusal(code, service, retryAfter));
--- a/daemon/src/main/java/org/crocushaven/forwarding/TargetWait.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/TargetWait.java
@@ -1,8 +1,10 @@
 package org.crocushaven.forwarding;
 
+import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.crocushaven.fleet.BackendRecord;
+import org.crocushaven.result.ResultCode;
 import org.crocushaven.result.ResultException;
 
 /**
@@ -13,6 +15,11 @@
     /** Interval at which a wait looks whether its backend server has left. */
     private static final long WAIT_CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
+    private static final String PATHS_CLOSED = "no open path";
+
+    /** Time after which closed paths have been tried again. */
+    private static final Duration CLOSED_RETRY_DELAY = Duration.ofMillis(400);
+
     private final ForwardedRequest served;
     private final ForwardingEnvironment environment;
     private final RequestEnd end;
@@ -30,8 +37,39 @@
         this.forwarding = forwarding;
     }
 
-    /** Looks for a backend server and sends the request to it, or ends the request. */
+    /** Returns whether this gateway has no open path to any backend server of the service. */
+    boolean areAllPathsClosed() {
+        final long nowNanos = environment.nowNanos();
+        return environment
+                .paths()
+                .areAllClosed(
+                        environment.view().ofService(served.admission().service(), nowNanos),
+                        nowNanos);
+    }
+
+    /**
+     * Looks for a backend server and sends the request to it, hands it over to another gateway, or
+     * ends it.
+     */
     void find() {
+        if (!areAllPathsClosed()) {
+            findOwn();
+        } else if (served.request().isRelayed()) {
+            end.refuse(
+                    ResultException.of(ResultCode.NO_BACKEND_SERVER, served.admission().service())
+                            .withRetryAfter(CLOSED_RETRY_DELAY));
+        } else if (!forwarding.tryHandOver(PATHS_CLOSED)) {
+            environment.leader().afterNextReport(() -> ifNotDone(this::handOverOrFindOwn));
+        }
+    }
+
+    private void handOverOrFindOwn() {
+        if (!forwarding.tryHandOver(PATHS_CLOSED)) {
+            findOwn();
+        }
+    }
+
+    private void findOwn() {
         forwarding.orEnd(
                 () ->
                         new TargetFinder(environment)
@@ -46,6 +84,12 @@
     }
 
     private void found(Target target, Throwable failure) {
+        if (failure instanceof ResultException
+                && environment.paths().isAnyClosed()
+                && !served.retries().mayHaveRun()
+                && forwarding.tryHandOver("no room on open paths")) {
+            return;
+        }
         if (failure instanceof ResultException refusal) {
             end.keepRefusal(refusal);
             if (served.retries().sends() > 0) {
--- a/daemon/src/main/java/org/crocushaven/ingress/IngressRequest.java
+++ b/daemon/src/main/java/org/crocushaven/ingress/IngressRequest.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 
 /**
@@ -24,6 +25,8 @@
  * @param lastEventId event after which a stream should resume
  * @param resumedRequestId identifier of the request that brought the first event of the stream that
  *     this one resumes
+ * @param relayedAttempts number of backend servers to which the request may be sent, if another
+ *     gateway has handed it over; empty for a client's own
  */
 public record IngressRequest(
         String requestId,
@@ -38,8 +41,14 @@
         Optional<DeclaredUsage> usage,
         List<PromptPart> promptParts,
         Optional<String> lastEventId,
-        Optional<String> resumedRequestId) {
+        Optional<String> resumedRequestId,
+        OptionalInt relayedAttempts) {
     public IngressRequest {
         promptParts = List.copyOf(promptParts);
     }
+
+    /** Returns whether another gateway has handed the request over. */
+    public boolean isRelayed() {
+        return relayedAttempts.isPresent();
+    }
 }
--- a/daemon/src/main/java/org/crocushaven/instance/ForwardingLog.java
+++ b/daemon/src/main/java/org/crocushaven/instance/ForwardingLog.java
@@ -54,6 +54,12 @@
                     .help("Requests that could not be sent once more, by what was missing.")
                     .labelNames("missing")
                     .register(registry);
+    private final Counter handOvers =
+            Counter.builder()
+                    .name("crocushaven_gateway_hand_overs")
+                    .help("Requests handed over to other gateways, by what became of that.")
+                    .labelNames("outcome")
+                    .register(registry);
     private final Counter faults =
             Counter.builder()
                     .name("crocushaven_gateway_faults")
@@ -230,6 +236,26 @@
                 .info();
     }
 
+    @Override
+    public void handedOver(IngressRequest request, String gateway, String reason) {
+        handOvers.labelValues("begun").inc();
+        EventLine.of("handed-over")
+                .with("request", request.requestId())
+                .with("gateway", gateway)
+                .with("reason", reason)
+                .info();
+    }
+
+    @Override
+    public void handOverFailed(IngressRequest request, String gateway, String reason) {
+        handOvers.labelValues("failed").inc();
+        EventLine.of("hand-over-failed")
+                .with("request", request.requestId())
+                .with("gateway", gateway)
+                .with("reason", reason)
+                .info();
+    }
+
     @Override
     public void ended(ForwardingSummary summary) {
         requests.labelValues(Integer.toString(summary.code().number())).inc();
--- a/daemon/src/main/java/org/crocushaven/instance/Instance.java
+++ b/daemon/src/main/java/org/crocushaven/instance/Instance.java
@@ -141,6 +141,7 @@
                         new GatewaySettings(
                                 settings.host(),
                                 settings.failureDomain(),
+                                ingressAddress(),
                                 (long)
                                         (settings.keyWithdrawalMillis()
                                                 * CONTROL_STATE_AGE_FRACTION),
@@ -160,6 +161,11 @@
         gateway = Optional.of(created);
     }
 
+    private String ingressAddress() {
+        final InetSocketAddress ingress = settings.ingress().orElseThrow();
+        return ingress.getAddress().getHostAddress() + ':' + ingress.getPort();
+    }
+
     private void startControl(ControlDialect dialect) {
         final boolean isInitialVoter =
                 settings.bootstrap() && settings.seedHosts().contains(settings.host());
--- a/daemon/src/main/java/org/crocushaven/outbound/BackendPool.java
+++ b/daemon/src/main/java/org/crocushaven/outbound/BackendPool.java
@@ -73,6 +73,13 @@
                 : CompletableFuture.completedFuture(idleChannel);
     }
 
+    /** Returns whether a connection to an address can be used again. */
+    public boolean hasIdle(InetSocketAddress address) {
+        final long nowNanos = clock.nanoTime();
+        return idle.getOrDefault(address, new ArrayDeque<>()).stream()
+                .anyMatch(channel -> isUsable(channel, false, nowNanos));
+    }
+
     /** Closes idle connections that backend servers are about to close. */
     public void closeExpired() {
         final long nowNanos = clock.nanoTime();
--- a/daemon/src/main/java/org/crocushaven/outbound/RefusalCheck.java
+++ b/daemon/src/main/java/org/crocushaven/outbound/RefusalCheck.java
@@ -1,13 +1,6 @@
 package org.crocushaven.outbound;
 
-import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioSocketChannel;
-import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -36,11 +29,11 @@
     }
 
     /** Opens a connection, and a second one if the first succeeds; passes on what happened. */
-    public void check(InetSocketAddress address, Consumer<Finding> then) {
+    public void check(InetSocketAddress address, Consumer<ConnectionTry.Finding> then) {
         connect(
                 address,
                 first -> {
-                    if (first == Finding.REACHED) {
+                    if (first == ConnectionTry.Finding.REACHED) {
                         loop.schedule(
                                 () -> connect(address, then),
                                 SECOND_TRY_MILLIS,
@@ -51,37 +44,7 @@
                 });
     }
 
-    private void connect(InetSocketAddress address, Consumer<Finding> then) {
-        new Bootstrap()
-                .group(loop)
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-                .handler(new ChannelInboundHandlerAdapter())
-                .connect(address)
-                .addListener(
-                        (ChannelFuture opened) -> {
-                            opened.channel().close();
-                            then.accept(findingOf(opened));
-                        });
-    }
-
-    private static Finding findingOf(ChannelFuture opened) {
-        if (opened.isSuccess()) {
-            return Finding.REACHED;
-        }
-        final Throwable failure = opened.cause();
-        return failure instanceof ConnectException && !(failure instanceof ConnectTimeoutException)
-                ? Finding.REFUSED
-                : Finding.UNANSWERED;
-    }
-
-    /** What an address did with a connection. */
-    public enum Finding {
-        /** It took the connection. */
-        REACHED,
-        /** It refused the connection. */
-        REFUSED,
-        /** Nothing came back in time. */
-        UNANSWERED
+    private void connect(InetSocketAddress address, Consumer<ConnectionTry.Finding> then) {
+        ConnectionTry.open(loop, address, CONNECT_TIMEOUT_MILLIS, then);
     }
 }
--- a/daemon/src/test/java/org/crocushaven/fleet/ControlFleet.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/ControlFleet.java
@@ -130,7 +130,8 @@
                 ShareHolder.create(1).report(System.nanoTime()),
                 List.of(),
                 TraitReport.EMPTY,
-                List.of());
+                List.of(),
+                PathReport.EMPTY);
     }
 
     @Override
--- a/daemon/src/test/java/org/crocushaven/fleet/FleetLeaderTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/FleetLeaderTest.java
@@ -103,7 +103,8 @@
                 ShareHolder.create(1).report(System.nanoTime()),
                 List.of(),
                 TraitReport.EMPTY,
-                List.of());
+                List.of(),
+                PathReport.EMPTY);
     }
 
     /** Returns the least processor time of a report over several rounds, in microseconds. */
--- a/daemon/src/test/java/org/crocushaven/fleet/GatewayReportsTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/GatewayReportsTest.java
@@ -33,7 +33,8 @@
                         ShareHolder.create(1).report(nowNanos),
                         List.of(),
                         TraitReport.EMPTY,
-                        List.of()),
+                        List.of(),
+                        PathReport.EMPTY),
                 nowNanos);
     }
 
@@ -126,7 +127,8 @@
                 ShareHolder.create(1).report(nowNanos),
                 List.of(),
                 TraitReport.EMPTY,
-                List.of());
+                List.of(),
+                PathReport.EMPTY);
     }
 
     @Test
--- a/daemon/src/test/java/org/crocushaven/fleet/ShareLendingTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/ShareLendingTest.java
@@ -34,7 +34,8 @@
                         ShareHolder.create(1).report(nowNanos),
                         List.of(),
                         TraitReport.EMPTY,
-                        List.of()),
+                        List.of(),
+                        PathReport.EMPTY),
                 nowNanos);
     }
 
--- a/daemon/src/test/java/org/crocushaven/forwarding/ChatRequestBuilder.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/ChatRequestBuilder.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import org.crocushaven.ingress.IngressRequest;
 import org.crocushaven.ingress.ModelReference;
@@ -80,6 +81,7 @@
                 Optional.empty(),
                 promptParts,
                 lastEventId,
-                resumedRequestId);
+                resumedRequestId,
+                OptionalInt.empty());
     }
 }
--- a/daemon/src/test/java/org/crocushaven/forwarding/CrashGuardTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/CrashGuardTest.java
@@ -19,7 +19,7 @@
 import org.crocushaven.fleet.TraitVerdict;
 import org.crocushaven.ingress.IngressRequest;
 import org.crocushaven.ingress.PromptPart;
-import org.crocushaven.outbound.RefusalCheck;
+import org.crocushaven.outbound.ConnectionTry;
 import org.crocushaven.result.ResultCode;
 import org.crocushaven.result.ResultException;
 import org.junit.jupiter.api.Nested;
@@ -34,7 +34,7 @@
     private final List<BackendStart> checked = new ArrayList<>();
     private int reportsSoon;
     private int bodies;
-    private RefusalCheck.Finding finding = RefusalCheck.Finding.REFUSED;
+    private ConnectionTry.Finding finding = ConnectionTry.Finding.REFUSED;
     private long nowNanos;
     private final CrashGuard guard =
             new CrashGuard(
@@ -150,7 +150,7 @@
         @Test
         void doubtedEndIsLookedIntoAndToldOfWhenTheAddressIsReached() {
             final BackendStart doubted = BackendStart.of(BACKEND);
-            finding = RefusalCheck.Finding.REACHED;
+            finding = ConnectionTry.Finding.REACHED;
 
             update(1, new TraitUpdate(1, List.of(), List.of(), List.of(), List.of(doubted)));
 
@@ -162,7 +162,7 @@
 
         @Test
         void addressThatDoesNotAnswerTellsNothing() {
-            finding = RefusalCheck.Finding.UNANSWERED;
+            finding = ConnectionTry.Finding.UNANSWERED;
 
             request(1, 66, 100).recordConnectionEnded(BACKEND, 0);
 
--- a/daemon/src/test/java/org/crocushaven/forwarding/ForwardingEnvironmentBuilder.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/ForwardingEnvironmentBuilder.java
@@ -28,6 +28,8 @@
             freshness -> KeyedAdmission.of(freshness, 1);
     private long freshMillis = 10_000;
     private BegunStreamMemory streams = new BegunStreamMemory();
+    private PathProbes.Prober prober = (backend, then) -> {};
+    private Relays relays = new Relays();
     private ForwardingObserver observer;
 
     private ForwardingEnvironmentBuilder(
@@ -97,8 +99,21 @@
         return this;
     }
 
+    /** Sets what tries paths; nothing does if it is not set. */
+    ForwardingEnvironmentBuilder prober(PathProbes.Prober opening) {
+        prober = opening;
+        return this;
+    }
+
+    ForwardingEnvironmentBuilder relays(Relays known) {
+        relays = known;
+        return this;
+    }
+
     ForwardingEnvironment build() {
         final long nowNanos = clock.nanoTime();
+        final BackendPool pool = BackendPool.create(loop, SystemNanoClock.INSTANCE);
+        final BackendPaths paths = new BackendPaths(pool::hasIdle, () -> {}, nowNanos);
         final ControlFreshness freshness =
                 ControlFreshness.ofMillis(freshMillis, SystemEpochClock.INSTANCE, nowNanos);
         freshness.confirm(nowNanos);
@@ -108,7 +123,7 @@
                 random,
                 dialect,
                 configuration,
-                BackendPool.create(loop, SystemNanoClock.INSTANCE),
+                pool,
                 view,
                 new BackendHealth(),
                 BackendSelector.of("a", random),
@@ -119,6 +134,9 @@
                 streams,
                 leader,
                 IdleCrashGuard.create(),
+                paths,
+                new PathProbes(clock, paths, prober),
+                relays,
                 observer);
     }
 }
--- a/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
@@ -573,6 +573,16 @@
             fields.lastEventId().ifPresent(id -> headers.set(LAST_EVENT_ID, id));
         }
 
+        @Override
+        public void addRelayHeaders(HttpHeaders headers, RelayFields fields) {
+            throw new AssertionError("nothing is handed over");
+        }
+
+        @Override
+        public boolean isPromise(HttpResponseStatus status) {
+            throw new AssertionError("nothing is handed over");
+        }
+
         @Override
         public BackendAnswerHead decodeAnswer(HttpResponse head) {
             return new BackendAnswerHead(
--- a/daemon/src/test/java/org/crocushaven/forwarding/GatewayPair.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/GatewayPair.java
@@ -113,12 +113,23 @@
                     BackendRecordBuilder.of(servers.get(number).name(), SERVICE)
                             .atPort(ports.get(number))
                             .withSlots(SLOTS)
-                            .running("v1")
+                            .running(SingleVersionLeader.VERSION)
                             .build());
         }
         gateway.announce(records);
     }
 
+    /** Waits until a gateway has found all its paths open. */
+    void awaitOpenPaths(PairedGateway gateway) throws Exception {
+        final long startNanos = System.nanoTime();
+        while (gateway.hasClosedPaths()) {
+            if (System.nanoTime() - startNanos
+                    > TimeUnit.MILLISECONDS.toNanos(ForwardingFixture.AWAIT_MILLIS)) {
+                throw new AssertionError("paths stay closed");
+            }
+        }
+    }
+
     /** Returns the next request that reaches any backend server. */
     StandInServer.Exchange awaitRequest() throws InterruptedException {
         final long startNanos = System.nanoTime();
--- a/daemon/src/test/java/org/crocushaven/forwarding/GatewayTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/GatewayTest.java
@@ -35,7 +35,7 @@
         final CountDownLatch checks = new CountDownLatch(2);
         final Gateway gateway =
                 Gateway.create(
-                        new GatewaySettings("gateway", "a", TIMEOUT_MILLIS, 0, 0),
+                        new GatewaySettings("gateway", "a", "127.0.0.1:1", TIMEOUT_MILLIS, 0, 0),
                         group,
                         new UnconnectedTransport(),
                         null,
--- a/daemon/src/test/java/org/crocushaven/forwarding/GatewayUpdateBuilder.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/GatewayUpdateBuilder.java
@@ -101,6 +101,7 @@
                 controlInstances,
                 Optional.empty(),
                 traits,
+                List.of(),
                 List.of());
     }
 }
--- a/daemon/src/test/java/org/crocushaven/forwarding/HandOverTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/HandOverTest.java
@@ -1,6 +1,7 @@
 package org.crocushaven.forwarding;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.concurrent.TimeUnit;
@@ -12,6 +13,7 @@
 /** Tests what clients get of a gateway that has lost its ways to all backend servers. */
 class HandOverTest {
     private static final int SERVERS = 4;
+    private static final String THROUGH_OTHER = "served through";
 
     /** Time within which a gateway that was cut off serves as well as the others. */
     private static final long DETECTION_MILLIS = 1_000;
@@ -31,6 +33,124 @@
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
     }
 
+    private static StandInServer.Exchange beginStream(StandInServer.Exchange running)
+            throws Exception {
+        running.write(
+                "HTTP/1.1 200 OK\r\nSignature: s\r\nConnection: close\r\n"
+                        + "Transfer-Encoding: chunked\r\n\r\n");
+        return running;
+    }
+
+    @Nested
+    class AcrossTheHop {
+        @Test
+        void clientThatLeavesEndsTheRequestAtTheBackendServer() throws Exception {
+            pair = GatewayPair.start(RouteKind.STREAM, SERVERS);
+            pair.cutWithRefusals(pair.first());
+            final PairClient client = pair.first().send("request");
+            final StandInServer.Exchange running = beginStream(pair.awaitRequest()).event(1);
+            client.awaitLine("id:");
+
+            client.close();
+
+            running.awaitClosed();
+        }
+
+        /** Guards against two gateways that are both cut off and hand over to each other. */
+        @Test
+        void requestIsRefusedAsNotRunAtOnceWhenTheOtherIsCutOffToo() throws Exception {
+            pair = GatewayPair.start(RouteKind.IDEMPOTENT, SERVERS);
+            pair.cutWithRefusals(pair.first());
+            pair.cutWithRefusals(pair.second());
+            final long startNanos = System.nanoTime();
+
+            try (PairClient client = pair.first().send("request")) {
+                assertEquals(503, client.awaitStatus());
+            }
+            assertTrue(millisSince(startNanos) < DETECTION_MILLIS, "refused too late");
+        }
+
+        @Test
+        void requestThatMayHaveRunIsNotSentAgainWhenTheOtherGatewayBreaksOff() throws Exception {
+            pair = GatewayPair.start(RouteKind.NON_IDEMPOTENT, SERVERS);
+            pair.cutWithRefusals(pair.first());
+
+            try (PairClient client = pair.first().send("request")) {
+                pair.awaitRequest();
+                pair.second().breakClientsOff();
+
+                assertEquals(502, client.awaitStatus());
+            }
+            assertFalse(pair.hasRequest());
+        }
+
+        @Test
+        void otherGatewayTakesNoMoreAttemptsThanAreLeft() throws Exception {
+            pair = GatewayPair.start(RouteKind.IDEMPOTENT, SERVERS);
+            pair.cutWithRefusals(pair.first());
+
+            try (PairClient client = pair.first().send("request")) {
+                pair.awaitRequest().breakOff();
+                pair.awaitRequest().breakOff();
+
+                assertEquals(502, client.awaitStatus());
+            }
+            assertFalse(pair.hasRequest());
+        }
+
+        @Test
+        void failureOfTheBackendServerIsPassedOn() throws Exception {
+            pair = GatewayPair.start(RouteKind.NON_IDEMPOTENT, SERVERS);
+            pair.cutWithRefusals(pair.first());
+
+            try (PairClient client = pair.first().send("request")) {
+                pair.awaitRequest().answer(500, "Signature: s\r\n", "broken");
+
+                assertEquals(500, client.awaitStatus());
+                assertTrue(client.readToEnd().contains("broken"));
+            }
+        }
+
+        @Test
+        void streamThatFellSilentGoesOnThroughTheOtherAfterItsLastEvent() throws Exception {
+            pair = GatewayPair.start(RouteKind.STREAM, SERVERS);
+            try (PairClient client = pair.first().send("request")) {
+                beginStream(pair.awaitRequest()).event(1);
+                assertEquals("id: 1", client.awaitLine("id:"));
+                pair.cutSilently(pair.first());
+
+                final StandInServer.Exchange resumed = pair.awaitRequest();
+                assertEquals("1", resumed.lastEventId());
+                beginStream(resumed).event(2);
+
+                assertEquals("id: 2", client.awaitLine("id:"));
+            }
+        }
+    }
+
+    @Nested
+    class Return {
+        @Test
+        void requestsTakeOwnPathsAgainOnceTheseAreOpen() throws Exception {
+            pair = GatewayPair.start(RouteKind.IDEMPOTENT, SERVERS);
+            pair.cutWithRefusals(pair.first());
+            try (PairClient client = pair.first().send("cut")) {
+                answerNext("served");
+                assertEquals(200, client.awaitStatus());
+            }
+            assertTrue(pair.first().awaitEnd().reason().startsWith(THROUGH_OTHER));
+
+            pair.heal(pair.first());
+            pair.awaitOpenPaths(pair.first());
+
+            try (PairClient client = pair.first().send("healed")) {
+                answerNext("served");
+                assertEquals(200, client.awaitStatus());
+            }
+            assertEquals("served", pair.first().awaitEnd().reason());
+        }
+    }
+
     @Nested
     class OfGatewayThatIsCutOff {
         @Test
@@ -78,10 +198,7 @@
             pair.cutWithRefusals(pair.first());
 
             try (PairClient client = pair.first().send("request")) {
-                final StandInServer.Exchange running = pair.awaitRequest();
-                running.write(
-                        "HTTP/1.1 200 OK\r\nSignature: s\r\nConnection: close\r\n"
-                                + "Transfer-Encoding: chunked\r\n\r\n");
+                final StandInServer.Exchange running = beginStream(pair.awaitRequest());
                 running.event(1);
                 assertEquals("id: 1", client.awaitLine("id:"));
                 running.event(2);
--- a/daemon/src/test/java/org/crocushaven/forwarding/IgnoringObserver.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/IgnoringObserver.java
@@ -29,6 +29,12 @@
     @Override
     public void limitAnnounced(IngressRequest request, String backend, OptionalDouble limit) {}
 
+    @Override
+    public void handedOver(IngressRequest request, String gateway, String reason) {}
+
+    @Override
+    public void handOverFailed(IngressRequest request, String gateway, String reason) {}
+
     @Override
     public void attemptFailed(
             IngressRequest request,
--- a/daemon/src/test/java/org/crocushaven/forwarding/IngressConnectionTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/IngressConnectionTest.java
@@ -12,11 +12,13 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -230,12 +232,23 @@
                     Optional.empty(),
                     List.of(),
                     Optional.empty(),
-                    Optional.empty());
+                    Optional.empty(),
+                    OptionalInt.empty());
         }
 
         @Override
         public void addForwardingHeaders(HttpHeaders headers, ForwardingFields fields) {}
 
+        @Override
+        public void addRelayHeaders(HttpHeaders headers, RelayFields fields) {
+            throw new AssertionError("nothing is handed over");
+        }
+
+        @Override
+        public boolean isPromise(HttpResponseStatus status) {
+            throw new AssertionError("nothing is handed over");
+        }
+
         @Override
         public BackendAnswerHead decodeAnswer(HttpResponse head) {
             throw new UnsupportedOperationException();
--- a/daemon/src/test/java/org/crocushaven/forwarding/LeaderLinkTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/LeaderLinkTest.java
@@ -20,6 +20,7 @@
 import org.crocushaven.fleet.ControlHint;
 import org.crocushaven.fleet.GatewayReport;
 import org.crocushaven.fleet.GatewayUpdate;
+import org.crocushaven.fleet.PathReport;
 import org.crocushaven.fleet.TraitReport;
 import org.crocushaven.protocol.Message;
 import org.crocushaven.protocol.MessageHandler;
@@ -81,7 +82,8 @@
                 ShareHolder.create(1).report(nowNanos),
                 List.of(),
                 TraitReport.EMPTY,
-                List.of());
+                List.of(),
+                PathReport.EMPTY);
     }
 
     private static GatewayUpdate update(long epoch) {
--- a/daemon/src/test/java/org/crocushaven/forwarding/NoticeFixture.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/NoticeFixture.java
@@ -323,6 +323,16 @@
             fields.lastEventId().ifPresent(id -> headers.set(StandInBackend.RESUME_AFTER, id));
         }
 
+        @Override
+        public void addRelayHeaders(HttpHeaders headers, RelayFields fields) {
+            throw new AssertionError("nothing is handed over");
+        }
+
+        @Override
+        public boolean isPromise(HttpResponseStatus status) {
+            throw new AssertionError("nothing is handed over");
+        }
+
         @Override
         public BackendAnswerHead decodeAnswer(HttpResponse head) {
             return new BackendAnswerHead(
--- a/daemon/src/test/java/org/crocushaven/forwarding/PairClient.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/PairClient.java
@@ -26,10 +26,10 @@
         socket.setSoTimeout((int) ForwardingFixture.AWAIT_MILLIS);
         final String request =
                 "POST /chat/x HTTP/1.1\r\nHost: host\r\nConnection: close\r\n"
-                        + PlainDialect.REQUEST_ID
+                        + ConnectionDialect.REQUEST_ID
                         + ": "
                         + requestId
-                        + "\r\nContent-Length: 4\r\n\r\nbody";
+                        + "\r\nContent-Length: 0\r\n\r\n";
         socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
         return new PairClient(socket);
     }
--- a/daemon/src/test/java/org/crocushaven/forwarding/PairedGateway.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/PairedGateway.java
@@ -8,16 +8,24 @@
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.crocushaven.fleet.BackendRecord;
+import org.crocushaven.fleet.Relay;
 import org.crocushaven.ingress.IngressConfiguration;
+import org.crocushaven.outbound.ConnectionTry;
 
 /** One gateway of a {@link GatewayPair}, which listens for clients. */
 final class PairedGateway {
+    private static final int PROBE_TIMEOUT_MILLIS = 200;
+
     private final String name;
     private final EventLoop loop;
     private final int port;
     private final GatewayBackends view = new GatewayBackends();
+    private final Relays relays = new Relays();
     private final ForwardingEnvironment environment;
+    private final IngressServer server;
     private final BlockingQueue<ForwardingSummary> ended = new LinkedBlockingQueue<>();
     private long revision;
 
@@ -31,15 +39,32 @@
                 loop.submit(
                                 () ->
                                         ForwardingEnvironmentBuilder.of(
-                                                        loop, configuration, new UnaskedLeader())
-                                                .dialect(new PlainDialect())
+                                                        loop,
+                                                        configuration,
+                                                        new SingleVersionLeader())
+                                                .dialect(new ConnectionDialect())
                                                 .view(view)
+                                                .relays(relays)
+                                                .prober(this::open)
                                                 .retryBudget(0, 100)
                                                 .observer(new Recorder())
                                                 .build())
                         .get();
-        new IngressServer(environment)
-                .listen(group, new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+        loop.scheduleAtFixedRate(
+                () -> environment.probes().look(view.records(), view.awaited()),
+                PathProbes.INTERVAL_MILLIS,
+                PathProbes.INTERVAL_MILLIS,
+                TimeUnit.MILLISECONDS);
+        server = new IngressServer(environment);
+        server.listen(group, new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+    }
+
+    private void open(BackendRecord backend, Consumer<Boolean> then) {
+        ConnectionTry.open(
+                loop,
+                new InetSocketAddress(backend.host(), backend.port()),
+                PROBE_TIMEOUT_MILLIS,
+                finding -> then.accept(finding == ConnectionTry.Finding.REACHED));
     }
 
     private static int freePort() throws Exception {
@@ -69,7 +94,26 @@
     }
 
     /** Lets this gateway know of another one. */
-    void introduce(PairedGateway other) throws Exception {}
+    void introduce(PairedGateway other) throws Exception {
+        loop.submit(
+                        () ->
+                                relays.apply(
+                                        List.of(
+                                                new Relay(
+                                                        other.name(),
+                                                        "127.0.0.1:" + other.port(),
+                                                        List.of()))))
+                .get();
+    }
+
+    boolean hasClosedPaths() throws Exception {
+        return loop.submit(() -> environment.paths().isAnyClosed()).get();
+    }
+
+    /** Closes all connections of clients at once, as the end of the process does. */
+    void breakClientsOff() throws Exception {
+        loop.submit(server::closeAll).get();
+    }
 
     /** Sends a request of a client. */
     PairClient send(String requestId) throws Exception {
@@ -78,8 +122,7 @@
 
     /** Returns how the next request of this gateway ended. */
     ForwardingSummary awaitEnd() throws InterruptedException {
-        return ended.poll(
-                ForwardingFixture.AWAIT_MILLIS, java.util.concurrent.TimeUnit.MILLISECONDS);
+        return ended.poll(ForwardingFixture.AWAIT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private final class Recorder extends IgnoringObserver {
--- a/daemon/src/test/java/org/crocushaven/forwarding/RequestForwardingTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/RequestForwardingTest.java
@@ -208,6 +208,16 @@
         @Override
         public void addForwardingHeaders(HttpHeaders headers, ForwardingFields fields) {}
 
+        @Override
+        public void addRelayHeaders(HttpHeaders headers, RelayFields fields) {
+            throw new AssertionError("nothing is handed over");
+        }
+
+        @Override
+        public boolean isPromise(HttpResponseStatus status) {
+            throw new AssertionError("nothing is handed over");
+        }
+
         @Override
         public BackendAnswerHead decodeAnswer(HttpResponse head) {
             throw new UnsupportedOperationException();
--- a/daemon/src/test/java/org/crocushaven/forwarding/RetryStateTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/RetryStateTest.java
@@ -51,7 +51,8 @@
             retries.recordSend("one");
 
             assertTrue(
-                    retries.mayTryAnother(route(RouteKind.NON_IDEMPOTENT, false, 2), false, false));
+                    retries.mayTryAnother(
+                            route(RouteKind.NON_IDEMPOTENT, false, 2), 2, false, false));
         }
 
         @Test
@@ -60,8 +61,10 @@
             retries.recordMayHaveRun(true);
 
             assertFalse(
-                    retries.mayTryAnother(route(RouteKind.NON_IDEMPOTENT, false, 2), false, false));
-            assertTrue(retries.mayTryAnother(route(RouteKind.IDEMPOTENT, false, 2), false, false));
+                    retries.mayTryAnother(
+                            route(RouteKind.NON_IDEMPOTENT, false, 2), 2, false, false));
+            assertTrue(
+                    retries.mayTryAnother(route(RouteKind.IDEMPOTENT, false, 2), 2, false, false));
         }
 
         @Test
@@ -69,7 +72,8 @@
             retries.recordSend("one");
             retries.recordSend("two");
 
-            assertFalse(retries.mayTryAnother(route(RouteKind.IDEMPOTENT, false, 2), false, false));
+            assertFalse(
+                    retries.mayTryAnother(route(RouteKind.IDEMPOTENT, false, 2), 2, false, false));
         }
 
         @Test
@@ -78,7 +82,8 @@
             retries.recordNeverReached("one");
 
             assertTrue(
-                    retries.mayTryAnother(route(RouteKind.NON_IDEMPOTENT, false, 1), false, false));
+                    retries.mayTryAnother(
+                            route(RouteKind.NON_IDEMPOTENT, false, 1), 1, false, false));
             assertEquals(Set.of("one"), retries.excluded());
         }
 
@@ -87,8 +92,8 @@
             retries.recordSend("one");
             retries.recordMayHaveRun(true);
 
-            assertFalse(retries.mayTryAnother(route(RouteKind.STREAM, true, 2), true, false));
-            assertTrue(retries.mayTryAnother(route(RouteKind.STREAM, true, 2), true, true));
+            assertFalse(retries.mayTryAnother(route(RouteKind.STREAM, true, 2), 2, true, false));
+            assertTrue(retries.mayTryAnother(route(RouteKind.STREAM, true, 2), 2, true, true));
         }
     }
 
--- a/daemon/src/test/java/org/crocushaven/forwarding/SimulatedGateway.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/SimulatedGateway.java
@@ -8,10 +8,11 @@
 import org.crocushaven.fleet.BackendStart;
 import org.crocushaven.fleet.GatewayReport;
 import org.crocushaven.fleet.GatewayUpdate;
+import org.crocushaven.fleet.PathReport;
 import org.crocushaven.fleet.TraitUpdate;
 import org.crocushaven.fleet.TraitVerdicts;
 import org.crocushaven.fuzz.FaultCounts;
-import org.crocushaven.outbound.RefusalCheck;
+import org.crocushaven.outbound.ConnectionTry;
 
 /** A gateway's guard, and its reports to the simulated leader. */
 final class SimulatedGateway {
@@ -99,7 +100,7 @@
         time.after(1, () -> report(current));
     }
 
-    private void checkEnd(BackendStart start, Consumer<RefusalCheck.Finding> then) {
+    private void checkEnd(BackendStart start, Consumer<ConnectionTry.Finding> then) {
         final long current = life;
         time.after(
                 1 + random.nextLong(LATENCY_MILLIS),
@@ -107,8 +108,8 @@
                     if (current == life) {
                         then.accept(
                                 isCutOff() || scenario.hasEnded(start)
-                                        ? RefusalCheck.Finding.REFUSED
-                                        : RefusalCheck.Finding.REACHED);
+                                        ? ConnectionTry.Finding.REFUSED
+                                        : ConnectionTry.Finding.REACHED);
                     }
                 });
     }
@@ -144,7 +145,8 @@
                         ShareHolder.create(1).report(time.nanoTime()),
                         List.of(),
                         guard.report(time.nanoTime()),
-                        List.of());
+                        List.of(),
+                        PathReport.EMPTY);
         inFlight = true;
         if (leader.isEmpty() || random.nextDouble() < LOSS) {
             counts.count(CrashFault.REPORT_LOST);
--- a/daemon/src/test/java/org/crocushaven/forwarding/UnaskedLeader.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/SingleVersionLeader.java
@@ -1,13 +1,17 @@
 package org.crocushaven.forwarding;
 
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.crocushaven.fleet.AdapterGrant;
 import org.crocushaven.fleet.AdapterRequest;
+import org.crocushaven.fleet.StreamOrigin;
 import org.crocushaven.fleet.StreamOriginAnswer;
 import org.crocushaven.fleet.StreamOriginQuery;
 
-/** The leader of tests whose requests need nothing of it. */
-final class UnaskedLeader implements LeaderRequests {
+/** The leader of tests whose requests need no adapter, and whose streams began at one version. */
+final class SingleVersionLeader implements LeaderRequests {
+    static final String VERSION = "v1";
+
     @Override
     public CompletableFuture<AdapterGrant> requestAdapter(AdapterRequest request) {
         throw new AssertionError("the requests need no adapter");
@@ -15,7 +19,8 @@
 
     @Override
     public CompletableFuture<StreamOriginAnswer> findStreamOrigin(StreamOriginQuery query) {
-        throw new AssertionError("the requests take up no streams");
+        return CompletableFuture.completedFuture(
+                new StreamOriginAnswer(Optional.of(new StreamOrigin(query.service(), VERSION))));
     }
 
     @Override
--- a/daemon/src/test/java/org/crocushaven/forwarding/StandInServer.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/StandInServer.java
@@ -93,6 +93,9 @@
                             new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
             String lastEventId = "";
             String line = reader.readLine();
+            if (line == null) {
+                throw new IOException("a connection without a request");
+            }
             while (line != null && !line.isEmpty()) {
                 if (line.toLowerCase(java.util.Locale.ROOT).startsWith(LAST_EVENT_ID)) {
                     lastEventId = line.substring(LAST_EVENT_ID.length());
--- a/daemon/src/test/java/org/crocushaven/outbound/RefusalCheckTest.java
+++ b/daemon/src/test/java/org/crocushaven/outbound/RefusalCheckTest.java
@@ -26,8 +26,8 @@
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).await();
     }
 
-    private RefusalCheck.Finding check(InetSocketAddress address) throws Exception {
-        final CompletableFuture<RefusalCheck.Finding> found = new CompletableFuture<>();
+    private ConnectionTry.Finding check(InetSocketAddress address) throws Exception {
+        final CompletableFuture<ConnectionTry.Finding> found = new CompletableFuture<>();
         RefusalCheck.on((EventLoop) group.next()).check(address, found::complete);
         return found.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
     }
@@ -43,14 +43,14 @@
                 new InetSocketAddress(socket.getInetAddress(), socket.getLocalPort());
         socket.close();
 
-        assertEquals(RefusalCheck.Finding.REFUSED, check(address));
+        assertEquals(ConnectionTry.Finding.REFUSED, check(address));
     }
 
     @Test
     void addressThatIsListenedOnIsReached() throws Exception {
         try (ServerSocket socket = open()) {
             assertEquals(
-                    RefusalCheck.Finding.REACHED,
+                    ConnectionTry.Finding.REACHED,
                     check(new InetSocketAddress(socket.getInetAddress(), socket.getLocalPort())));
         }
     }
@@ -66,7 +66,7 @@
                 RefusalCheck.on(loop).check(address, refused -> {});
             }
 
-            assertEquals(RefusalCheck.Finding.UNANSWERED, check(address));
+            assertEquals(ConnectionTry.Finding.UNANSWERED, check(address));
         }
     }
 }
