Keep gateways within what brittle backend servers have room for

Change: the header is read like a limit, for one start and until a later answer without it. What is free at a brittle backend server, less an eighth, is divided among the gateways with each view of its load; a rest of less than one request goes to each with its probability. A gateway whose request was turned away keeps away for its part of half the rejections that are borne. Line and counter: backend-brittle-announced, notices of kind brittle.

Weighed: the leader's ledger of limits (it hands out rates; room is a level, and a rate learnt from it would be late by a report); sending until the first rejection (seven gateways are turned away at once).

--- a/daemon/src/main/java/org/crocushaven/forwarding/AttemptSender.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/AttemptSender.java
@@ -82,6 +82,13 @@
         final BackendRecord backend = attempt.target().backend();
         final long nowNanos = environment.nowNanos();
         return environment.view().notices().allowRequests(backend, nowNanos)
+                && environment
+                        .view()
+                        .brittle()
+                        .tryTake(
+                                backend,
+                                environment.view().requestsAt(backend.backend()) - 1,
+                                nowNanos)
                 && environment.view().limits().tryTake(backend, nowNanos);
     }
 
--- a/daemon/src/main/java/org/crocushaven/forwarding/BackendAnswerHead.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/BackendAnswerHead.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 /**
  * Contains what a gateway reads from the head of a backend server's answer.
@@ -14,6 +15,8 @@
  * @param pause time for which the backend server, which turned the request away, wants no more
  *     requests of this gateway
  * @param limit what the answer says of the requests that the backend server takes
+ * @param brittle number of requests that the backend server can turn away within a second without
+ *     ending; empty if it does not say that it is brittle
  */
 public record BackendAnswerHead(
         Optional<String> requestId,
@@ -22,7 +25,8 @@
         Optional<Load> load,
         boolean leaving,
         Optional<Duration> pause,
-        NamedLimit limit) {
+        NamedLimit limit,
+        OptionalDouble brittle) {
     /**
      * Describes the current load of a backend server.
      *
--- a/daemon/src/main/java/org/crocushaven/forwarding/ForwardingEnvironment.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/ForwardingEnvironment.java
@@ -69,6 +69,7 @@
             BackendAnswerHead head,
             long sentNanos) {
         recordLimit(request, answering, head, sentNanos);
+        recordBrittle(request, answering, head, sentNanos);
         if (head.leaving() && view.notices().recordLeaving(answering)) {
             observer.leavingAnnounced(request, answering.backend());
         }
@@ -92,6 +93,24 @@
         }
     }
 
+    /**
+     * An answer without signature may say that it is brittle, but not by silence that it is not.
+     */
+    private void recordBrittle(
+            IngressRequest request,
+            BackendRecord answering,
+            BackendAnswerHead head,
+            long sentNanos) {
+        final boolean counts = head.signed() || head.brittle().isPresent();
+        if (counts
+                && view.brittle().recordAnswer(answering, head.brittle(), sentNanos, nowNanos())) {
+            observer.brittleAnnounced(request, answering.backend(), head.brittle());
+        }
+        if (head.notRun()) {
+            view.brittle().recordRejection(answering, nowNanos());
+        }
+    }
+
     /** Provides the configuration in force. */
     interface ConfigurationSource {
         /** Returns the configuration; empty before the first one is received. */
--- a/daemon/src/main/java/org/crocushaven/forwarding/ForwardingObserver.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/ForwardingObserver.java
@@ -38,6 +38,13 @@
      */
     void limitAnnounced(IngressRequest request, String backend, OptionalDouble perSecond);
 
+    /**
+     * Called when a backend server says anew that it is brittle, or is no more.
+     *
+     * @param bears rejections within a second that it bears; empty when it is not brittle any more
+     */
+    void brittleAnnounced(IngressRequest request, String backend, OptionalDouble bears);
+
     /**
      * Called when an attempt fails.
      *
--- a/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
@@ -45,7 +45,7 @@
     private final NanoClock clock;
     private final EpochClock epochClock;
     private final Function<byte[], IngressConfiguration> decoder;
-    private final GatewayBackends view = new GatewayBackends();
+    private final GatewayBackends view = new GatewayBackends(new Random());
     private final BegunStreamMemory streams = new BegunStreamMemory();
     private final SuspensionDetector suspension = new SuspensionDetector();
     private final BackendPool pool;
--- a/daemon/src/main/java/org/crocushaven/forwarding/GatewayBackends.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/GatewayBackends.java
@@ -11,6 +11,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.random.RandomGenerator;
 import org.crocushaven.fleet.AdapterKey;
 import org.crocushaven.fleet.AdapterUse;
 import org.crocushaven.fleet.AdapterVersion;
@@ -43,9 +44,19 @@
     private final Map<UseKey, UseCounts> uses = new HashMap<>();
     private final BackendNotices notices = new BackendNotices();
     private final BackendLimits limits = new BackendLimits();
+    private final BrittleBackends brittle;
     private long epoch;
     private long revision;
 
+    /**
+     * Creates a view of no backend servers.
+     *
+     * @param random divides what is free at brittle ones
+     */
+    GatewayBackends(RandomGenerator random) {
+        this.brittle = new BrittleBackends(random);
+    }
+
     /**
      * Applies an update of the leader. Adapters that are still loading at the request of this
      * gateway stay recorded unless their backend server is removed.
@@ -75,6 +86,7 @@
             otherPromptBacklogs.put(load.backend(), prompts);
         }
         limits.apply(update.limits(), nowNanos);
+        brittle.viewChanged(update.gateways());
         epoch = update.epoch();
         revision = update.revision();
     }
@@ -109,6 +121,11 @@
         return limits;
     }
 
+    /** Returns the backend servers that said in their answers that they are brittle. */
+    BrittleBackends brittle() {
+        return brittle;
+    }
+
     /** Returns whether a backend server accepts requests by its record and by its own answers. */
     boolean acceptsRequests(BackendRecord record, long nowNanos) {
         return record.acceptsRequests() && wantsRequests(record, nowNanos);
@@ -116,7 +133,9 @@
 
     /** Returns whether a backend server wants requests by its own answers. */
     private boolean wantsRequests(BackendRecord record, long nowNanos) {
-        return notices.allowRequests(record, nowNanos) && limits.allows(record, nowNanos);
+        return notices.allowRequests(record, nowNanos)
+                && limits.allows(record, nowNanos)
+                && brittle.allows(record, requestsAt(record.backend()), nowNanos);
     }
 
     /** Returns the backend servers of a service that accept requests. */
--- a/daemon/src/main/java/org/crocushaven/instance/ForwardingLog.java
+++ b/daemon/src/main/java/org/crocushaven/instance/ForwardingLog.java
@@ -194,6 +194,16 @@
                 .info();
     }
 
+    @Override
+    public void brittleAnnounced(IngressRequest request, String backend, OptionalDouble bears) {
+        notices.labelValues("brittle").inc();
+        EventLine.of("backend-brittle-announced")
+                .with("backend", backend)
+                .with("bears", bears.isPresent() ? bears.getAsDouble() : "-")
+                .with("request", request.requestId())
+                .info();
+    }
+
     @Override
     public void attemptFailed(
             IngressRequest request,
--- a/daemon/src/test/java/org/crocushaven/forwarding/BackendNoticesFuzzTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/BackendNoticesFuzzTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.PriorityQueue;
+import java.util.Random;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.stream.Collectors;
@@ -63,7 +64,7 @@
 
         private final SplittableRandom random;
         private final FaultCounts<Fault> counts;
-        private final GatewayBackends view = new GatewayBackends();
+        private final GatewayBackends view = new GatewayBackends(new Random(1));
         private final List<Server> servers = new ArrayList<>();
         private final PriorityQueue<Event> events =
                 new PriorityQueue<>(Comparator.comparingLong(Event::atNanos));
--- a/daemon/src/test/java/org/crocushaven/forwarding/ConnectionDialect.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/ConnectionDialect.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -73,6 +74,7 @@
                 Optional.empty(),
                 false,
                 Optional.empty(),
-                NamedLimit.NONE);
+                NamedLimit.NONE,
+                OptionalDouble.empty());
     }
 }
--- a/daemon/src/test/java/org/crocushaven/forwarding/ForwardingEnvironmentBuilder.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/ForwardingEnvironmentBuilder.java
@@ -22,7 +22,7 @@
     private NanoClock clock = SystemNanoClock.INSTANCE;
     private Random random = new Random(1);
     private IngressDialect dialect;
-    private GatewayBackends view = new GatewayBackends();
+    private GatewayBackends view = new GatewayBackends(new Random(1));
     private ServiceRetryBudget retryBudget = ServiceRetryBudget.of(1, 10);
     private Function<ControlFreshness, KeyedAdmission> admission =
             freshness -> KeyedAdmission.of(freshness, 1);
--- a/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
@@ -16,6 +16,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.Random;
 import java.util.concurrent.BlockingQueue;
@@ -62,7 +63,7 @@
     private final EventLoopGroup group =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = (EventLoop) group.next();
-    private final GatewayBackends view = new GatewayBackends();
+    private final GatewayBackends view = new GatewayBackends(new Random(1));
     private final BlockingQueue<String> sent = new LinkedBlockingQueue<>();
     private final BlockingQueue<ResultCode> ended = new LinkedBlockingQueue<>();
     private final BlockingQueue<UnfinishedWork> unfinished = new LinkedBlockingQueue<>();
@@ -592,7 +593,8 @@
                     Optional.empty(),
                     false,
                     Optional.empty(),
-                    NamedLimit.NONE);
+                    NamedLimit.NONE,
+                    OptionalDouble.empty());
         }
     }
 }
--- a/daemon/src/test/java/org/crocushaven/forwarding/GatewayBackendsTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/GatewayBackendsTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import org.crocushaven.fleet.AdapterKey;
 import org.crocushaven.fleet.AdapterVersion;
@@ -19,7 +20,7 @@
     private static final long HALF_LIFE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
     private static final long READY_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
-    private final GatewayBackends view = new GatewayBackends();
+    private final GatewayBackends view = new GatewayBackends(new Random(1));
 
     private static BackendRecord engine(String name, HeldAdapter... held) {
         return BackendRecordBuilder.of(name, "engines")
--- a/daemon/src/test/java/org/crocushaven/forwarding/IgnoringObserver.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/IgnoringObserver.java
@@ -29,6 +29,9 @@
     @Override
     public void limitAnnounced(IngressRequest request, String backend, OptionalDouble limit) {}
 
+    @Override
+    public void brittleAnnounced(IngressRequest request, String backend, OptionalDouble bears) {}
+
     @Override
     public void handedOver(IngressRequest request, String gateway, String reason) {}
 
--- a/daemon/src/test/java/org/crocushaven/forwarding/NoticeFixture.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/NoticeFixture.java
@@ -18,6 +18,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.BlockingQueue;
@@ -48,7 +50,7 @@
     private final EventLoopGroup group =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = (EventLoop) group.next();
-    private final GatewayBackends view = new GatewayBackends();
+    private final GatewayBackends view = new GatewayBackends(new Random(1));
     private final Map<String, StandInBackend> backends = new TreeMap<>();
     private final Set<String> distant = new HashSet<>();
     private final Deque<CompletableFuture<AdapterGrant>> grants = new ArrayDeque<>();
@@ -347,7 +349,8 @@
                     Optional.ofNullable(head.headers().get(StandInBackend.LIMIT))
                             .map(Double::parseDouble)
                             .map(NamedLimit::of)
-                            .orElse(NamedLimit.NONE));
+                            .orElse(NamedLimit.NONE),
+                    OptionalDouble.empty());
         }
     }
 }
--- a/daemon/src/test/java/org/crocushaven/forwarding/PairedGateway.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/PairedGateway.java
@@ -6,6 +6,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -22,7 +23,7 @@
     private final String name;
     private final EventLoop loop;
     private final int port;
-    private final GatewayBackends view = new GatewayBackends();
+    private final GatewayBackends view = new GatewayBackends(new Random(1));
     private final Relays relays = new Relays();
     private final ForwardingEnvironment environment;
     private final IngressServer server;
--- a/daemon/src/test/java/org/crocushaven/forwarding/RequestForwardingTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/RequestForwardingTest.java
@@ -19,6 +19,7 @@
 import java.util.Arrays;
 import java.util.Deque;
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -47,7 +48,7 @@
     private final EventLoopGroup group =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = (EventLoop) group.next();
-    private final GatewayBackends view = new GatewayBackends();
+    private final GatewayBackends view = new GatewayBackends(new Random(1));
     private final Deque<AdapterGrant> grants = new ArrayDeque<>();
     private final List<AdapterRequest> adapterRequests = new ArrayList<>();
     private final BlockingQueue<String> sent = new LinkedBlockingQueue<>();
