Keep a software version in mind as long as clients may take its streams up

Cause: a version was forgotten once no backend server had had it for the longest time of a stream under the configuration in force; a take-up may come later, by another try or after the time was shortened. The stream that nobody remembered was then put at the only version left.

Change: twice the longest time under all configurations so far, a minute at least, for versions, the leader's directory and the gateways' memories; a line for each stream placed at the only version.

--- a/daemon/src/main/java/org/crocushaven/fleet/FleetLeader.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/FleetLeader.java
@@ -38,6 +38,7 @@
     private final LeaderLoad load;
     private final StreamDirectory streams;
     private final TraitVerdicts verdicts;
+    private final TakeUpTime takeUpTime = new TakeUpTime();
     private long configuredRevision = -1;
     private Optional<IngressConfiguration> configuration = Optional.empty();
     private long passedNanos;
@@ -202,7 +203,8 @@
             configuration =
                     Optional.of(dialect.decodeConfiguration(Documents.decompress(view.document())));
             lending.configured(configuration.get(), nowNanos);
-            streams.setLongestStreamMillis(configuration.get().longestStreamMillis());
+            streams.setLongestStreamMillis(
+                    takeUpTime.millisWith(configuration.get().longestStreamMillis()));
             registry.present().forEach(this::announced);
         }
     }
--- a/daemon/src/main/java/org/crocushaven/fleet/StreamDirectory.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/StreamDirectory.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.crocushaven.observability.EventLine;
 
 /**
  * Knows for the leader of a term where the streams of all gateways began, so that a client can take
@@ -82,6 +83,18 @@
      * than one software version while the stream can have lasted.
      */
     public Optional<StreamOrigin> find(StreamOriginQuery query) {
-        return origins.find(query.stream()).or(() -> versions.only(query.service()));
+        return origins.find(query.stream()).or(() -> onlyVersion(query));
+    }
+
+    private Optional<StreamOrigin> onlyVersion(StreamOriginQuery query) {
+        final Optional<StreamOrigin> only = versions.only(query.service());
+        only.ifPresent(
+                origin ->
+                        EventLine.of("stream-placed-at-only-version")
+                                .with("service", query.service())
+                                .with("software", origin.softwareVersion())
+                                .with("named", query.stream() != StreamIdentifier.NONE)
+                                .info());
+        return only;
     }
 }
--- a/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
@@ -19,6 +19,7 @@
 import org.crocushaven.fleet.GatewayReport;
 import org.crocushaven.fleet.GatewayUpdate;
 import org.crocushaven.fleet.PathReport;
+import org.crocushaven.fleet.TakeUpTime;
 import org.crocushaven.ingress.IngressConfiguration;
 import org.crocushaven.network.SuspensionDetector;
 import org.crocushaven.observability.EventLine;
@@ -58,6 +59,7 @@
     private final BackendPaths paths;
     private final PathProbes probes;
     private final Relays relays = new Relays();
+    private final TakeUpTime takeUpTime = new TakeUpTime();
     private final IngressServer server;
     private Optional<IngressConfiguration> configuration = Optional.empty();
     private long stateRevision;
@@ -270,7 +272,8 @@
         }
         final long startNanos = clock.nanoTime();
         configuration = Optional.of(decoder.apply(Documents.decompress(update.document())));
-        streams.setRetentionMillis(configuration.get().longestStreamMillis());
+        streams.setRetentionMillis(
+                takeUpTime.millisWith(configuration.get().longestStreamMillis()));
         EventLine.of("configuration-applied")
                 .with("version", configuration.get().version())
                 .with("previous", known)
--- a/daemon/src/test/java/org/crocushaven/fleet/StreamDirectoryTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/StreamDirectoryTest.java
@@ -100,6 +100,34 @@
         assertEquals(Optional.of(FIRST), next.find(new StreamOriginQuery(8, SERVICE)));
     }
 
+    /** Guards against text of two versions: a client takes a stream up after its version left. */
+    @Test
+    void unknownStreamIsNotPlacedAtAnotherVersionOneTimeoutAfterItsOwnLeft() {
+        final TakeUpTime takeUpTime = new TakeUpTime();
+        directory.setLongestStreamMillis(takeUpTime.millisWith(LONGEST_MILLIS));
+        directory.observe(announcement("one", "v1"), LATER_NANOS);
+
+        final long takeUpNanos = 2 * LATER_NANOS + TimeUnit.SECONDS.toNanos(1);
+        directory.observe(announcement("two", "v2"), takeUpNanos);
+        directory.tick(takeUpNanos);
+
+        assertEquals(Optional.empty(), find(8));
+    }
+
+    @Test
+    void unknownStreamIsNotPlacedAtAnotherVersionAfterTheTimeoutWasShortened() {
+        final TakeUpTime takeUpTime = new TakeUpTime();
+        directory.setLongestStreamMillis(takeUpTime.millisWith(4 * LONGEST_MILLIS));
+        directory.observe(announcement("one", "v1"), LATER_NANOS);
+        directory.setLongestStreamMillis(takeUpTime.millisWith(LONGEST_MILLIS / 10));
+
+        final long takeUpNanos = 4 * LATER_NANOS;
+        directory.observe(announcement("two", "v2"), takeUpNanos);
+        directory.tick(takeUpNanos);
+
+        assertEquals(Optional.empty(), find(8));
+    }
+
     @Test
     void servingVersionIsNotWithheldFromFleetWithoutRoutesForStreams() {
         directory.setLongestStreamMillis(0);
