Close idle connections to a backend server when one of them was silent

Cause: what is known of one connection was not applied to the others on the same path. Change: when a request on a connection that has answered before is silent, the idle connections to that address are closed; when that happens at three addresses within 2 s, all idle ones are. New ones are opened instead.

--- a/daemon/src/main/java/org/crocushaven/forwarding/AttemptSuccession.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/AttemptSuccession.java
@@ -194,6 +194,7 @@
         }
         final BackendAttempt silent = attempts.current();
         environment.probes().probe(silent.target().backend());
+        served.recordSilence(silent);
         if (!replacements.lacksSomething()) {
             environment
                     .health()
--- a/daemon/src/main/java/org/crocushaven/forwarding/BackendAttempt.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/BackendAttempt.java
@@ -86,6 +86,11 @@
         return channel != null;
     }
 
+    /** Returns whether the request went out on a connection that has answered another before. */
+    boolean isOnUsedConnection() {
+        return channel != null && channel.hasAnswered();
+    }
+
     /** Closes the connection, which makes the backend server stop working on the request. */
     void abort() {
         if (channel != null) {
--- a/daemon/src/main/java/org/crocushaven/forwarding/ForwardedRequest.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/ForwardedRequest.java
@@ -1,8 +1,10 @@
 package org.crocushaven.forwarding;
 
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.crocushaven.fleet.BackendRecord;
 import org.crocushaven.ingress.IngressRequest;
 import org.crocushaven.ingress.IngressRoute;
 import org.crocushaven.outbound.AnswerMemory;
@@ -174,6 +176,14 @@
         return number;
     }
 
+    /** Records that an attempt was silent, which says the same of idle connections like its own. */
+    void recordSilence(BackendAttempt silent) {
+        if (silent.isOnUsedConnection()) {
+            final BackendRecord backend = silent.target().backend();
+            environment.pool().distrustIdle(new InetSocketAddress(backend.host(), backend.port()));
+        }
+    }
+
     void reportFailedAttempt(BackendAttempt failed, boolean mayHaveRun, String reason) {
         environment
                 .observer()
--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestEnd.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestEnd.java
@@ -137,6 +137,7 @@
         final BackendAttempt current = served.attempts().current();
         if (current != null) {
             served.reportFailedAttempt(current, true, "time limit reached");
+            served.recordSilence(current);
         }
         if (served.isStreamStarted()) {
             client.abort();
--- a/daemon/src/main/java/org/crocushaven/outbound/BackendChannel.java
+++ b/daemon/src/main/java/org/crocushaven/outbound/BackendChannel.java
@@ -52,7 +52,7 @@
     }
 
     /** Returns whether an answer has been received on this connection. */
-    boolean hasAnswered() {
+    public boolean hasAnswered() {
         return answered;
     }
 
--- a/daemon/src/main/java/org/crocushaven/outbound/BackendPool.java
+++ b/daemon/src/main/java/org/crocushaven/outbound/BackendPool.java
@@ -37,11 +37,17 @@
      */
     private static final long CLOSING_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
+    /** Addresses with a silent connection after which all idle connections are closed. */
+    private static final int DISTRUSTED_ADDRESSES = 3;
+
+    private static final long DISTRUST_NANOS = TimeUnit.SECONDS.toNanos(2);
+
     private static final int MAXIMUM_HEADER_BYTES = 64 * 1024;
 
     private final EventLoop loop;
     private final NanoClock clock;
     private final Map<InetSocketAddress, Deque<BackendChannel>> idle = new HashMap<>();
+    private final Map<InetSocketAddress, Long> distrusted = new HashMap<>();
     private final AnswerMemory answerMemory = new AnswerMemory();
 
     private BackendPool(EventLoop loop, NanoClock clock) {
@@ -80,6 +86,24 @@
                 .anyMatch(channel -> isUsable(channel, false, nowNanos));
     }
 
+    /**
+     * Closes the idle connections to an address, since one of them was silent: what happened to one
+     * may have happened to all. When several addresses are silent soon after one another, it may
+     * have happened to the idle connections of all addresses.
+     */
+    public void distrustIdle(InetSocketAddress address) {
+        final long nowNanos = clock.nanoTime();
+        distrusted.values().removeIf(since -> nowNanos - since >= DISTRUST_NANOS);
+        distrusted.put(address, nowNanos);
+        if (distrusted.size() >= DISTRUSTED_ADDRESSES) {
+            idle.values().forEach(channels -> channels.forEach(BackendChannel::close));
+            idle.clear();
+        } else {
+            idle.getOrDefault(address, new ArrayDeque<>()).forEach(BackendChannel::close);
+            idle.remove(address);
+        }
+    }
+
     /** Closes idle connections that backend servers are about to close. */
     public void closeExpired() {
         final long nowNanos = clock.nanoTime();
--- a/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
@@ -48,6 +48,10 @@
 final class ForwardingFixture implements AutoCloseable {
     static final long TIMEOUT_MILLIS = 8_000;
     static final long AWAIT_MILLIS = 10_000;
+
+    /** Time after which a backend server that has not begun to answer counts as silent. */
+    static final long SILENCE_MILLIS = 700;
+
     private static final long READ_MILLIS = 50;
     private static final String SERVICE = "engines";
     private static final int OBJECTIVE_MILLIS = 400;
