Hand over requests that have no room on open paths also after a broken attempt

Callers would see (by reading): a stream that broke off at a gateway with some closed paths was refused for want of room where the other gateways had it; only requests without any send were handed over.

Change: mayTryAnother() and the retry budget have decided already when a target is looked for again, so the wish that nothing has run is dropped there; a refusal as not run is still not passed on then. A gateway that is cut off does not look into ends of backend servers. request-ended says relayed=.

--- a/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
@@ -232,7 +232,11 @@
                 finding -> then.accept(finding == ConnectionTry.Finding.REACHED));
     }
 
+    /** Looks into the end of a backend server, unless this gateway can reach none at all. */
     private void checkEnd(BackendStart start, Consumer<ConnectionTry.Finding> then) {
+        if (paths.isCutOff(clock.nanoTime())) {
+            return;
+        }
         view.find(start.backend())
                 .filter(record -> record.startedMillis() == start.startedMillis())
                 .ifPresent(
--- a/daemon/src/main/java/org/crocushaven/forwarding/TargetWait.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/TargetWait.java
@@ -86,7 +86,6 @@
     private void found(Target target, Throwable failure) {
         if (failure instanceof ResultException
                 && environment.paths().isAnyClosed()
-                && !served.retries().mayHaveRun()
                 && forwarding.tryHandOver("no room on open paths")) {
             return;
         }
--- a/daemon/src/main/java/org/crocushaven/instance/ForwardingLog.java
+++ b/daemon/src/main/java/org/crocushaven/instance/ForwardingLog.java
@@ -294,6 +294,7 @@
                 .with("total_ms", summary.totalMillis())
                 .with("events", summary.events())
                 .with("longest_pause_ms", summary.longestPauseMillis())
+                .with("relayed", summary.request().isRelayed())
                 .info();
     }
 
--- a/daemon/src/test/java/org/crocushaven/forwarding/GatewayPair.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/GatewayPair.java
@@ -53,6 +53,17 @@
                 serverCount);
     }
 
+    /** Starts two gateways of which each may spend one request of an organisation. */
+    static GatewayPair startWithOneRequestEach(int serverCount) throws Exception {
+        return new GatewayPair(
+                ChatRouteBuilder.to(SERVICE)
+                        .kind(RouteKind.IDEMPOTENT)
+                        .attempts(2)
+                        .open(false)
+                        .configuration(List.of(PairedGateway.ORGANISATION)),
+                serverCount);
+    }
+
     PairedGateway first() {
         return first;
     }
--- a/daemon/src/test/java/org/crocushaven/forwarding/HandOverTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/HandOverTest.java
@@ -98,6 +98,27 @@
             assertFalse(pair.hasRequest());
         }
 
+        @Test
+        void requestIsChargedOnceWhereItIsServed() throws Exception {
+            pair = GatewayPair.startWithOneRequestEach(SERVERS);
+            pair.cutWithRefusals(pair.first());
+            try (PairClient client = pair.first().send("handed over")) {
+                answerNext("served");
+                assertEquals(200, client.awaitStatus());
+            }
+            try (PairClient client = pair.first().send("beyond the other's share")) {
+                assertEquals(429, client.awaitStatus());
+            }
+
+            pair.heal(pair.first());
+            pair.awaitOpenPaths(pair.first());
+
+            try (PairClient client = pair.first().send("own share")) {
+                answerNext("served");
+                assertEquals(200, client.awaitStatus());
+            }
+        }
+
         @Test
         void failureOfTheBackendServerIsPassedOn() throws Exception {
             pair = GatewayPair.start(RouteKind.NON_IDEMPOTENT, SERVERS);
--- a/daemon/src/test/java/org/crocushaven/forwarding/PairClient.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/PairClient.java
@@ -29,6 +29,8 @@
                         + ConnectionDialect.REQUEST_ID
                         + ": "
                         + requestId
+                        + "\r\nKey: "
+                        + PairedGateway.KEY
                         + "\r\nContent-Length: 0\r\n\r\n";
         socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
         return new PairClient(socket);
--- a/daemon/src/test/java/org/crocushaven/forwarding/PairedGateway.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/PairedGateway.java
@@ -6,18 +6,25 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.util.List;
+import java.util.OptionalInt;
 import java.util.Random;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.crocushaven.admission.ShareChange;
+import org.crocushaven.admission.ShareGrant;
 import org.crocushaven.fleet.BackendRecord;
 import org.crocushaven.fleet.Relay;
 import org.crocushaven.ingress.IngressConfiguration;
+import org.crocushaven.ingress.KeyedOrganisation;
 import org.crocushaven.outbound.ConnectionTry;
 
 /** One gateway of a {@link GatewayPair}, which listens for clients. */
 final class PairedGateway {
+    static final String KEY = "key";
+    static final KeyedOrganisation ORGANISATION =
+            new KeyedOrganisation("first", List.of(KEY), OptionalInt.empty(), false, 1, 1, 1);
     private static final int PROBE_TIMEOUT_MILLIS = 200;
 
     private final String name;
@@ -48,6 +55,7 @@
                                                 .relays(relays)
                                                 .prober(this::open)
                                                 .retryBudget(0, 100)
+                                                .admission(PairedGateway::admission)
                                                 .observer(new Recorder())
                                                 .build())
                         .get();
@@ -68,6 +76,18 @@
                 finding -> then.accept(finding == ConnectionTry.Finding.REACHED));
     }
 
+    /** Grants one request, which is not refilled during a test. */
+    private static KeyedAdmission admission(ControlFreshness freshness) {
+        final KeyedAdmission admission = KeyedAdmission.of(freshness, 1);
+        final long nowNanos = System.nanoTime();
+        final long report = admission.report(nowNanos).reportSequence();
+        final ShareChange share = new ShareChange(ORGANISATION.name(), 0, 1, 1, 1, 1, 0);
+        admission.apply(
+                new ShareGrant(1, 1, 1, report, TimeUnit.MINUTES.toNanos(1), 1, List.of(share)),
+                nowNanos);
+        return admission;
+    }
+
     private static int freePort() throws Exception {
         try (ServerSocket socket = new ServerSocket(0)) {
             return socket.getLocalPort();
