--- a/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
@@ -564,7 +564,7 @@
      * Takes answers without a header named Unsigned as signed, and those with one named Not-Run as
      * not run.
      */
-    private final class TestDialect implements IngressDialect {
+    private final class TestDialect implements UnrelayedDialect {
         @Override
         public IngressRequest decodeRequest(HttpRequest head) {
             return request();
@@ -578,16 +578,6 @@
             fields.lastEventId().ifPresent(id -> headers.set(LAST_EVENT_ID, id));
         }
 
-        @Override
-        public void addRelayHeaders(HttpHeaders headers, RelayFields fields) {
-            throw new AssertionError("nothing is handed over");
-        }
-
-        @Override
-        public boolean isPromise(HttpResponseStatus status) {
-            throw new AssertionError("nothing is handed over");
-        }
-
         @Override
         public BackendAnswerHead decodeAnswer(HttpResponse head) {
             return new BackendAnswerHead(
--- a/daemon/src/test/java/org/crocushaven/forwarding/IngressConnectionTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/IngressConnectionTest.java
@@ -12,7 +12,6 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseEncoder;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -213,7 +212,7 @@
     }
 
     /** Decodes every request as the same request for an adapter. */
-    private final class OneRequestDialect implements IngressDialect {
+    private final class OneRequestDialect implements UnrelayedDialect {
         @Override
         public IngressRequest decodeRequest(HttpRequest head) {
             if (decodingFault != null) {
@@ -239,16 +238,6 @@
         @Override
         public void addForwardingHeaders(HttpHeaders headers, ForwardingFields fields) {}
 
-        @Override
-        public void addRelayHeaders(HttpHeaders headers, RelayFields fields) {
-            throw new AssertionError("nothing is handed over");
-        }
-
-        @Override
-        public boolean isPromise(HttpResponseStatus status) {
-            throw new AssertionError("nothing is handed over");
-        }
-
         @Override
         public BackendAnswerHead decodeAnswer(HttpResponse head) {
             throw new UnsupportedOperationException();
--- a/daemon/src/test/java/org/crocushaven/forwarding/NoticeFixture.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/NoticeFixture.java
@@ -314,7 +314,7 @@
     }
 
     /** Reads and writes the headers of {@link StandInBackend}. */
-    private static final class StandInDialect implements IngressDialect {
+    private static final class StandInDialect implements UnrelayedDialect {
         @Override
         public IngressRequest decodeRequest(HttpRequest head) {
             throw new UnsupportedOperationException();
@@ -325,16 +325,6 @@
             fields.lastEventId().ifPresent(id -> headers.set(StandInBackend.RESUME_AFTER, id));
         }
 
-        @Override
-        public void addRelayHeaders(HttpHeaders headers, RelayFields fields) {
-            throw new AssertionError("nothing is handed over");
-        }
-
-        @Override
-        public boolean isPromise(HttpResponseStatus status) {
-            throw new AssertionError("nothing is handed over");
-        }
-
         @Override
         public BackendAnswerHead decodeAnswer(HttpResponse head) {
             return new BackendAnswerHead(
--- a/daemon/src/test/java/org/crocushaven/forwarding/RequestForwardingTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/RequestForwardingTest.java
@@ -200,7 +200,7 @@
     }
 
     /** Adds no headers; no answer is decoded in these tests. */
-    private static final class PlainDialect implements IngressDialect {
+    private static final class PlainDialect implements UnrelayedDialect {
         @Override
         public IngressRequest decodeRequest(HttpRequest head) {
             throw new UnsupportedOperationException();
@@ -209,16 +209,6 @@
         @Override
         public void addForwardingHeaders(HttpHeaders headers, ForwardingFields fields) {}
 
-        @Override
-        public void addRelayHeaders(HttpHeaders headers, RelayFields fields) {
-            throw new AssertionError("nothing is handed over");
-        }
-
-        @Override
-        public boolean isPromise(HttpResponseStatus status) {
-            throw new AssertionError("nothing is handed over");
-        }
-
         @Override
         public BackendAnswerHead decodeAnswer(HttpResponse head) {
             throw new UnsupportedOperationException();
