--- a/daemon/src/main/java/org/crocushaven/forwarding/AttemptSender.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/AttemptSender.java
@@ -105,6 +105,7 @@
                         usage ->
                                 environment
                                         .view()
+                                        .loads()
                                         .recordPrompt(
                                                 backend,
                                                 usage.promptTokens(),
--- a/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
@@ -93,7 +93,7 @@
                         clock,
                         this::createReport,
                         this::applyUpdate,
-                        () -> view.hasReportablePrompts(clock.nanoTime()));
+                        () -> view.loads().hasReportablePrompts(clock.nanoTime()));
         this.crashes = new CrashGuard(clock, this::checkEnd, link::reportSoon);
         this.paths = new BackendPaths(pool::hasIdle, link::reportSoon, clock.nanoTime());
         this.probes = new PathProbes(clock, paths, this::openConnection);
@@ -211,8 +211,8 @@
                 view.revision(),
                 configuration.map(IngressConfiguration::version).orElse(0L),
                 stateRevision,
-                view.ownLoads(nowNanos),
-                view.drainUses(),
+                view.loads().ownLoads(nowNanos),
+                view.uses().drain(),
                 admission.report(nowNanos),
                 streams.unreported(),
                 crashes.report(nowNanos),
--- a/daemon/src/main/java/org/crocushaven/forwarding/GatewayBackends.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/GatewayBackends.java
@@ -13,13 +13,10 @@
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.crocushaven.fleet.AdapterKey;
-import org.crocushaven.fleet.AdapterUse;
 import org.crocushaven.fleet.AdapterVersion;
-import org.crocushaven.fleet.BackendLoad;
 import org.crocushaven.fleet.BackendRecord;
 import org.crocushaven.fleet.GatewayUpdate;
 import org.crocushaven.fleet.HeldAdapter;
-import org.crocushaven.fleet.PromptBacklog;
 import org.crocushaven.observability.EventLine;
 
 /**
@@ -27,21 +24,12 @@
  * they hold, and the requests in flight there. Not thread-safe.
  */
 final class GatewayBackends {
-    /**
-     * Number of unread prompt tokens above which the next report is sent early. It is a tenth of a
-     * usual prompt; fewer tokens are read almost at once.
-     */
-    private static final double REPORTABLE_PROMPT_TOKENS = 100;
-
     private final Map<String, BackendRecord> backends = new HashMap<>();
     private final Map<AdapterKey, Map<String, Holding>> holders = new HashMap<>();
     private final Map<String, Set<AdapterKey>> keysByBackend = new HashMap<>();
     private final Map<AdapterKey, Long> requiredVersions = new HashMap<>();
-    private final Map<String, Integer> ownRequests = new HashMap<>();
-    private final Map<String, Integer> otherRequests = new HashMap<>();
-    private final Map<String, PromptBacklog> ownPromptBacklogs = new HashMap<>();
-    private final Map<String, PromptBacklog> otherPromptBacklogs = new HashMap<>();
-    private final Map<UseKey, UseCounts> uses = new HashMap<>();
+    private final BackendLoads loads = new BackendLoads();
+    private final AdapterUses uses = new AdapterUses();
     private final BackendNotices notices = new BackendNotices();
     private final BackendLimits limits = new BackendLimits();
     private final BrittleBackends brittle;
@@ -77,14 +65,7 @@
                         new AdapterKey(named.model(), named.adapter()), named.version());
             }
         }
-        otherRequests.clear();
-        otherPromptBacklogs.clear();
-        for (final BackendLoad load : update.otherLoads()) {
-            otherRequests.put(load.backend(), load.requests());
-            final PromptBacklog prompts = PromptBacklog.empty();
-            prompts.addTokens(load.promptTokens(), nowNanos);
-            otherPromptBacklogs.put(load.backend(), prompts);
-        }
+        loads.apply(update.otherLoads(), nowNanos);
         limits.apply(update.limits(), nowNanos);
         brittle.viewChanged(update.gateways());
         epoch = update.epoch();
@@ -259,108 +240,36 @@
         keysByBackend.getOrDefault(backend, Set.of()).remove(key);
     }
 
-    /**
-     * Removes a backend server that does not accept requests, until the leader's next record of it.
-     */
-    void removeUntilNextRecord(String backend) {
-        remove(backend);
+    /** Returns the requests in flight and the prompts that are still to be read. */
+    BackendLoads loads() {
+        return loads;
+    }
+
+    /** Returns the adapters that this gateway's requests use. */
+    AdapterUses uses() {
+        return uses;
     }
 
     /** Returns the estimated number of requests in flight at a backend server. */
     int requestsAt(String backend) {
-        return ownRequests.getOrDefault(backend, 0) + otherRequests.getOrDefault(backend, 0);
+        return loads.requestsAt(backend);
     }
 
     /** Returns the backend servers at which requests of this gateway are in flight. */
     List<BackendRecord> awaited() {
-        final List<BackendRecord> awaited = new ArrayList<>();
-        ownRequests.forEach(
-                (backend, requests) -> {
-                    if (requests > 0) {
-                        find(backend).ifPresent(awaited::add);
-                    }
-                });
-        return awaited;
+        return loads.awaited().stream().flatMap(backend -> find(backend).stream()).toList();
     }
 
     /** Counts a request that is assigned to a backend server. */
     void requestStarted(String backend, AdapterKey key) {
-        ownRequests.merge(backend, 1, Integer::sum);
-        if (key != null) {
-            final UseCounts use =
-                    uses.computeIfAbsent(new UseKey(backend, key), name -> new UseCounts());
-            use.running++;
-            use.started++;
-        }
+        loads.requestStarted(backend);
+        uses.requestStarted(backend, key);
     }
 
     /** Counts the end of an assigned request. */
     void requestEnded(String backend, AdapterKey key) {
-        ownRequests.merge(backend, -1, (left, right) -> left + right == 0 ? null : left + right);
-        if (key != null) {
-            uses.get(new UseKey(backend, key)).running--;
-        }
-    }
-
-    /** Records the prompt of a request that is sent to a backend server now. */
-    void recordPrompt(String backend, double tokens, long nowNanos) {
-        ownPromptBacklogs
-                .computeIfAbsent(backend, name -> PromptBacklog.empty())
-                .addTokens(tokens, nowNanos);
-    }
-
-    /** Returns the estimated number of prompt tokens that a backend server still has to read. */
-    double promptTokensAt(String backend, long nowNanos) {
-        return remainingTokens(ownPromptBacklogs, backend, nowNanos)
-                + remainingTokens(otherPromptBacklogs, backend, nowNanos);
-    }
-
-    /** Returns whether this gateway has sent prompts that other gateways should soon know of. */
-    boolean hasReportablePrompts(long nowNanos) {
-        return ownPromptBacklogs.values().stream()
-                .anyMatch(prompts -> prompts.remainingTokens(nowNanos) > REPORTABLE_PROMPT_TOKENS);
-    }
-
-    /** Returns the requests of this gateway in flight, for a report to the leader. */
-    List<BackendLoad> ownLoads(long nowNanos) {
-        final List<BackendLoad> loads = new ArrayList<>(ownRequests.size());
-        ownRequests.forEach(
-                (backend, requests) ->
-                        loads.add(
-                                new BackendLoad(
-                                        backend,
-                                        requests,
-                                        Math.round(
-                                                remainingTokens(
-                                                        ownPromptBacklogs, backend, nowNanos)))));
-        return loads;
-    }
-
-    private static double remainingTokens(
-            Map<String, PromptBacklog> prompts, String backend, long nowNanos) {
-        final PromptBacklog known = prompts.get(backend);
-        return known == null ? 0 : known.remainingTokens(nowNanos);
-    }
-
-    /**
-     * Returns how often adapters were used since the last call, and resets the counts of started
-     * requests.
-     */
-    List<AdapterUse> drainUses() {
-        final List<AdapterUse> drained = new ArrayList<>(uses.size());
-        uses.forEach(
-                (useKey, use) -> {
-                    drained.add(
-                            new AdapterUse(
-                                    useKey.backend(),
-                                    useKey.key().model(),
-                                    useKey.key().adapter(),
-                                    use.running,
-                                    use.started));
-                    use.started = 0;
-                });
-        uses.values().removeIf(use -> use.running == 0);
-        return drained;
+        loads.requestEnded(backend);
+        uses.requestEnded(backend, key);
     }
 
     private void put(BackendRecord record, long nowNanos) {
@@ -393,7 +302,7 @@
             List.copyOf(keysByBackend.getOrDefault(backend, Set.of()))
                     .forEach(key -> removeHolder(backend, key));
             keysByBackend.remove(backend);
-            ownPromptBacklogs.remove(backend);
+            loads.forgetPrompts(backend);
         }
     }
 
@@ -414,11 +323,4 @@
             return Math.max(0, usableNanos - nowNanos);
         }
     }
-
-    private record UseKey(String backend, AdapterKey key) {}
-
-    private static final class UseCounts {
-        private int running;
-        private int started;
-    }
 }
--- a/daemon/src/main/java/org/crocushaven/forwarding/TargetFinder.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/TargetFinder.java
@@ -218,7 +218,10 @@
                                 backend,
                                 environment.view().requestsAt(backend.backend()),
                                 environment.health().failures(backend.backend(), nowNanos),
-                                environment.view().promptTokensAt(backend.backend(), nowNanos),
+                                environment
+                                        .view()
+                                        .loads()
+                                        .promptTokensAt(backend.backend(), nowNanos),
                                 backend.backend().equals(promptReader)));
             }
         }
--- a/daemon/src/test/java/org/crocushaven/forwarding/GatewayBackendsTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/GatewayBackendsTest.java
@@ -158,23 +158,25 @@
         @Test
         void unreadTokensOfAllGatewaysAreSummedAndDecay() {
             update(0, engine("one"));
-            view.recordPrompt("one", 1_000, 0);
+            view.loads().recordPrompt("one", 1_000, 0);
             otherGatewaysSent("one", 500);
 
-            assertEquals(1_500, view.promptTokensAt("one", 0), 0.1);
-            assertEquals(750, view.promptTokensAt("one", HALF_LIFE_NANOS), 0.1);
-            assertEquals(0, view.promptTokensAt("two", 0), 0.1);
+            assertEquals(1_500, view.loads().promptTokensAt("one", 0), 0.1);
+            assertEquals(750, view.loads().promptTokensAt("one", HALF_LIFE_NANOS), 0.1);
+            assertEquals(0, view.loads().promptTokensAt("two", 0), 0.1);
         }
 
         @Test
         void areReportableUntilDecayed() {
             update(0, engine("one"));
             view.requestStarted("one", KEY);
-            view.recordPrompt("one", 1_000, 0);
+            view.loads().recordPrompt("one", 1_000, 0);
 
-            assertTrue(view.hasReportablePrompts(0));
-            assertFalse(view.hasReportablePrompts(10 * HALF_LIFE_NANOS));
-            assertEquals(List.of(new BackendLoad("one", 1, 500)), view.ownLoads(HALF_LIFE_NANOS));
+            assertTrue(view.loads().hasReportablePrompts(0));
+            assertFalse(view.loads().hasReportablePrompts(10 * HALF_LIFE_NANOS));
+            assertEquals(
+                    List.of(new BackendLoad("one", 1, 500)),
+                    view.loads().ownLoads(HALF_LIFE_NANOS));
         }
     }
 }
