End a silent attempt for a hand-over only if a gateway can take the request

Callers would see (by reading, then a test): a request whose backend server was silent, at a gateway that knew other ones but none with a way to that service, waited for its time limit and got 504, also when the silent one answered after all.

Cause: the attempt was ended before a relay was chosen. Change: the choice is looked at first.

Measured: the new test of HandOverTest failed with the choice not looked at (504) and passes.

--- a/daemon/src/main/java/org/crocushaven/forwarding/HandOver.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/HandOver.java
@@ -68,19 +68,26 @@
         return sent;
     }
 
+    /** Returns whether there is a gateway for the request. */
+    boolean mayStart() {
+        return choose().isPresent();
+    }
+
     /** Hands the request over if there is a gateway for it; returns whether there is one. */
     boolean tryStart(String reason) {
-        if (isUnderWay() || served.request().isRelayed() || tried.size() >= MAXIMUM_RELAYS) {
-            return false;
-        }
-        final Optional<Relay> chosen =
-                environment
-                        .relays()
-                        .choose(served.admission().service(), tried, environment.nowNanos());
+        final Optional<Relay> chosen = choose();
         chosen.ifPresent(found -> start(found, reason));
         return chosen.isPresent();
     }
 
+    private Optional<Relay> choose() {
+        return isUnderWay() || served.request().isRelayed() || tried.size() >= MAXIMUM_RELAYS
+                ? Optional.empty()
+                : environment
+                        .relays()
+                        .choose(served.admission().service(), tried, environment.nowNanos());
+    }
+
     private void start(Relay chosen, String reason) {
         relay = chosen;
         tried.add(chosen.gateway());
--- a/daemon/src/main/java/org/crocushaven/forwarding/Relays.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/Relays.java
@@ -26,10 +26,6 @@
         known = List.copyOf(relays);
     }
 
-    boolean isAnyKnown() {
-        return !known.isEmpty();
-    }
-
     /**
      * Returns a relay for a request; empty if there is none.
      *
--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
@@ -128,7 +128,7 @@
      */
     boolean tryHandOverSilent(BackendAttempt silent) {
         if (!targets.areAllPathsClosed()
-                || !environment.relays().isAnyKnown()
+                || !handOver.mayStart()
                 || !environment.retryBudget().tryRetry(served.admission().service())) {
             return false;
         }
--- a/daemon/src/test/java/org/crocushaven/forwarding/HandOverTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/HandOverTest.java
@@ -201,6 +201,23 @@
             }
         }
 
+        /** Guards against a silent attempt that is ended for a hand-over which nobody can take. */
+        @Test
+        void silentRequestIsNotGivenUpWhileNoOtherGatewayHasPaths() throws Exception {
+            pair = GatewayPair.start(RouteKind.IDEMPOTENT, SERVERS);
+            pair.first().knowOnlyAnotherWithoutPaths();
+            try (PairClient client = pair.first().send("request")) {
+                final StandInServer.Exchange silent = pair.awaitRequest();
+                pair.cutSilently(pair.first());
+                pair.first().awaitClosedPaths();
+                pair.first().passOnLoop(ForwardingFixture.SILENCE_MILLIS);
+
+                silent.answer(200, "Signature: s\r\n", "late");
+
+                assertEquals(200, client.awaitStatus());
+            }
+        }
+
         @Test
         void requestThatMayRunOnceIsServedThroughAnother() throws Exception {
             pair = GatewayPair.start(RouteKind.NON_IDEMPOTENT, SERVERS);
--- a/daemon/src/test/java/org/crocushaven/forwarding/PairedGateway.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/PairedGateway.java
@@ -127,6 +127,24 @@
                 .get();
     }
 
+    /** Lets this gateway know only of another one that reaches the service no more than it does. */
+    void knowOnlyAnotherWithoutPaths() throws Exception {
+        final Relay other = new Relay("another", "127.0.0.1:" + port, List.of(GatewayPair.SERVICE));
+        loop.submit(() -> relays.apply(List.of(other))).get();
+    }
+
+    /** Waits until a path of this gateway is closed. */
+    void awaitClosedPaths() throws Exception {
+        while (!hasClosedPaths()) {
+            passOnLoop(PathProbes.INTERVAL_MILLIS);
+        }
+    }
+
+    /** Waits until timers of the given delay have run on the event loop. */
+    void passOnLoop(long millis) throws Exception {
+        loop.schedule(() -> {}, millis, TimeUnit.MILLISECONDS).get();
+    }
+
     boolean hasClosedPaths() throws Exception {
         return loop.submit(() -> environment.paths().isAnyClosed()).get();
     }
