Ask gateways about the end of a backend server only until they have answered

By reading: an end that no later start followed stayed doubted for as long as its crash was remembered, and every gateway tried its address every 2 s, for minutes.

Measured: the new test of TraitTrialTest (no end is doubted once all have answered) passes; it was not run on the code before.

--- a/daemon/src/main/java/org/crocushaven/fleet/CrashEvidence.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/CrashEvidence.java
@@ -103,10 +103,15 @@
      *
      * @return those of which that is to be asked
      */
-    List<BackendStart> doubt(Collection<BackendStart> ends, int maximum, long nowNanos) {
+    List<BackendStart> doubt(
+            Collection<BackendStart> ends,
+            Collection<String> gateways,
+            int maximum,
+            long nowNanos) {
         return ends.stream()
                 .map(starts::get)
                 .filter(crash -> crash != null && crash.doubt(nowNanos))
+                .filter(crash -> !crash.isConfirmed(gateways, nowNanos))
                 .map(BackendCrash::start)
                 .limit(maximum)
                 .toList();
--- a/daemon/src/main/java/org/crocushaven/fleet/TraitTrial.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/TraitTrial.java
@@ -126,7 +126,7 @@
         final Predicate<TraitSuspicion.Suspect> isAnswered =
                 suspect -> isAnswered(suspect, gateways, nowNanos);
         suspect(suspicion.strongest(MAXIMUM_SUSPECTS, isAnswered), nowNanos);
-        doubt(suspicion.crashesOfSuspectsIn(DOUBTED_CRASHES), nowNanos);
+        doubt(suspicion.crashesOfSuspectsIn(DOUBTED_CRASHES), gateways, nowNanos);
         suspicion
                 .guilty(CRASHES, isAnswered)
                 .flatMap(found -> condemn(found, standing, nowNanos, nowMillis))
@@ -167,8 +167,8 @@
         return standing;
     }
 
-    private void doubt(Set<BackendStart> ends, long nowNanos) {
-        final List<BackendStart> next = evidence.doubt(ends, MAXIMUM_DOUBTED, nowNanos);
+    private void doubt(Set<BackendStart> ends, Collection<String> gateways, long nowNanos) {
+        final List<BackendStart> next = evidence.doubt(ends, gateways, MAXIMUM_DOUBTED, nowNanos);
         if (!next.equals(doubted)) {
             doubted = next;
             revision++;
--- a/daemon/src/test/java/org/crocushaven/fleet/TraitTrialTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/TraitTrialTest.java
@@ -234,6 +234,16 @@
             assertEquals(List.of(), condemned());
         }
 
+        /** Guards against gateways that try the address of an end again and again. */
+        @Test
+        void endThatAllGatewaysHaveLookedIntoIsDoubtedNoMore() {
+            crash(REQUEST);
+            crash(REQUEST);
+            answer();
+
+            assertEquals(List.of(), trial.doubted());
+        }
+
         @Test
         void endIsNoneWhileHeartbeatsOfTheStartGoOn() {
             for (int number = 1; number <= 3; number++) {
