Pass a relay's refusal on when no other gateway may take the request

Callers would see (by reading): a request that a relay refused as not run, with its time to come back, ended with a general refusal and another time; and a relay whose paths closed between two attempts promised that nothing had run, where its first attempt may have.

Change: another gateway is looked for before the answer is dropped; the relay's own end says what its attempts allow. Comments of the trait classes that a rename had bent are straightened.

Measured: HandOverTest, 14 tests pass; the relay's time to come back is checked now. The test of the relay that loses its paths passes on the code before too, which ends it elsewhere: by reading only.

--- a/daemon/src/main/java/org/crocushaven/fleet/BrokenStart.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/BrokenStart.java
@@ -9,8 +9,8 @@
  * @param start the start of the backend server that had the request
  * @param request a hash of the request's identifier
  * @param model name of the base model; empty if the request names none
- * @param traits identifiers of the traits, without the last and without those on which an answer
- *     went on at the reporting gateway
+ * @param traits what of the request may be guilty, without that on which an answer went on at the
+ *     reporting gateway
  * @param ageMillis time since the connection ended, when it is reported
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
--- a/daemon/src/main/java/org/crocushaven/fleet/TraitVerdict.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/TraitVerdict.java
@@ -6,8 +6,7 @@
 import java.util.stream.Collectors;
 
 /**
- * States that prompts which have all of the given traits, end the backend servers that answer on
- * them.
+ * States that requests which have all of the given traits end the backend servers that run them.
  *
  * @param traits identifiers of the traits, ascending; several if they could not be told apart
  * @param models base models at which backend servers ended
--- a/daemon/src/main/java/org/crocushaven/fleet/TraitVerdicts.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/TraitVerdicts.java
@@ -12,7 +12,7 @@
 import org.crocushaven.observability.EventLine;
 
 /**
- * Performs the leader's trait in protecting backend servers from traits of requests that end them:
+ * Performs the leader's part in protecting backend servers from traits of requests that end them:
  * hears gateways, decides, commits the verdicts so that every later leader has them, and tells the
  * gateways. One command is proposed at a time. Used on one event loop only.
  */
--- a/daemon/src/main/java/org/crocushaven/fleet/VerdictIndex.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/VerdictIndex.java
@@ -6,7 +6,7 @@
 import java.util.List;
 import java.util.Map;
 
-/** Finds the verdicts on a prompt by one of their traits. Immutable. */
+/** Finds the verdicts on a request by one of their traits. Immutable. */
 public final class VerdictIndex {
     private final Map<Long, List<TraitVerdict>> byFirstTrait = new HashMap<>();
 
--- a/daemon/src/main/java/org/crocushaven/forwarding/CrashGuard.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/CrashGuard.java
@@ -21,8 +21,8 @@
 import org.crocushaven.result.ResultException;
 
 /**
- * Keeps requests away from backend servers that have a trait which ends those that run them, and
- * tells the leader what shows which trait that is.
+ * Keeps requests with a trait that ends backend servers away from these, and tells the leader what
+ * shows which trait that is.
  *
  * <p>The gateway only gathers evidence; the leader joins that of all gateways and decides. Used on
  * the event loop only.
--- a/daemon/src/main/java/org/crocushaven/forwarding/HandOver.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/HandOver.java
@@ -81,7 +81,11 @@
     }
 
     private Optional<Relay> choose() {
-        return isUnderWay() || served.request().isRelayed() || tried.size() >= MAXIMUM_RELAYS
+        return isUnderWay() || served.request().isRelayed() ? Optional.empty() : chooseNext();
+    }
+
+    private Optional<Relay> chooseNext() {
+        return tried.size() >= MAXIMUM_RELAYS
                 ? Optional.empty()
                 : environment
                         .relays()
@@ -258,11 +262,12 @@
         }
     }
 
-    /** A gateway that is full says so for the whole service; one that cannot serve does not. */
+    /** Returns whether another gateway may take what this one, which promises so, did not run. */
     private boolean mayAskAnother() {
         return status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
-                && tried.size() < MAXIMUM_RELAYS
-                && !served.retries().mayHaveRun();
+                && !served.retries().mayHaveRun()
+                && served.remainingMillis() > 0
+                && chooseNext().isPresent();
     }
 
     private void streamEnded() {
--- a/daemon/src/main/java/org/crocushaven/forwarding/TargetWait.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/TargetWait.java
@@ -55,9 +55,10 @@
         if (!areAllPathsClosed()) {
             findOwn();
         } else if (served.request().isRelayed()) {
-            end.refuse(
+            end.keepRefusal(
                     ResultException.of(ResultCode.NO_BACKEND_SERVER, served.admission().service())
                             .withRetryAfter(CLOSED_RETRY_DELAY));
+            end.giveUp();
         } else if (!forwarding.tryHandOver(PATHS_CLOSED)) {
             environment.leader().afterNextReport(() -> ifNotDone(this::handOverOrFindOwn));
         }
--- a/daemon/src/test/java/org/crocushaven/forwarding/HandOverTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/HandOverTest.java
@@ -66,6 +66,7 @@
 
             try (PairClient client = pair.first().send("request")) {
                 assertEquals(503, client.awaitStatus());
+                assertTrue(client.awaitLine("retry-after").endsWith("0.400"));
             }
             assertTrue(millisSince(startNanos) < DETECTION_MILLIS, "refused too late");
         }
@@ -98,6 +99,21 @@
             assertFalse(pair.hasRequest());
         }
 
+        /** Guards against a promise of not having run by a relay that lost its paths meanwhile. */
+        @Test
+        void requestThatMayHaveRunIsNotCalledNotRunByRelayWithoutPaths() throws Exception {
+            pair = GatewayPair.start(RouteKind.IDEMPOTENT, SERVERS);
+            pair.cutWithRefusals(pair.first());
+
+            try (PairClient client = pair.first().send("request")) {
+                final StandInServer.Exchange running = pair.awaitRequest();
+                pair.cutWithRefusals(pair.second());
+                running.breakOff();
+
+                assertEquals(502, client.awaitStatus());
+            }
+        }
+
         @Test
         void requestIsChargedOnceWhereItIsServed() throws Exception {
             pair = GatewayPair.startWithOneRequestEach(SERVERS);
