Do not wait for relays of a leader that does not answer

Callers would see (by reading): at a gateway that was cut off from its leader too, each request without an open path waited for the next report, which was lost, before its own closed paths were tried.

Change: it waits only while the control state is younger than 600 ms, two reports.

--- a/daemon/src/main/java/org/crocushaven/forwarding/TargetWait.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/TargetWait.java
@@ -17,6 +17,9 @@
 
     private static final String PATHS_CLOSED = "no open path";
 
+    /** Age of the control state from which on the leader does not answer: two reports. */
+    private static final long LEADER_AWAY_MILLIS = 600;
+
     /** Time after which closed paths have been tried again. */
     private static final Duration CLOSED_RETRY_DELAY = Duration.ofMillis(400);
 
@@ -60,7 +63,16 @@
                             .withRetryAfter(CLOSED_RETRY_DELAY));
             end.giveUp();
         } else if (!forwarding.tryHandOver(PATHS_CLOSED)) {
+            askForRelays();
+        }
+    }
+
+    /** Waits for the leader's next update, which may name relays, unless none is to be expected. */
+    private void askForRelays() {
+        if (environment.freshness().ageMillis(environment.nowNanos()) < LEADER_AWAY_MILLIS) {
             environment.leader().afterNextReport(() -> ifNotDone(this::handOverOrFindOwn));
+        } else {
+            findOwn();
         }
     }
 
--- a/daemon/src/test/java/org/crocushaven/forwarding/HandOverTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/HandOverTest.java
@@ -234,6 +234,21 @@
             }
         }
 
+        /** Guards against requests that wait for a leader which is cut off too. */
+        @Test
+        void requestIsRefusedSoonWhileNoLeaderNamesAnother() throws Exception {
+            pair = GatewayPair.start(RouteKind.IDEMPOTENT, SERVERS);
+            pair.cutWithRefusals(pair.first());
+            pair.first().knowOnlyAnotherWithoutPaths();
+            pair.first().loseLeader();
+            final long startNanos = System.nanoTime();
+
+            try (PairClient client = pair.first().send("request")) {
+                assertEquals(503, client.awaitStatus());
+            }
+            assertTrue(millisSince(startNanos) < DETECTION_MILLIS, "refused too late");
+        }
+
         @Test
         void requestThatMayRunOnceIsServedThroughAnother() throws Exception {
             pair = GatewayPair.start(RouteKind.NON_IDEMPOTENT, SERVERS);
--- a/daemon/src/test/java/org/crocushaven/forwarding/PairedGateway.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/PairedGateway.java
@@ -26,12 +26,14 @@
     static final KeyedOrganisation ORGANISATION =
             new KeyedOrganisation("first", List.of(KEY), OptionalInt.empty(), false, 1, 1, 1);
     private static final int PROBE_TIMEOUT_MILLIS = 200;
+    private static final long LEADER_AWAY_MILLIS = 700;
 
     private final String name;
     private final EventLoop loop;
     private final int port;
     private final GatewayBackends view = new GatewayBackends(new Random(1));
     private final Relays relays = new Relays();
+    private final SingleVersionLeader leader = new SingleVersionLeader();
     private final ForwardingEnvironment environment;
     private final IngressServer server;
     private final BlockingQueue<ForwardingSummary> ended = new LinkedBlockingQueue<>();
@@ -46,10 +48,7 @@
         this.environment =
                 loop.submit(
                                 () ->
-                                        ForwardingEnvironmentBuilder.of(
-                                                        loop,
-                                                        configuration,
-                                                        new SingleVersionLeader())
+                                        ForwardingEnvironmentBuilder.of(loop, configuration, leader)
                                                 .dialect(new ConnectionDialect())
                                                 .view(view)
                                                 .relays(relays)
@@ -133,6 +132,12 @@
         loop.submit(() -> relays.apply(List.of(other))).get();
     }
 
+    /** Lets the leader answer no report any more, for long enough that this is known. */
+    void loseLeader() throws Exception {
+        loop.submit(leader::lose).get();
+        passOnLoop(LEADER_AWAY_MILLIS);
+    }
+
     /** Waits until a path of this gateway is closed. */
     void awaitClosedPaths() throws Exception {
         while (!hasClosedPaths()) {
--- a/daemon/src/test/java/org/crocushaven/forwarding/SingleVersionLeader.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/SingleVersionLeader.java
@@ -12,6 +12,8 @@
 final class SingleVersionLeader implements LeaderRequests {
     static final String VERSION = "v1";
 
+    private boolean isLost;
+
     @Override
     public CompletableFuture<AdapterGrant> requestAdapter(AdapterRequest request) {
         throw new AssertionError("the requests need no adapter");
@@ -25,6 +27,13 @@
 
     @Override
     public void afterNextReport(Runnable action) {
-        action.run();
+        if (!isLost) {
+            action.run();
+        }
+    }
+
+    /** Answers no report any more. */
+    void lose() {
+        isLost = true;
     }
 }
