Refuse every payload that the parser cannot read as malformed

Cause: the MessagePack parser throws unchecked exceptions of its own (MessageSizeException, MessageInsufficientBufferException, a NullPointerException), which MessageCodec did not count as a malformed frame; the connection was closed without the line that names the peer and the code, and readers of stored records met an unexpected exception. Change: each exception of the parser is FRAME_MALFORMED.

--- a/daemon/src/main/java/org/crocushaven/protocol/MessageCodec.java
+++ b/daemon/src/main/java/org/crocushaven/protocol/MessageCodec.java
@@ -49,7 +49,8 @@
     public static <T> T decodeValue(byte[] bytes, Class<T> valueClass) {
         try {
             return MAPPER.readValue(bytes, valueClass);
-        } catch (IOException | IllegalArgumentException failure) {
+        } catch (IOException | RuntimeException failure) {
+            // The library's parser throws its own unchecked exceptions, or a NullPointerException.
             throw ResultException.of(
                     ResultCode.FRAME_MALFORMED,
                     valueClass.getSimpleName() + ": " + failure.getClass().getSimpleName());
