Refuse announcements of backend servers that cannot be called

What callers saw: with one entry of another writer whose port was out of range, 500 for bookings, since the entry was the idlest backend server and each gateway failed to form its address. Cause: AnnouncementDecoder checked neither ports nor that the host is an IP address, cut numbers of slots to 32 bits, and took sequences and starts after which all later announcements count as older. Numbers beyond what a double holds became infinite. Evidence: OddAnnouncementPathTest: bookings answered 500 with ports 70000 and -1, 200 in place of 400 for all four odd addresses. Deep nesting and numbers of 5,000 digits were refused before. Measured: OddAnnouncementPathTest, AnnouncementRuleTest and DecoderFuzzTest (12,000 spoilt bodies, odd headers) pass.

--- a/daemon/src/main/java/org/crocushaven/fleet/AnnouncementIntake.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/AnnouncementIntake.java
@@ -9,6 +9,7 @@
 import org.crocushaven.observability.EventLine;
 import org.crocushaven.protocol.Message;
 import org.crocushaven.protocol.PeerTransport;
+import org.crocushaven.result.ResultException;
 
 /**
  * Takes in the announcements of backend servers: applies them to the registry, passes them on to
@@ -78,8 +79,14 @@
                 : commitDeparture(announcement);
     }
 
-    /** Applies an announcement to the registry and, if this instance leads, to the fleet. */
+    /**
+     * Applies an announcement to the registry and, if this instance leads, to the fleet.
+     *
+     * @throws ResultException with {@code ANNOUNCEMENT_INVALID} if it names no backend server that
+     *     can be called
+     */
     void apply(BackendAnnouncement announcement) {
+        AnnouncementRule.requireUsable(announcement);
         final BackendState before =
                 registry.find(announcement.backend())
                         .map(BackendAnnouncement::state)
