Let the placement of adapters be driven without a network

Change: EngineOrders and DelayedTasks stand between it and the network; SimulatedTime is shared by the tests of both packages. No behaviour changes.

--- a/daemon/src/main/java/org/crocushaven/fleet/EngineOrderQueue.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/EngineOrderQueue.java
@@ -22,7 +22,7 @@
  * unanswered order that is carried out late cannot take effect after a newer one. Used on one event
  * loop only.
  */
-final class EngineOrderQueue {
+final class EngineOrderQueue implements EngineOrders {
     /** Timeout of an order; a round trip takes a few milliseconds. */
     private static final long ORDER_TIMEOUT_MILLIS = 150;
 
@@ -48,8 +48,8 @@
         this.context = context;
     }
 
-    /** Sends an order once those before it are answered. The returned future never fails. */
-    CompletableFuture<OrderOutcome> submit(EngineOrder order) {
+    @Override
+    public CompletableFuture<OrderOutcome> submit(EngineOrder order) {
         final CompletableFuture<OrderOutcome> outcome = new CompletableFuture<>();
         if (fenced || closed) {
             outcome.complete(OrderOutcome.FENCED);
@@ -60,21 +60,14 @@
         return outcome;
     }
 
-    /**
-     * Returns whether an announcement is of the engine that gets these orders, at the same address
-     * and without a restart in between.
-     */
-    boolean isFor(BackendAnnouncement announcement) {
+    @Override
+    public boolean isFor(BackendAnnouncement announcement) {
         return backend.startedMillis() == announcement.startedMillis()
                 && backend.address().equals(announcement.address());
     }
 
-    /**
-     * Requests a report of what the engine holds. The result is empty if the engine does not
-     * answer, if an order or another report request is pending, or if the report is older than the
-     * last answered order or than an order queued meanwhile. The returned future never fails.
-     */
-    CompletableFuture<Optional<EngineReport>> requestReport() {
+    @Override
+    public CompletableFuture<Optional<EngineReport>> requestReport() {
         if (isBusy() || closed) {
             return CompletableFuture.completedFuture(Optional.empty());
         }
@@ -114,15 +107,15 @@
         }
     }
 
-    /** Stops sending orders; queued and later ones complete as fenced. */
-    void close() {
+    @Override
+    public void close() {
         closed = true;
         pending.forEach(order -> order.outcome.complete(OrderOutcome.FENCED));
         pending.clear();
     }
 
-    /** Returns whether an order or report request is in flight, or an order is queued. */
-    boolean isBusy() {
+    @Override
+    public boolean isBusy() {
         return inFlight || !pending.isEmpty();
     }
 
--- a/daemon/src/main/java/org/crocushaven/fleet/EnginePlacement.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/EnginePlacement.java
@@ -8,6 +8,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import org.agrona.concurrent.NanoClock;
 import org.crocushaven.ingress.EngineProfile;
 import org.crocushaven.observability.EventLine;
@@ -26,12 +27,13 @@
     /** Maximum retries of a queued load; engines are asked for reports every 200 ms. */
     private static final int MAXIMUM_RETRIES = 3;
 
-    private final EngineOrderContext context;
+    private final Function<BackendAnnouncement, EngineOrders> orders;
+    private final DelayedTasks tasks;
     private final BackendRegistry registry;
     private final NanoClock clock;
     private final long ordersFromNanos;
     private final AdapterPlanner planner = new AdapterPlanner();
-    private final Map<String, EngineOrderQueue> orderQueues = new HashMap<>();
+    private final Map<String, EngineOrders> orderQueues = new HashMap<>();
     private final Map<String, EngineProfile> profiles = new HashMap<>();
     private final ModelLoadLimiter modelLoadLimiter = new ModelLoadLimiter();
     private boolean closed;
@@ -39,14 +41,17 @@
     /**
      * Creates the placement of a leader that has sent no orders yet.
      *
+     * @param orders opens the orders to one start of an engine
      * @param ordersFromNanos time before which no orders are sent
      */
     EnginePlacement(
-            EngineOrderContext context,
+            Function<BackendAnnouncement, EngineOrders> orders,
+            DelayedTasks tasks,
             BackendRegistry registry,
             NanoClock clock,
             long ordersFromNanos) {
-        this.context = context;
+        this.orders = orders;
+        this.tasks = tasks;
         this.registry = registry;
         this.clock = clock;
         this.ordersFromNanos = ordersFromNanos;
@@ -62,7 +67,7 @@
     void remove(String backend) {
         planner.remove(backend);
         profiles.remove(backend);
-        final EngineOrderQueue removed = orderQueues.remove(backend);
+        final EngineOrders removed = orderQueues.remove(backend);
         if (removed != null) {
             removed.close();
         }
@@ -159,7 +164,7 @@
     /** Stops sending orders. */
     void close() {
         closed = true;
-        orderQueues.values().forEach(EngineOrderQueue::close);
+        orderQueues.values().forEach(EngineOrders::close);
     }
 
     /** Loads an adapter on a second engine; no request waits for this load. */
@@ -200,9 +205,7 @@
     }
 
     private void scheduleQueued(AdapterPlacement chosen, long delayMillis, int retriesLeft) {
-        context.loop()
-                .schedule(
-                        () -> orderQueued(chosen, retriesLeft), delayMillis, TimeUnit.MILLISECONDS);
+        tasks.runAfter(delayMillis, () -> orderQueued(chosen, retriesLeft));
     }
 
     /**
@@ -243,7 +246,7 @@
         planner.slotsOf(chosen.backend())
                 .flatMap(slots -> slots.find(chosen.key()))
                 .ifPresent(EngineSlots.Slot::ordered);
-        final EngineOrderQueue queue = orderQueueOf(chosen.backend());
+        final EngineOrders queue = orderQueueOf(chosen.backend());
         final long orderedNanos = clock.nanoTime();
         final CompletableFuture<OrderOutcome> evictionOutcome =
                 chosen.evicted()
@@ -295,7 +298,7 @@
     }
 
     private CompletableFuture<OrderOutcome> unload(
-            EngineOrderQueue queue, AdapterPlacement chosen, AdapterKey evicted) {
+            EngineOrders queue, AdapterPlacement chosen, AdapterKey evicted) {
         return queue.submit(EngineOrder.unload(evicted.model(), evicted.adapter()))
                 .whenComplete(
                         (outcome, failure) ->
@@ -356,7 +359,7 @@
     }
 
     private void loadModel(String backend, String model, long nowNanos) {
-        final EngineOrderQueue queue = orderQueueOf(backend);
+        final EngineOrders queue = orderQueueOf(backend);
         final EngineProfile profile = profiles.get(backend);
         final double rate = profile == null ? 0 : profile.loadsPerSecond();
         if (queue.isBusy() || !modelLoadLimiter.tryLoad(backend, rate, nowNanos)) {
@@ -366,16 +369,16 @@
         queue.submit(EngineOrder.load(model, "", OptionalLong.empty()));
     }
 
-    private EngineOrderQueue orderQueueOf(String backend) {
+    private EngineOrders orderQueueOf(String backend) {
         final BackendAnnouncement announcement = registry.find(backend).orElseThrow();
-        final EngineOrderQueue known = orderQueues.get(backend);
+        final EngineOrders known = orderQueues.get(backend);
         if (known != null && known.isFor(announcement)) {
             return known;
         }
         if (known != null) {
             known.close();
         }
-        final EngineOrderQueue opened = new EngineOrderQueue(announcement, context);
+        final EngineOrders opened = orders.apply(announcement);
         orderQueues.put(backend, opened);
         return opened;
     }
--- a/daemon/src/main/java/org/crocushaven/fleet/FleetLeader.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/FleetLeader.java
@@ -76,7 +76,9 @@
         this.lending = new ShareLending(epoch, state, registration, rateSlack, nowNanos);
         this.placement =
                 new EnginePlacement(
-                        orders,
+                        announcement -> new EngineOrderQueue(announcement, orders),
+                        (delayMillis, task) ->
+                                orders.loop().schedule(task, delayMillis, TimeUnit.MILLISECONDS),
                         registry,
                         clock,
                         nowNanos + TimeUnit.MILLISECONDS.toNanos(orderPauseMillis));
--- a/daemon/src/test/java/org/crocushaven/forwarding/CrashScenario.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/CrashScenario.java
@@ -17,6 +17,7 @@
 import org.crocushaven.fleet.TraitVerdict;
 import org.crocushaven.fleet.TraitVerdicts;
 import org.crocushaven.fuzz.FaultCounts;
+import org.crocushaven.fuzz.SimulatedTime;
 import org.crocushaven.protocol.MessageCodec;
 import org.crocushaven.result.ResultException;
 
--- a/daemon/src/test/java/org/crocushaven/forwarding/SimulatedGateway.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/SimulatedGateway.java
@@ -12,6 +12,7 @@
 import org.crocushaven.fleet.TraitUpdate;
 import org.crocushaven.fleet.TraitVerdicts;
 import org.crocushaven.fuzz.FaultCounts;
+import org.crocushaven.fuzz.SimulatedTime;
 import org.crocushaven.outbound.ConnectionTry;
 
 /** A gateway's guard, and its reports to the simulated leader. */
--- a/daemon/src/test/java/org/crocushaven/forwarding/SimulatedTime.java
+++ b/daemon/src/test/java/org/crocushaven/fuzz/SimulatedTime.java
@@ -1,4 +1,4 @@
-package org.crocushaven.forwarding;
+package org.crocushaven.fuzz;
 
 import java.util.Comparator;
 import java.util.PriorityQueue;
@@ -7,7 +7,7 @@
 import org.agrona.concurrent.NanoClock;
 
 /** Runs actions at simulated times, in order. */
-final class SimulatedTime implements NanoClock, EpochClock {
+public final class SimulatedTime implements NanoClock, EpochClock {
     private static final long START_MILLIS = 1_800_000_000_000L;
 
     private final PriorityQueue<Action> actions =
@@ -17,12 +17,12 @@
     private long number;
 
     /** Runs an action after a delay. */
-    void after(long millis, Runnable step) {
+    public void after(long millis, Runnable step) {
         actions.add(new Action(nanos + TimeUnit.MILLISECONDS.toNanos(millis), number++, step));
     }
 
     /** Runs all actions until the given time has passed since the start. */
-    void runUntilMillis(long millis) {
+    public void runUntilMillis(long millis) {
         final long endNanos = TimeUnit.MILLISECONDS.toNanos(millis);
         while (!actions.isEmpty() && actions.peek().nanos() <= endNanos) {
             final Action next = actions.poll();
@@ -33,7 +33,7 @@
     }
 
     /** Returns the milliseconds since the start. */
-    long millis() {
+    public long millis() {
         return TimeUnit.NANOSECONDS.toMillis(nanos);
     }
 
