Send a Host header in the tests of notices, as every client does

What was seen: 29 tests of PauseNoticesTest and DepartureNoticesTest failed on this machine with 400 from the stand-in, on, before any change of forwarding. Cause: the Java runtime here is 17.0.21, whose own HTTP server, which stands in for backend servers, refuses HTTP/1.1 requests without a Host header; the tests' requests had none. Clients must send one, and decodeRequest refuses requests without it. Change: the requests of these tests carry a Host header; nothing is checked less. Measured: both classes pass; they failed without it.

--- a/daemon/src/test/java/org/crocushaven/forwarding/ChatRequestBuilder.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/ChatRequestBuilder.java
@@ -1,6 +1,7 @@
 package org.crocushaven.forwarding;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import java.util.List;
 import java.util.Optional;
@@ -74,7 +75,7 @@
                 target,
                 "host",
                 PATH,
-                new DefaultHttpHeaders(),
+                new DefaultHttpHeaders().set(HttpHeaderNames.HOST, "one.example"),
                 OptionalLong.empty(),
                 key,
                 model,
