Begin loads only while the weight store has room, and correct grants that were late

Ruled out: evictions under way, slow engines that load slowly. A gateway that meets a 421 tells the leader where (missingAt); the leader corrects the expected end of all running loads and answers with the time left, and requests of that gateway which wait for the load wait on. Requests for a load whose order is unanswered learn its outcome.

--- /dev/null
+++ b/daemon/src/main/java/org/crocushaven/fleet/AdapterGrants.java
@@ -0,0 +1,210 @@
+package org.crocushaven.fleet;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.agrona.concurrent.NanoClock;
+import org.crocushaven.observability.EventLine;
+
+/**
+ * Answers gateways' requests for adapters: at once where an engine holds the adapter or loads it,
+ * else when its load has begun, or with a refusal as soon as it is known that it will not begin in
+ * time.
+ *
+ * <p>Requests that wait for one load learn the outcome of its order. Used on one event loop only.
+ */
+final class AdapterGrants {
+    /** Interval at which waiting requests are looked at. */
+    private static final long PASS_MILLIS = 20;
+
+    /** Engines that are tried after the first one for one request. */
+    private static final int MAXIMUM_FALLBACKS = 2;
+
+    private final AdapterPlanner planner;
+    private final AdapterLoads loads;
+    private final DelayedTasks tasks;
+    private final NanoClock clock;
+    private final long ordersFromNanos;
+    private final AdapterQueue queue = new AdapterQueue();
+    private final ReturnTimes returnTimes = new ReturnTimes();
+    private boolean passScheduled;
+    private boolean closed;
+
+    /**
+     * Creates the grants of a leader.
+     *
+     * @param ordersFromNanos time before which no orders are sent
+     */
+    AdapterGrants(
+            AdapterPlanner planner,
+            AdapterLoads loads,
+            DelayedTasks tasks,
+            NanoClock clock,
+            long ordersFromNanos) {
+        this.planner = planner;
+        this.loads = loads;
+        this.tasks = tasks;
+        this.clock = clock;
+        this.ordersFromNanos = ordersFromNanos;
+    }
+
+    /** Finds an engine that holds an adapter, or loads the adapter on one. */
+    CompletableFuture<AdapterGrant> request(AdapterRequest request) {
+        if (!request.missingAt().isEmpty()) {
+            planner.missing(request.missingAt(), request.key(), clock.nanoTime());
+        }
+        return place(request, MAXIMUM_FALLBACKS);
+    }
+
+    /** Refuses what waits, and loads nothing more. */
+    void close() {
+        closed = true;
+        queue.inOrder().forEach(entry -> refuse(entry, "leader-ended"));
+    }
+
+    private CompletableFuture<AdapterGrant> place(AdapterRequest request, int fallbacksLeft) {
+        final long nowNanos = clock.nanoTime();
+        final Optional<AdapterPlacement> existing = planner.existing(request, nowNanos);
+        if (existing.isPresent()) {
+            return grantExisting(existing.get(), request, fallbacksLeft);
+        }
+        if (nowNanos - ordersFromNanos < 0) {
+            return refused(request, "no-orders-yet");
+        }
+        if (queue.size() == 0 || queue.holds(request)) {
+            final Optional<AdapterPlacement> chosen = planner.load(request, nowNanos);
+            if (chosen.isPresent()) {
+                return load(chosen.get(), request, fallbacksLeft);
+            }
+        }
+        if (closed || !queue.holds(request) && isQueueFull()) {
+            return refused(request, "store-busy");
+        }
+        schedulePass();
+        return queue.add(request, nowNanos);
+    }
+
+    /** Returns whether a further load would begin after the longest wait. */
+    private boolean isQueueFull() {
+        return planner.storeMillisFor(queue.size() + 1) > AdapterQueue.MAXIMUM_WAIT_MILLIS;
+    }
+
+    /** Grants an adapter that an engine has, or will have if it accepts the order to load it. */
+    private CompletableFuture<AdapterGrant> grantExisting(
+            AdapterPlacement existing, AdapterRequest request, int fallbacksLeft) {
+        return loads.unanswered(existing.backend(), existing.key())
+                .map(order -> order.thenCompose(any -> placeAgain(request, fallbacksLeft)))
+                .orElseGet(() -> CompletableFuture.completedFuture(grantOf(existing)));
+    }
+
+    private CompletableFuture<AdapterGrant> placeAgain(AdapterRequest request, int fallbacksLeft) {
+        return fallbacksLeft > 0
+                ? place(request, fallbacksLeft - 1)
+                : refused(request, "order-not-accepted");
+    }
+
+    private CompletableFuture<AdapterGrant> load(
+            AdapterPlacement chosen, AdapterRequest request, int fallbacksLeft) {
+        return loads.load(chosen)
+                .thenCompose(
+                        outcome ->
+                                switch (outcome) {
+                                    case ACCEPTED ->
+                                            CompletableFuture.completedFuture(grantOf(chosen));
+                                    case HOLDS ->
+                                            CompletableFuture.completedFuture(
+                                                    new AdapterGrant(
+                                                            chosen.backend(), 0, chosen.version()));
+                                    default ->
+                                            fallbacksLeft > 0
+                                                    ? place(
+                                                            request.excluding(chosen.backend()),
+                                                            fallbacksLeft - 1)
+                                                    : refused(request, "order-" + outcome);
+                                });
+    }
+
+    private static AdapterGrant grantOf(AdapterPlacement placement) {
+        return new AdapterGrant(
+                placement.backend(), placement.readyInMillis(), placement.version());
+    }
+
+    private void schedulePass() {
+        if (!passScheduled && !closed) {
+            passScheduled = true;
+            tasks.runAfter(PASS_MILLIS, this::passAndSchedule);
+        }
+    }
+
+    private void passAndSchedule() {
+        passScheduled = false;
+        pass();
+        if (queue.size() > 0) {
+            schedulePass();
+        }
+    }
+
+    /** Loads what waits while the store has room, and refuses what has waited too long. */
+    private void pass() {
+        for (final AdapterQueue.Waiting entry : queue.inOrder()) {
+            if (!planner.storeHasRoom(clock.nanoTime()) || !tryServe(entry)) {
+                break;
+            }
+        }
+        Optional<AdapterQueue.Waiting> expired = queue.pollExpired(clock.nanoTime());
+        while (expired.isPresent()) {
+            refuse(expired.get(), "no-place");
+            expired = queue.pollExpired(clock.nanoTime());
+        }
+    }
+
+    /** Loads the adapter of an entry, or grants it; returns whether an engine had a place. */
+    private boolean tryServe(AdapterQueue.Waiting entry) {
+        final AdapterRequest request = entry.request();
+        final long nowNanos = clock.nanoTime();
+        final Optional<AdapterPlacement> existing = planner.existing(request, nowNanos);
+        final Optional<AdapterPlacement> chosen =
+                existing.isPresent() ? existing : planner.load(request, nowNanos);
+        if (chosen.isEmpty()) {
+            return false;
+        }
+        queue.remove(entry);
+        final CompletableFuture<AdapterGrant> grant =
+                existing.isPresent()
+                        ? grantExisting(chosen.get(), request, MAXIMUM_FALLBACKS)
+                        : load(chosen.get(), request, MAXIMUM_FALLBACKS);
+        grant.thenAccept(entry::complete);
+        return true;
+    }
+
+    private void refuse(AdapterQueue.Waiting entry, String reason) {
+        entry.complete(refusal(entry.request(), reason));
+    }
+
+    private CompletableFuture<AdapterGrant> refused(AdapterRequest request, String reason) {
+        return CompletableFuture.completedFuture(refusal(request, reason));
+    }
+
+    private AdapterGrant refusal(AdapterRequest request, String reason) {
+        final long nowNanos = clock.nanoTime();
+        final AdapterRefusal refusal = planner.refusal(request, nowNanos);
+        final long storeMillis = planner.storeMillisFor(queue.size() + 1);
+        final long retryMillis =
+                returnTimes.nextDelayMillis(
+                        Math.max(refusal.retryMillis(), storeMillis),
+                        planner.storeMillisFor(1),
+                        nowNanos);
+        EventLine.of("adapter-refused")
+                .with("service", request.service())
+                .with("adapter", request.adapter())
+                .with("reason", reason)
+                .with("avoided", request.excludedBackends().size())
+                .with("candidates", refusal.candidates())
+                .with("unverified", refusal.unverified())
+                .with("crowded", refusal.crowded())
+                .with("full", refusal.full())
+                .with("waiting", queue.size())
+                .with("retry_ms", retryMillis)
+                .info();
+        return AdapterGrant.none(retryMillis);
+    }
+}
--- a/daemon/src/main/java/org/crocushaven/fleet/AdapterPlanner.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/AdapterPlanner.java
@@ -37,13 +37,16 @@
     /** Load time from the engine's own memory, about a tenth of the usual load time. */
     private static final long CACHED_LOAD_MILLIS = 30;
 
+    /** Maximum age of the state in an engine's report. */
+    private static final long REPORT_LAG_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
     /** Wait for an adapter that costs 1, as much as an engine with all request slots in use. */
     private static final double FULL_COST_WAIT_NANOS = 250e6;
 
     private final Map<String, PlannedEngine> engines = new HashMap<>();
     private final AdapterPopularity popularity = new AdapterPopularity();
     private final Map<AdapterKey, Long> requiredVersions = new HashMap<>();
-    private final AdapterLoadTime loadTime = new AdapterLoadTime();
+    private final StoreLoads storeLoads = new StoreLoads();
 
     /** Applies an engine's announcement. */
     void announced(BackendAnnouncement announcement, EngineProfile profile, long nowNanos) {
@@ -63,6 +66,7 @@
     /** Removes an engine. */
     void remove(String backend) {
         engines.remove(backend);
+        storeLoads.forget(backend);
     }
 
     /** Applies the report of an engine that has carried out all orders sent to it. */
@@ -73,18 +77,47 @@
         }
         engine.slots().reported(report, nowNanos);
         for (final HeldAdapter pending : report.pending()) {
-            engine.slots().find(AdapterKey.of(pending)).ifPresent(slot -> extend(slot, nowNanos));
+            expectLater(engine, AdapterKey.of(pending), nowNanos);
         }
     }
 
-    private void extend(EngineSlots.Slot slot, long nowNanos) {
-        if (!slot.isAccepted()) {
+    /** Expects an accepted load later that should have ended before the report was made. */
+    private void expectLater(PlannedEngine engine, AdapterKey key, long nowNanos) {
+        engine.slots()
+                .find(key)
+                .filter(EngineSlots.Slot::isAccepted)
+                .filter(slot -> nowNanos - slot.readyNanos() >= REPORT_LAG_NANOS)
+                .ifPresent(
+                        slot -> {
+                            slot.expectReadyAt(nowNanos + REPORT_LAG_NANOS);
+                            extend(storeLoads.wasLate(engine.backend(), key, nowNanos));
+                        });
+    }
+
+    /**
+     * Applies that an engine answered that it does not hold an adapter, although it should by now:
+     * its load takes longer, or what is known of the engine is wrong.
+     */
+    void missing(String backend, AdapterKey key, long nowNanos) {
+        final Optional<EngineSlots> slots = slotsOf(backend);
+        final Optional<EngineSlots.Slot> slot = slots.flatMap(known -> known.find(key));
+        if (slot.isEmpty() || slot.get().isLoading(nowNanos)) {
             return;
         }
-        final long overdueMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - slot.readyNanos());
-        final long longerMillis = loadTime.updateForPending(overdueMillis);
-        if (longerMillis > 0) {
-            slot.expectReadyAt(nowNanos + TimeUnit.MILLISECONDS.toNanos(longerMillis));
+        final List<StoreLoads.Extension> extended = storeLoads.wasLate(backend, key, nowNanos);
+        if (extended.isEmpty()) {
+            slot.get().markMissing();
+            slots.get().markUnverified();
+        } else {
+            extend(extended);
+        }
+    }
+
+    private void extend(List<StoreLoads.Extension> extended) {
+        for (final StoreLoads.Extension extension : extended) {
+            slotsOf(extension.backend())
+                    .flatMap(slots -> slots.find(extension.key()))
+                    .ifPresent(slot -> slot.expectReadyAt(extension.endNanos()));
         }
     }
 
@@ -150,14 +183,6 @@
         return engine == null ? List.of() : engine.slots().usable(nowNanos);
     }
 
-    /**
-     * Returns whether all adapters that an engine holds or is to load fit in its adapter slots,
-     * apart from those being unloaded.
-     */
-    boolean fits(String backend) {
-        return Optional.ofNullable(engines.get(backend)).filter(PlannedEngine::fits).isPresent();
-    }
-
     /** Returns the engine's adapter slots, which the sender of orders updates. */
     Optional<EngineSlots> slotsOf(String backend) {
         return Optional.ofNullable(engines.get(backend)).map(engine -> engine.slots());
@@ -170,15 +195,35 @@
                 nowNanos);
     }
 
+    /** Returns where an adapter is or will be; empty if no engine with free slots has it. */
+    Optional<AdapterPlacement> existing(AdapterRequest request, long nowNanos) {
+        final AdapterKey key = request.key();
+        return existingPlacement(request, key, requiredVersions.getOrDefault(key, 0L), nowNanos);
+    }
+
     /**
-     * Returns where an adapter can be used or is to be loaded; empty if no engine can take it now.
+     * Returns where an adapter is to be loaded; empty if no engine can take it now, or if the
+     * weight store has no room and no engine has it in its own memory.
      */
-    Optional<AdapterPlacement> place(AdapterRequest request, long nowNanos) {
-        final AdapterKey key = new AdapterKey(request.model(), request.adapter());
-        final long version = requiredVersions.getOrDefault(key, 0L);
-        final Optional<AdapterPlacement> present =
-                existingPlacement(request, key, version, nowNanos);
-        return present.isPresent() ? present : newPlacement(request, key, version, nowNanos);
+    Optional<AdapterPlacement> load(AdapterRequest request, long nowNanos) {
+        final AdapterKey key = request.key();
+        return newPlacement(request, key, requiredVersions.getOrDefault(key, 0L), nowNanos);
+    }
+
+    /** Returns whether another load from the weight store may begin now. */
+    boolean storeHasRoom(long nowNanos) {
+        storeLoads.setEngineCount(engines.size());
+        return storeLoads.hasRoom(nowNanos);
+    }
+
+    /** Returns the time in which the weight store serves a number of further loads. */
+    long storeMillisFor(int furtherLoads) {
+        return storeLoads.millisFor(furtherLoads);
+    }
+
+    /** Records that a load was not accepted, so that the weight store does not serve it. */
+    void notLoaded(AdapterPlacement placement) {
+        storeLoads.end(placement.backend(), placement.key());
     }
 
     /**
@@ -186,8 +231,8 @@
      * if none is needed, or if the weight store is busy with adapters that requests wait for.
      */
     Optional<AdapterPlacement> nextCopy(String service, long nowNanos) {
-        loadTime.setEngineCount(engines.size());
-        if (loadTime.isBusy(nowNanos)) {
+        storeLoads.setEngineCount(engines.size());
+        if (storeLoads.isBusy(nowNanos)) {
             return Optional.empty();
         }
         final List<PlannedEngine> serving =
@@ -218,8 +263,7 @@
                         evicted,
                         true,
                         cached,
-                        cached ? 0 : loadTime.queueDelayMillis(nowNanos),
-                        cached ? CACHED_LOAD_MILLIS : loadTime.millis()));
+                        cached ? CACHED_LOAD_MILLIS : storeLoads.millis()));
     }
 
     /** Returns the services of all engines. */
@@ -234,10 +278,9 @@
         final EngineSlots slots = engines.get(placement.backend()).slots();
         placement.evicted().flatMap(slots::find).ifPresent(EngineSlots.Slot::startUnloading);
         final long readyNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(placement.readyInMillis());
-        slots.reserve(
-                placement.key(), placement.version(), placement.evicted(), readyNanos, nowNanos);
+        slots.reserve(placement.key(), placement.version(), readyNanos, nowNanos);
         if (!placement.fromMemory()) {
-            loadTime.addLoad(nowNanos);
+            storeLoads.begin(placement.backend(), placement.key(), nowNanos);
         }
     }
 
@@ -274,6 +317,7 @@
                     isCandidate(engine, request)
                             && slot.isPresent()
                             && !slot.get().isUnloading()
+                            && !slot.get().isMissing()
                             && slot.get().version() >= version;
             if (!usable || engine.load() >= 1) {
                 continue;
@@ -290,7 +334,6 @@
                                 Optional.empty(),
                                 false,
                                 true,
-                                0,
                                 TimeUnit.NANOSECONDS.toMillis(wait));
             }
         }
@@ -299,7 +342,7 @@
 
     private Optional<AdapterPlacement> newPlacement(
             AdapterRequest request, AdapterKey key, long version, long nowNanos) {
-        loadTime.setEngineCount(engines.size());
+        final boolean storeHasRoom = storeHasRoom(nowNanos);
         AdapterPlacement best = null;
         double bestCost = Double.MAX_VALUE;
         for (final PlannedEngine engine : engines.values()) {
@@ -308,12 +351,15 @@
                     || engine.slots().find(key).isPresent()) {
                 continue;
             }
+            final boolean cached = engine.slots().isCached(key) && version == 0;
+            if (!cached && !storeHasRoom) {
+                continue;
+            }
             final Optional<AdapterKey> evicted =
                     engine.hasFreeSlot() ? Optional.empty() : evictionCandidate(engine, nowNanos);
             if (!engine.hasFreeSlot() && evicted.isEmpty()) {
                 continue;
             }
-            final boolean cached = engine.slots().isCached(key) && version == 0;
             final double cost =
                     engine.load()
                             - (cached ? CACHED_COST_REDUCTION : 0)
@@ -331,8 +377,7 @@
                                 evicted,
                                 true,
                                 cached,
-                                cached ? 0 : loadTime.queueDelayMillis(nowNanos),
-                                cached ? CACHED_LOAD_MILLIS : loadTime.millis());
+                                cached ? CACHED_LOAD_MILLIS : storeLoads.millis());
             }
         }
         return Optional.ofNullable(best);
--- a/daemon/src/main/java/org/crocushaven/fleet/EngineSlots.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/EngineSlots.java
@@ -60,10 +60,7 @@
         }
     }
 
-    /**
-     * Applies a report made after the last order; it overrides what was assumed, except for queued
-     * loads.
-     */
+    /** Applies a report made after the last order; it overrides what was assumed. */
     void reported(EngineReport report, long nowNanos) {
         verified = true;
         reportedNanos = nowNanos;
@@ -76,28 +73,13 @@
             pending.add(AdapterKey.of(loadingAdapter));
             versions.put(AdapterKey.of(loadingAdapter), loadingAdapter.version());
         }
-        slots.entrySet()
-                .removeIf(
-                        entry -> !entry.getValue().queued && !versions.containsKey(entry.getKey()));
+        slots.keySet().retainAll(versions.keySet());
         versions.forEach(
                 (key, version) -> {
                     final Slot slot =
                             slots.computeIfAbsent(key, name -> newlySeen(version, nowNanos));
                     slot.applyReport(version, pending.contains(key));
                 });
-        markEvictedForQueued();
-    }
-
-    /**
-     * Marks adapters that are evicted for queued loads as unloading, so that they are not evicted
-     * for another load as well.
-     */
-    private void markEvictedForQueued() {
-        final List<AdapterKey> evictedKeys = new ArrayList<>();
-        slots.values().stream()
-                .filter(slot -> slot.queued)
-                .forEach(slot -> slot.evicted.ifPresent(evictedKeys::add));
-        evictedKeys.forEach(evicted -> find(evicted).ifPresent(Slot::startUnloading));
     }
 
     /**
@@ -142,11 +124,6 @@
         return slots.size();
     }
 
-    /** Returns the number of occupied slots, without those of adapters that are being unloaded. */
-    long retained() {
-        return slots.values().stream().filter(slot -> !slot.unloading).count();
-    }
-
     /** Returns the number of adapters that are being loaded. */
     int loadingCount(long nowNanos) {
         int count = 0;
@@ -172,20 +149,9 @@
         return slots;
     }
 
-    /**
-     * Reserves a slot for an adapter whose load is about to be ordered.
-     *
-     * @param evicted adapter that is unloaded for it
-     */
-    Slot reserve(
-            AdapterKey key,
-            long version,
-            Optional<AdapterKey> evicted,
-            long readyNanos,
-            long nowNanos) {
+    /** Reserves a slot for an adapter whose load is ordered now. */
+    Slot reserve(AdapterKey key, long version, long readyNanos, long nowNanos) {
         final Slot slot = new Slot(version, nowNanos);
-        slot.evicted = evicted;
-        slot.queued = true;
         slot.loading = true;
         slot.readyNanos = readyNanos;
         slots.put(key, slot);
@@ -235,9 +201,8 @@
     /** The slot of one adapter. */
     static final class Slot {
         private long version;
-        private Optional<AdapterKey> evicted = Optional.empty();
-        private boolean queued;
         private boolean outcomeUnknown;
+        private boolean missing;
         private boolean loading;
         private boolean unloading;
         private boolean confirmed;
@@ -257,6 +222,7 @@
             confirmed = !stillLoading;
             unloading = false;
             outcomeUnknown = false;
+            missing = false;
         }
 
         long version() {
@@ -283,16 +249,6 @@
             return loading && readyNanos - nowNanos > 0;
         }
 
-        /** Records that the order to load it is sent now. */
-        void ordered() {
-            queued = false;
-        }
-
-        /** Returns whether its load is queued for the weight store and not ordered yet. */
-        boolean isQueued() {
-            return queued;
-        }
-
         /**
          * Records that an order for it got no answer; it occupies its slot until the next report.
          */
@@ -300,6 +256,16 @@
             outcomeUnknown = true;
         }
 
+        /** Records that the engine answered a request that it does not hold the adapter. */
+        void markMissing() {
+            missing = true;
+        }
+
+        /** Returns whether the engine answered that it does not hold it, until the next report. */
+        boolean isMissing() {
+            return missing;
+        }
+
         /** Records that the engine accepted the order to load it. */
         void accepted() {
             accepted = true;
@@ -321,7 +287,7 @@
         }
 
         boolean isUsable(long nowNanos) {
-            return !unloading && !outcomeUnknown && !isLoading(nowNanos);
+            return !unloading && !outcomeUnknown && !missing && !isLoading(nowNanos);
         }
 
         void setRunning(int newRunning, long nowNanos) {
--- a/daemon/src/main/java/org/crocushaven/fleet/PlannedEngine.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/PlannedEngine.java
@@ -65,14 +65,6 @@
         return slots.occupied() < capacity();
     }
 
-    /**
-     * Returns whether the adapters that it holds or is to load, without those being unloaded, fit
-     * in its slots.
-     */
-    boolean fits() {
-        return slots.retained() <= capacity();
-    }
-
     /** Returns the requests in flight per request slot; more than 1 if requests wait. */
     double load() {
         return requests / (double) Math.max(1, announcement.requestSlots());
--- a/daemon/src/main/java/org/crocushaven/forwarding/AttemptFailures.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/AttemptFailures.java
@@ -7,7 +7,7 @@
  * else the end of the request. Used on the event loop only.
  */
 final class AttemptFailures {
-    /** Duration of an additional wait for an adapter that loads more slowly than expected. */
+    /** Duration of a wait for a backend server that refuses requests while it loads an adapter. */
     private static final long ADAPTER_WAIT_MILLIS = 50;
 
     private final ForwardedRequest served;
@@ -56,13 +56,16 @@
         succession.end(from);
         final int status = from.status().code();
         final boolean takesRequests = targets.stillUsable(from.target()).isPresent();
+        final boolean isMissing = RetryState.isMisdirected(status) && from.target().key() != null;
+        if (isMissing) {
+            environment.view().removeHolder(backend, from.target().key());
+            retries.recordMissingAt(backend);
+        }
         if (takesRequests && tryWaitForAdapter(from.target(), status)) {
-            targets.sendLater(from.target(), ADAPTER_WAIT_MILLIS);
+            waitForAdapter(from.target(), isMissing);
             return;
         }
-        if (RetryState.isMisdirected(status) && from.target().key() != null) {
-            environment.view().removeHolder(backend, from.target().key());
-        } else if (takesRequests) {
+        if (!isMissing && takesRequests) {
             environment.health().recordFailure(backend, 0.5, environment.nowNanos());
         }
         retries.exclude(backend);
@@ -71,6 +74,18 @@
         }
     }
 
+    /**
+     * Waits for an adapter that a backend server does not hold yet as long as the leader expects it
+     * to take, or shortly if the backend server refused the request for another reason.
+     */
+    private void waitForAdapter(Target target, boolean isMissing) {
+        if (isMissing) {
+            targets.find();
+        } else {
+            targets.sendLater(target, ADAPTER_WAIT_MILLIS);
+        }
+    }
+
     private boolean tryWaitForAdapter(Target target, int status) {
         return attempts.isEmpty()
                 && served.remainingMillis() > 0
--- a/daemon/src/main/java/org/crocushaven/forwarding/GatewayBackends.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/GatewayBackends.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.crocushaven.fleet.AdapterKey;
@@ -231,6 +232,17 @@
         }
     }
 
+    /**
+     * Returns how long an adapter still takes to be available on a backend server; empty if it is
+     * not expected there.
+     */
+    OptionalLong waitMillis(String backend, AdapterKey key, long nowNanos) {
+        final Holding holding = holdings(key).get(backend);
+        return holding == null
+                ? OptionalLong.empty()
+                : OptionalLong.of(TimeUnit.NANOSECONDS.toMillis(holding.waitNanos(nowNanos)));
+    }
+
     /** Records that a backend server does not hold an adapter. */
     void removeHolder(String backend, AdapterKey key) {
         final Map<String, Holding> known = holders.get(key);
--- a/daemon/src/main/java/org/crocushaven/forwarding/LeaderLink.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/LeaderLink.java
@@ -60,7 +60,7 @@
      * Long enough for the leader to send two commands to an engine and receive the answers. When it
      * has passed, the client is refused with a retry delay.
      */
-    private static final Duration ADAPTER_REQUEST_TIMEOUT = Duration.ofMillis(400);
+    private static final Duration ADAPTER_REQUEST_TIMEOUT = Duration.ofMillis(700);
 
     private static final Duration STREAM_ORIGIN_TIMEOUT = Duration.ofMillis(300);
 
--- a/daemon/src/main/java/org/crocushaven/forwarding/RetryState.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RetryState.java
@@ -21,6 +21,7 @@
     private final Set<String> sentTo = new HashSet<>();
     private int sends;
     private int adapterWaits;
+    private String missingAt = "";
     private boolean mayHaveRun;
 
     /** Records a send to a backend server and returns its number. */
@@ -54,6 +55,21 @@
         excluded.add(backend);
     }
 
+    /** Records that a backend server did not hold the adapter although it should. */
+    void recordMissingAt(String backend) {
+        missingAt = backend;
+    }
+
+    /**
+     * Returns the backend server that did not hold the adapter although it should, and forgets it;
+     * empty if there is none.
+     */
+    String takeMissingAt() {
+        final String taken = missingAt;
+        missingAt = "";
+        return taken;
+    }
+
     /** Returns the excluded backend servers. */
     Set<String> excluded() {
         return excluded;
--- a/daemon/src/main/java/org/crocushaven/forwarding/Target.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/Target.java
@@ -17,4 +17,9 @@
     Target with(BackendRecord current) {
         return new Target(current, key, delayMillis, adapterPending);
     }
+
+    /** Returns the same target with another expected time until the adapter is available. */
+    Target withDelay(long newDelayMillis) {
+        return new Target(backend, key, newDelayMillis, adapterPending);
+    }
 }
--- a/daemon/src/main/java/org/crocushaven/forwarding/TargetFinder.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/TargetFinder.java
@@ -49,12 +49,15 @@
      * Returns the target of a request. The future fails with a refusal that says when to retry.
      *
      * @param tried backend servers that were already tried
+     * @param missingAt backend server that did not hold the request's adapter although it should;
+     *     empty if there is none
      * @param continuation decides which software versions may serve the request
      */
     CompletableFuture<Target> find(
             String service,
             IngressRequest request,
             Set<String> tried,
+            String missingAt,
             StreamContinuation continuation) {
         environment.view().recordWantedOfLimited(service, environment.nowNanos());
         final Optional<Duration> pause =
@@ -64,7 +67,7 @@
         }
         final Set<String> excluded = continuation.excluded(tried);
         return request.model().isPresent()
-                ? findForModel(service, request, excluded, continuation)
+                ? findForModel(service, request, excluded, missingAt, continuation)
                 : findWithoutModel(service, request, excluded);
     }
 
@@ -88,6 +91,7 @@
             String service,
             IngressRequest request,
             Set<String> excluded,
+            String missingAt,
             StreamContinuation continuation) {
         final AdapterKey key =
                 new AdapterKey(request.model().get().model(), request.model().get().adapter());
@@ -105,7 +109,11 @@
         }
         final AdapterRequest ask =
                 new AdapterRequest(
-                        service, key.model(), key.adapter(), notToBeUsed(service, excluded));
+                        service,
+                        key.model(),
+                        key.adapter(),
+                        notToBeUsed(service, excluded),
+                        missingAt);
         final CompletableFuture<Target> found = new CompletableFuture<>();
         environment
                 .leader()
--- a/daemon/src/main/java/org/crocushaven/forwarding/TargetWait.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/TargetWait.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.crocushaven.fleet.BackendRecord;
 import org.crocushaven.result.ResultCode;
@@ -90,6 +91,7 @@
                                         served.admission().service(),
                                         served.request(),
                                         served.retries().excluded(),
+                                        served.retries().takeMissingAt(),
                                         served.continuation())
                                 .whenComplete(
                                         (target, failure) ->
@@ -110,6 +112,11 @@
             end.giveUp();
         } else if (failure != null) {
             end.afterFault(failure);
+        } else if (target.delayMillis() >= served.remainingMillis()) {
+            end.keepRefusal(
+                    ResultException.of(ResultCode.QUEUE_FULL, served.admission().service())
+                            .withRetryAfter(Duration.ofMillis(target.delayMillis())));
+            end.giveUp();
         } else if (target.delayMillis() > 0) {
             sendLater(target, target.delayMillis());
         } else {
@@ -159,10 +166,26 @@
                 .isEmpty();
     }
 
-    /** Sends a request to the target that it waited for, or looks for another if that one left. */
+    /**
+     * Sends a request to the target that it waited for, waits on if the adapter is expected later
+     * by now, or looks for another one if that one left or does not load the adapter.
+     */
     private void sendAfterWait(Target target) {
         final Optional<Target> usable = stillUsable(target);
-        if (usable.isPresent()) {
+        final OptionalLong waitMillis =
+                target.adapterPending()
+                        ? environment
+                                .view()
+                                .waitMillis(
+                                        target.backend().backend(),
+                                        target.key(),
+                                        environment.nowNanos())
+                        : OptionalLong.of(0);
+        if (usable.isPresent() && waitMillis.isEmpty()) {
+            findOwn();
+        } else if (usable.isPresent() && waitMillis.getAsLong() > 0) {
+            found(target.withDelay(waitMillis.getAsLong()), null);
+        } else if (usable.isPresent()) {
             forwarding.send(usable.get());
         } else {
             served.retries().exclude(target.backend().backend());
--- /dev/null
+++ b/daemon/src/test/java/org/crocushaven/fleet/PlacementSimulation.java
@@ -0,0 +1,223 @@
+package org.crocushaven.fleet;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+import org.crocushaven.fuzz.SimulatedTime;
+import org.crocushaven.ingress.BaseModel;
+import org.crocushaven.ingress.EngineProfile;
+
+/**
+ * Plays requests of many gateways against the placement of a leader, simulated engines and a
+ * simulated weight store, on a virtual clock.
+ */
+final class PlacementSimulation {
+    static final String MODEL = "base";
+    static final int ADAPTER_SLOTS = 10;
+    static final int REQUEST_SLOTS = 12;
+    private static final int ACTIVE_ADAPTERS = 4_000;
+    private static final double SKEW = 0.8;
+    private static final long REPORT_MILLIS = 100;
+    private static final long TICK_MILLIS = 200;
+    private static final long HEARTBEAT_MILLIS = 3_600_000;
+    private static final EngineProfile PROFILE =
+            new EngineProfile(
+                    REQUEST_SLOTS,
+                    10_000,
+                    1_000,
+                    ADAPTER_SLOTS,
+                    1,
+                    List.of(new BaseModel(MODEL, 900, 1_000, 24_000, 1)));
+
+    private final SimulatedTime time = new SimulatedTime();
+    private final RandomGenerator random;
+    private final SimulatedStore store;
+    private final Map<String, SimulatedEngine> engines = new LinkedHashMap<>();
+    private final EnginePlacement placement;
+    private final List<SimulatedAdapterRequest> requests = new ArrayList<>();
+    private final double[] cumulativeShare = cumulativeShares();
+    private Map<String, List<HeldAdapter>> view = Map.of();
+
+    /** Creates a leader with engines that hold a base model and no adapter. */
+    PlacementSimulation(long seed, int engineCount, int fullSpeedLoads, double lostAnswers) {
+        random = RandomGeneratorFactory.of("SplittableRandom").create(seed);
+        store = new SimulatedStore(time, fullSpeedLoads);
+        final BackendRegistry registry = BackendRegistry.of(HEARTBEAT_MILLIS);
+        placement =
+                new EnginePlacement(
+                        announcement -> engines.get(announcement.backend()),
+                        time::after,
+                        registry,
+                        time,
+                        0);
+        for (int number = 0; number < engineCount; number++) {
+            final String name = "e" + number;
+            engines.put(name, new SimulatedEngine(this, lostAnswers));
+            final BackendAnnouncement announcement = announcement(name);
+            registry.accept(announcement, 0);
+            placement.announced(announcement, PROFILE);
+        }
+        reportUse();
+        tick();
+    }
+
+    private static BackendAnnouncement announcement(String name) {
+        return new BackendAnnouncement(
+                name,
+                "service",
+                name,
+                1,
+                "a",
+                BackendState.READY,
+                REQUEST_SLOTS,
+                1,
+                1,
+                true,
+                List.of(new HeldAdapter(MODEL, "", 1)),
+                "");
+    }
+
+    /** Sends requests at a rate over a span of time, for adapters of uneven popularity. */
+    void play(long fromMillis, long untilMillis, double perSecond) {
+        double atMillis = fromMillis;
+        while (atMillis < untilMillis) {
+            final SimulatedAdapterRequest request =
+                    new SimulatedAdapterRequest(this, adapter(), Math.round(atMillis));
+            requests.add(request);
+            time.after(Math.round(atMillis), request::arrive);
+            atMillis += -Math.log(1 - random.nextDouble()) * 1_000 / perSecond;
+        }
+    }
+
+    /** Multiplies the time that requests take at a share of the engines over a span of time. */
+    void slowDown(double share, double factor, long fromMillis, long untilMillis) {
+        final List<SimulatedEngine> slow =
+                engines.values().stream().limit(Math.round(share * engines.size())).toList();
+        time.after(fromMillis, () -> slow.forEach(engine -> engine.setSlowdown(factor)));
+        time.after(untilMillis, () -> slow.forEach(engine -> engine.setSlowdown(1)));
+    }
+
+    private String adapter() {
+        final double drawn = random.nextDouble();
+        int low = 0;
+        int high = ACTIVE_ADAPTERS - 1;
+        while (low < high) {
+            final int middle = (low + high) / 2;
+            if (cumulativeShare[middle] < drawn) {
+                low = middle + 1;
+            } else {
+                high = middle;
+            }
+        }
+        return "a" + low;
+    }
+
+    private static double[] cumulativeShares() {
+        final double[] shares = new double[ACTIVE_ADAPTERS];
+        double sum = 0;
+        for (int rank = 0; rank < ACTIVE_ADAPTERS; rank++) {
+            sum += Math.pow(rank + 1, -SKEW);
+            shares[rank] = sum;
+        }
+        for (int rank = 0; rank < ACTIVE_ADAPTERS; rank++) {
+            shares[rank] /= sum;
+        }
+        return shares;
+    }
+
+    /** Returns an engine that the gateways know to hold an adapter and to have a free slot. */
+    String knownHolder(String adapter, Collection<String> excluded) {
+        String best = null;
+        for (final Map.Entry<String, List<HeldAdapter>> entry : view.entrySet()) {
+            final boolean holds =
+                    entry.getValue().stream().anyMatch(held -> held.adapter().equals(adapter));
+            final SimulatedEngine engine = engines.get(entry.getKey());
+            if (holds
+                    && !excluded.contains(entry.getKey())
+                    && engine.assigned() < REQUEST_SLOTS
+                    && (best == null || engine.assigned() < engines.get(best).assigned())) {
+                best = entry.getKey();
+            }
+        }
+        return best;
+    }
+
+    private void tick() {
+        placement.tick();
+        time.after(TICK_MILLIS, this::tick);
+    }
+
+    /** Reports what all gateways use, and gives them the leader's view. */
+    private void reportUse() {
+        final Map<String, Integer> loads = new HashMap<>();
+        final List<AdapterUse> uses = new ArrayList<>();
+        engines.forEach(
+                (name, engine) -> {
+                    loads.put(name, engine.assigned());
+                    uses.addAll(engine.drainUses(name));
+                });
+        placement.updateUse(loads, uses);
+        placement.addStarted(uses);
+        final Map<String, List<HeldAdapter>> seen = new HashMap<>();
+        engines.keySet().forEach(name -> seen.put(name, placement.usable(name)));
+        view = seen;
+        time.after(REPORT_MILLIS, this::reportUse);
+    }
+
+    /** Returns the requests that arrived in a span of time. */
+    List<SimulatedAdapterRequest> arrivedWithin(long fromMillis, long untilMillis) {
+        return requests.stream()
+                .filter(request -> request.atMillis() >= fromMillis)
+                .filter(request -> request.atMillis() < untilMillis)
+                .toList();
+    }
+
+    /** Returns the share of requests whose adapter was ready for them within a time. */
+    static double servedShare(List<SimulatedAdapterRequest> asked, long withinMillis) {
+        return asked.stream().filter(request -> request.isServedWithin(withinMillis)).count()
+                / (double) asked.size();
+    }
+
+    /** Runs until all requests have ended. */
+    void run(long untilMillis) {
+        time.runUntilMillis(untilMillis);
+    }
+
+    SimulatedTime time() {
+        return time;
+    }
+
+    RandomGenerator random() {
+        return random;
+    }
+
+    SimulatedStore store() {
+        return store;
+    }
+
+    SimulatedEngine engine(String name) {
+        return engines.get(name);
+    }
+
+    Collection<SimulatedEngine> engines() {
+        return engines.values();
+    }
+
+    EnginePlacement placement() {
+        return placement;
+    }
+
+    List<SimulatedAdapterRequest> requests() {
+        return requests;
+    }
+
+    long nowMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(time.nanoTime());
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/crocushaven/fleet/StoreLoadsTest.java
@@ -0,0 +1,132 @@
+package org.crocushaven.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class StoreLoadsTest {
+    private static final int ENGINES = 20;
+
+    private final StoreLoads loads = new StoreLoads();
+    private long nowNanos = TimeUnit.SECONDS.toNanos(5);
+    private int begun;
+
+    private AdapterKey key(int number) {
+        return new AdapterKey("base", "a" + number);
+    }
+
+    private void begin(int count) {
+        for (int load = 0; load < count; load++) {
+            loads.begin("engine", key(begun++), nowNanos);
+        }
+    }
+
+    private int beginWhileThereIsRoom() {
+        int count = 0;
+        while (loads.hasRoom(nowNanos)) {
+            begin(1);
+            count++;
+        }
+        return count;
+    }
+
+    private void advance(long millis) {
+        nowNanos += TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+
+    @Nested
+    class Room {
+        @Test
+        void isThereForHalfAsManyLoadsAsEnginesAtFirst() {
+            loads.setEngineCount(ENGINES);
+
+            assertEquals(10, beginWhileThereIsRoom());
+        }
+
+        @Test
+        void comesBackAsLoadsEnd() {
+            loads.setEngineCount(ENGINES);
+            begin(10);
+            assertFalse(loads.hasRoom(nowNanos));
+
+            advance(258);
+
+            assertTrue(loads.hasRoom(nowNanos));
+        }
+
+        @Test
+        void comesBackWhenLoadsAreNotAccepted() {
+            loads.setEngineCount(ENGINES);
+            begin(10);
+
+            loads.end("engine", key(3));
+
+            assertTrue(loads.hasRoom(nowNanos));
+        }
+
+        @Test
+        void growsWhileLoadsEndInTimeAndUseItUp() {
+            loads.setEngineCount(ENGINES);
+            for (int round = 0; round < 6; round++) {
+                beginWhileThereIsRoom();
+                advance(400);
+            }
+
+            assertTrue(beginWhileThereIsRoom() > 14);
+        }
+
+        @Test
+        void staysAsItIsWhileFewLoadsRun() {
+            loads.setEngineCount(ENGINES);
+            for (int round = 0; round < 20; round++) {
+                begin(2);
+                advance(400);
+            }
+
+            assertEquals(10, beginWhileThereIsRoom());
+        }
+    }
+
+    @Nested
+    class LateLoads {
+        @Test
+        void takeRoomAccordingToTheTimeTheyTook() {
+            loads.setEngineCount(ENGINES);
+            begin(10);
+            advance(350);
+
+            assertEquals(1, loads.wasLate("engine", key(0), nowNanos).size());
+            advance(2_000);
+
+            assertEquals(7, beginWhileThereIsRoom());
+        }
+
+        @Test
+        void delayThoseThatRunBesideThem() {
+            loads.setEngineCount(ENGINES);
+            begin(5);
+            advance(100);
+            begin(5);
+            advance(158);
+
+            final List<StoreLoads.Extension> extended = loads.wasLate("engine", key(0), nowNanos);
+
+            assertEquals(6, extended.size());
+            extended.forEach(extension -> assertTrue(extension.endNanos() - nowNanos > 0));
+        }
+
+        @Test
+        void areNotKnownBeforeTheirExpectedEnd() {
+            loads.setEngineCount(ENGINES);
+            begin(5);
+            advance(100);
+
+            assertTrue(loads.wasLate("engine", key(0), nowNanos).isEmpty());
+        }
+    }
+}
