Skip answers to other calls on the connections that carry orders to engines

Cause: BackendCall took whatever came on a pooled connection as the answer to its order or report. A copied 200 would say that an adapter is unloaded, and the next load would exceed the engine's slots. Evidence: BackendCallTest.areNotTakenForTheAnswerToTheNextOrder gave 200 in place of 409 with the check switched off.

--- a/daemon/src/main/java/org/crocushaven/fleet/EngineOrderQueue.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/EngineOrderQueue.java
@@ -97,8 +97,14 @@
     private CompletableFuture<BackendCall.Answer> call(
             Supplier<FullHttpRequest> request, long timeoutMillis) {
         try {
+            final FullHttpRequest written = request.get();
             return BackendCall.send(
-                    context.pool(), context.loop(), address(), request.get(), timeoutMillis);
+                    context.pool(),
+                    context.loop(),
+                    address(),
+                    written,
+                    timeoutMillis,
+                    head -> context.dialect().answersAnother(written, head));
         } catch (RuntimeException fault) {
             EventLine.fault(fault).error();
             return CompletableFuture.failedFuture(
--- a/daemon/src/main/java/org/crocushaven/outbound/BackendCall.java
+++ b/daemon/src/main/java/org/crocushaven/outbound/BackendCall.java
@@ -9,6 +9,7 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.crocushaven.result.ResultCode;
 import org.crocushaven.result.ResultException;
 
@@ -21,25 +22,31 @@
 
     private final CompletableFuture<Answer> answer = new CompletableFuture<>();
     private final String target;
+    private final Predicate<HttpResponse> answersAnother;
     private final ByteBuf body = Unpooled.buffer();
     private BackendChannel channel;
     private int status;
 
-    private BackendCall(String target) {
+    private BackendCall(String target, Predicate<HttpResponse> answersAnother) {
         this.target = target;
+        this.answersAnother = answersAnother;
     }
 
     /**
      * Sends the request. The future fails with {@code BACKEND_SERVER_FAILED} or {@code
      * BACKEND_SERVER_TIMEOUT}, which state whether the request may have reached the backend server.
+     *
+     * @param answersAnother whether an answer, by its head, is to another request that used the
+     *     connection before; it is skipped
      */
     public static CompletableFuture<Answer> send(
             BackendPool pool,
             EventLoop loop,
             InetSocketAddress address,
             FullHttpRequest request,
-            long timeoutMillis) {
-        final BackendCall call = new BackendCall(address.toString());
+            long timeoutMillis,
+            Predicate<HttpResponse> answersAnother) {
+        final BackendCall call = new BackendCall(address.toString(), answersAnother);
         final ScheduledFuture<?> timer =
                 loop.schedule(
                         () -> call.timeOut(timeoutMillis), timeoutMillis, TimeUnit.MILLISECONDS);
@@ -63,6 +70,9 @@
 
     @Override
     public boolean head(HttpResponse head) {
+        if (answersAnother.test(head)) {
+            return false;
+        }
         status = head.status().code();
         return true;
     }
--- a/daemon/src/test/java/org/crocushaven/fleet/ControlFleet.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/ControlFleet.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.DefaultEventLoop;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
@@ -156,6 +157,11 @@
             throw new UnsupportedOperationException();
         }
 
+        @Override
+        public boolean answersAnother(FullHttpRequest call, HttpResponse answer) {
+            return false;
+        }
+
         @Override
         public OrderOutcome decodeOrderAnswer(int status) {
             throw new UnsupportedOperationException();
--- a/daemon/src/test/java/org/crocushaven/fleet/EngineOrderQueueTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/EngineOrderQueueTest.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -142,6 +143,11 @@
             return request();
         }
 
+        @Override
+        public boolean answersAnother(FullHttpRequest call, HttpResponse answer) {
+            return false;
+        }
+
         @Override
         public OrderOutcome decodeOrderAnswer(int status) {
             if (answersToFail > 0) {
--- a/daemon/src/test/java/org/crocushaven/outbound/BackendCallTest.java
+++ b/daemon/src/test/java/org/crocushaven/outbound/BackendCallTest.java
@@ -60,10 +60,67 @@
                                                 HttpMethod.GET,
                                                 "/report",
                                                 Unpooled.EMPTY_BUFFER),
-                                        timeoutMillis))
+                                        timeoutMillis,
+                                        head -> false))
                 .get();
     }
 
+    private static void readRequest(Socket socket) throws IOException {
+        final InputStream in = socket.getInputStream();
+        final StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            head.append((char) in.read());
+        }
+    }
+
+    @Nested
+    class LateSecondAnswers {
+        private CompletableFuture<BackendCall.Answer> call(int port, String id) throws Exception {
+            return loop.submit(
+                            () ->
+                                    BackendCall.send(
+                                            pool,
+                                            loop,
+                                            new InetSocketAddress(
+                                                    InetAddress.getLoopbackAddress(), port),
+                                            new DefaultFullHttpRequest(
+                                                    HttpVersion.HTTP_1_1,
+                                                    HttpMethod.POST,
+                                                    "/order",
+                                                    Unpooled.EMPTY_BUFFER),
+                                            LONG_TIMEOUT_MILLIS,
+                                            head -> !id.equals(head.headers().get("Id"))))
+                    .get();
+        }
+
+        private void answer(Socket socket, int status, String id) throws IOException {
+            final String text =
+                    "HTTP/1.1 " + status + " X\r\nId: " + id + "\r\nContent-Length: 0\r\n\r\n";
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+        }
+
+        /** An engine that is told to unload would count as having done so by the wrong answer. */
+        @Test
+        void areNotTakenForTheAnswerToTheNextOrder() throws Exception {
+            try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+                final CompletableFuture<BackendCall.Answer> first =
+                        call(listener.getLocalPort(), "one");
+                try (Socket socket = listener.accept()) {
+                    readRequest(socket);
+                    answer(socket, 200, "one");
+                    assertEquals(200, first.get(AWAIT_SECONDS, TimeUnit.SECONDS).status());
+                    final CompletableFuture<BackendCall.Answer> second =
+                            call(listener.getLocalPort(), "two");
+                    readRequest(socket);
+                    answer(socket, 200, "one");
+                    answer(socket, 409, "two");
+
+                    assertEquals(409, second.get(AWAIT_SECONDS, TimeUnit.SECONDS).status());
+                }
+            }
+        }
+    }
+
     private static ResultCode failureOf(CompletableFuture<BackendCall.Answer> call) {
         final ExecutionException failure =
                 assertThrows(
@@ -88,14 +145,6 @@
             }
         }
 
-        private static void readRequest(Socket socket) throws IOException {
-            final InputStream in = socket.getInputStream();
-            final StringBuilder head = new StringBuilder();
-            while (head.indexOf("\r\n\r\n") < 0) {
-                head.append((char) in.read());
-            }
-        }
-
         @Test
         void reportIsWholeWhenItsConnectionIsClosed() throws Exception {
             final BackendCall.Answer answer =
