Bound the waits at full engines and for the weight store by what first events allow

Cause: the refusals with 421 had kept engines below their slots. Now engines with 12 slots took up to 18 requests, whose wait for a slot is that of a stream; and each load waited up to 300 ms for its turn, although the store is used up as well with a short queue. With 8 engines the learned capacity began at 4 loads where the store serves 8, and one load late by the time of an order lowered it. Change: an engine is used up to 1.1 of its slots; loads wait 120 ms at most; the capacity begins at 8 loads or half an engine's each, and only late loads beside seven tenths of it lower it.

--- a/daemon/src/main/java/org/crocushaven/fleet/AdapterQueue.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/AdapterQueue.java
@@ -16,8 +16,8 @@
  * for comes first, and nothing waits longer than a bound. Not thread-safe.
  */
 final class AdapterQueue {
-    /** Maximum wait, so that most requests still get their first event in time. */
-    static final long MAXIMUM_WAIT_MILLIS = 300;
+    /** Maximum wait, which with a load leaves time for most requests to get their first event. */
+    static final long MAXIMUM_WAIT_MILLIS = 120;
 
     private final Map<AdapterRequest, Waiting> waiting = new LinkedHashMap<>();
 
--- a/daemon/src/main/java/org/crocushaven/fleet/StoreCapacity.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/StoreCapacity.java
@@ -12,7 +12,10 @@
     /** Loads for each engine that are assumed until the first ones have ended. */
     private static final double INITIAL_LOADS_PER_ENGINE = 0.5;
 
-    /** Lower bound: engines take as many loads at once. */
+    /** Loads that even stores of few engines serve at full speed, according to the data sheets. */
+    private static final double FEWEST_INITIAL_LOADS = 8;
+
+    /** Lower bound: one engine takes as many loads at once. */
     private static final double MINIMUM_LOADS = EngineSlots.MAXIMUM_LOADING;
 
     /** Increase for each load in time until the first late one. */
@@ -36,7 +39,7 @@
     /** Time in which loads that began before the last decrease are still late because of it. */
     private static final long SETTLING_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
-    private double loads = MINIMUM_LOADS;
+    private double loads = FEWEST_INITIAL_LOADS;
     private boolean learned;
     private boolean searching = true;
     private double loadsAtDecrease;
@@ -45,7 +48,7 @@
     /** Sets how many engines share the store, which counts until loads have shown its capacity. */
     void setEngineCount(int engines) {
         if (!learned) {
-            loads = Math.max(MINIMUM_LOADS, engines * INITIAL_LOADS_PER_ENGINE);
+            loads = Math.max(FEWEST_INITIAL_LOADS, engines * INITIAL_LOADS_PER_ENGINE);
         }
     }
 
--- a/daemon/src/main/java/org/crocushaven/fleet/StoreLoads.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/StoreLoads.java
@@ -23,6 +23,12 @@
     /** Time after its expected end in which a load may still be found to be late. */
     private static final long SETTLING_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
+    /**
+     * Part of the capacity that must be in use for a late load to say something about it; others
+     * are late because of orders under way.
+     */
+    private static final double SHOWING_FRACTION = 0.7;
+
     /** Shortest time after which a late load is looked for again. */
     private static final long SHORTEST_EXTENSION_MILLIS = 40;
 
@@ -87,7 +93,9 @@
         // Those that should have ended just now may be late as well.
         final int running = loads.size();
         final long runMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - late.beginNanos);
-        capacity.wasLate(running, USUAL_MILLIS, runMillis, nowNanos);
+        if (running >= SHOWING_FRACTION * capacity.loads()) {
+            capacity.wasLate(running, USUAL_MILLIS, runMillis, nowNanos);
+        }
         final double slowdown = Math.max(1, running / (double) capacity.loads());
         final long leftMillis =
                 Math.max(
--- a/daemon/src/main/java/org/crocushaven/forwarding/TargetFinder.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/TargetFinder.java
@@ -33,6 +33,12 @@
      */
     private static final double MAXIMUM_LOAD = 1.5;
 
+    /**
+     * Load from which on an engine that holds the adapter is not used even if no other one can load
+     * it: more requests only wait there, until one of the streams that run has ended.
+     */
+    private static final double MAXIMUM_ENGINE_LOAD = 1.1;
+
     /** Retry delay for a service whose backend servers are full. */
     private static final Duration QUEUE_FULL_RETRY_DELAY = Duration.ofMillis(400);
 
@@ -207,7 +213,7 @@
     }
 
     private boolean isUsable(BackendSelector.Candidate holder) {
-        return holder.load() < MAXIMUM_LOAD && acceptsRequests(holder.backend());
+        return holder.load() < MAXIMUM_ENGINE_LOAD && acceptsRequests(holder.backend());
     }
 
     private boolean acceptsRequests(BackendRecord backend) {
--- a/daemon/src/test/java/org/crocushaven/fleet/StoreLoadsTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/StoreLoadsTest.java
@@ -10,7 +10,7 @@
 import org.junit.jupiter.api.Test;
 
 class StoreLoadsTest {
-    private static final int ENGINES = 20;
+    private static final int ENGINES = 30;
 
     private final StoreLoads loads = new StoreLoads();
     private long nowNanos = TimeUnit.SECONDS.toNanos(5);
@@ -45,13 +45,13 @@
         void isThereForHalfAsManyLoadsAsEnginesAtFirst() {
             loads.setEngineCount(ENGINES);
 
-            assertEquals(10, beginWhileThereIsRoom());
+            assertEquals(15, beginWhileThereIsRoom());
         }
 
         @Test
         void comesBackAsLoadsEnd() {
             loads.setEngineCount(ENGINES);
-            begin(10);
+            begin(15);
             assertFalse(loads.hasRoom(nowNanos));
 
             advance(258);
@@ -62,7 +62,7 @@
         @Test
         void comesBackWhenLoadsAreNotAccepted() {
             loads.setEngineCount(ENGINES);
-            begin(10);
+            begin(15);
 
             loads.end("engine", key(3));
 
@@ -77,7 +77,7 @@
                 advance(400);
             }
 
-            assertTrue(beginWhileThereIsRoom() > 14);
+            assertTrue(beginWhileThereIsRoom() > 20);
         }
 
         @Test
@@ -88,7 +88,7 @@
                 advance(400);
             }
 
-            assertEquals(10, beginWhileThereIsRoom());
+            assertEquals(15, beginWhileThereIsRoom());
         }
     }
 
@@ -97,29 +97,42 @@
         @Test
         void takeRoomAccordingToTheTimeTheyTook() {
             loads.setEngineCount(ENGINES);
-            begin(10);
+            begin(15);
             advance(350);
 
             assertEquals(1, loads.wasLate("engine", key(0), nowNanos).size());
             advance(2_000);
 
-            assertEquals(7, beginWhileThereIsRoom());
+            assertEquals(11, beginWhileThereIsRoom());
         }
 
         @Test
         void delayThoseThatRunBesideThem() {
             loads.setEngineCount(ENGINES);
-            begin(5);
+            begin(10);
             advance(100);
-            begin(5);
-            advance(158);
+            begin(10);
+            advance(190);
 
             final List<StoreLoads.Extension> extended = loads.wasLate("engine", key(0), nowNanos);
 
-            assertEquals(6, extended.size());
+            assertEquals(11, extended.size());
             extended.forEach(extension -> assertTrue(extension.endNanos() - nowNanos > 0));
         }
 
+        /** Orders under way make loads of a quiet store end a few milliseconds late. */
+        @Test
+        void takeNoRoomWhileMostOfItIsFree() {
+            loads.setEngineCount(ENGINES);
+            begin(3);
+            advance(265);
+
+            assertEquals(1, loads.wasLate("engine", key(0), nowNanos).size());
+            advance(2_000);
+
+            assertEquals(15, beginWhileThereIsRoom());
+        }
+
         @Test
         void areNotKnownBeforeTheirExpectedEnd() {
             loads.setEngineCount(ENGINES);
