--- a/daemon/src/main/java/org/crocushaven/fleet/AdapterGrants.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/AdapterGrants.java
@@ -73,7 +73,7 @@
         if (queue.size() == 0 || queue.holds(request)) {
             final Optional<AdapterPlacement> chosen = planner.load(request, nowNanos);
             if (chosen.isPresent()) {
-                return load(chosen.get(), request, fallbacksLeft);
+                return load(chosen.get(), request, 0, fallbacksLeft);
             }
         }
         if (closed || !queue.holds(request) && isQueueFull()) {
@@ -103,8 +103,8 @@
     }
 
     private CompletableFuture<AdapterGrant> load(
-            AdapterPlacement chosen, AdapterRequest request, int fallbacksLeft) {
-        return loads.load(chosen)
+            AdapterPlacement chosen, AdapterRequest request, long waitedMillis, int fallbacksLeft) {
+        return loads.load(chosen, waitedMillis)
                 .thenCompose(
                         outcome ->
                                 switch (outcome) {
@@ -171,7 +171,11 @@
         final CompletableFuture<AdapterGrant> grant =
                 existing.isPresent()
                         ? grantExisting(chosen.get(), request, MAXIMUM_FALLBACKS)
-                        : load(chosen.get(), request, MAXIMUM_FALLBACKS);
+                        : load(
+                                chosen.get(),
+                                request,
+                                entry.waitedMillis(nowNanos),
+                                MAXIMUM_FALLBACKS);
         grant.thenAccept(entry::complete);
         return true;
     }
--- a/daemon/src/main/java/org/crocushaven/fleet/AdapterLoads.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/AdapterLoads.java
@@ -35,13 +35,16 @@
     /**
      * Unloads the evicted adapter, if any, and orders the load once the engine has answered the
      * unload with {@link OrderOutcome#HOLDS}. The returned future never fails.
+     *
+     * @param waitedMillis time for which requests have waited for the load to begin
      */
-    CompletableFuture<OrderOutcome> load(AdapterPlacement chosen) {
+    CompletableFuture<OrderOutcome> load(AdapterPlacement chosen, long waitedMillis) {
         final LoadedAt place = new LoadedAt(chosen.backend(), chosen.key());
         final long orderedNanos = clock.nanoTime();
         planner.commit(chosen, orderedNanos);
         final CompletableFuture<OrderOutcome> outcome =
-                makeRoom(chosen).thenCompose(room -> order(chosen, room, orderedNanos));
+                makeRoom(chosen)
+                        .thenCompose(room -> order(chosen, room, orderedNanos, waitedMillis));
         if (!outcome.isDone()) {
             unanswered.put(place, outcome);
             outcome.whenComplete((answer, failure) -> unanswered.remove(place, outcome));
@@ -64,7 +67,7 @@
     }
 
     private CompletableFuture<OrderOutcome> order(
-            AdapterPlacement chosen, OrderOutcome room, long orderedNanos) {
+            AdapterPlacement chosen, OrderOutcome room, long orderedNanos, long waitedMillis) {
         if (room != OrderOutcome.HOLDS) {
             planner.notLoaded(chosen);
             planner.slotsOf(chosen.backend()).ifPresent(slots -> slots.release(chosen.key()));
@@ -74,7 +77,9 @@
                 chosen.version() > 0 ? OptionalLong.of(chosen.version()) : OptionalLong.empty();
         return queues.of(chosen.backend())
                 .submit(EngineOrder.load(chosen.key().model(), chosen.key().adapter(), version))
-                .whenComplete((outcome, failure) -> loadAnswered(chosen, outcome, orderedNanos));
+                .whenComplete(
+                        (outcome, failure) ->
+                                loadAnswered(chosen, outcome, orderedNanos, waitedMillis));
     }
 
     private static void unloadAnswered(
@@ -90,7 +95,8 @@
         }
     }
 
-    private void loadAnswered(AdapterPlacement chosen, OrderOutcome outcome, long orderedNanos) {
+    private void loadAnswered(
+            AdapterPlacement chosen, OrderOutcome outcome, long orderedNanos, long waitedMillis) {
         final long nowNanos = clock.nanoTime();
         planner.slotsOf(chosen.backend())
                 .ifPresent(slots -> loadAnswered(slots, chosen, outcome, nowNanos));
@@ -100,6 +106,7 @@
                     .with("adapter", chosen.key().adapter())
                     .with("version", chosen.version())
                     .with("victim", chosen.evicted().map(AdapterKey::adapter).orElse("-"))
+                    .with("turn_ms", waitedMillis)
                     .with("load_ms", chosen.readyInMillis())
                     .with("order_ms", TimeUnit.NANOSECONDS.toMillis(nowNanos - orderedNanos))
                     .info();
--- a/daemon/src/main/java/org/crocushaven/fleet/AdapterQueue.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/AdapterQueue.java
@@ -79,6 +79,11 @@
             return request;
         }
 
+        /** Returns for how long its first request has waited, in milliseconds. */
+        long waitedMillis(long nowNanos) {
+            return TimeUnit.NANOSECONDS.toMillis(nowNanos - sinceNanos);
+        }
+
         /** Answers all requests alike. */
         void complete(AdapterGrant grant) {
             grants.forEach(waiting -> waiting.complete(grant));
--- a/daemon/src/main/java/org/crocushaven/fleet/EnginePlacement.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/EnginePlacement.java
@@ -118,7 +118,7 @@
                 .with("backend", chosen.backend())
                 .with("adapter", chosen.key().adapter())
                 .info();
-        loads.load(chosen);
+        loads.load(chosen, 0);
     }
 
     /** Requests an engine's report; it is used only if no order was submitted meanwhile. */
