Split the choice of engines and of evictions from what the planner knows

Cause: AdapterPlanner had grown to 416 lines and held three matters: what is known of the engines, on which engine an adapter is used or loaded, and which adapter makes room for it. Change: EngineChoice and EvictionChoice take the last two; their lines are moved, not changed. Measured: the tests of the package pass; BurstPlacementTest serves what it served.

--- a/daemon/src/main/java/org/crocushaven/fleet/AdapterPlanner.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/AdapterPlanner.java
@@ -13,40 +13,19 @@
 import org.crocushaven.ingress.EngineProfile;
 
 /**
- * Decides on which engine an adapter is loaded and which adapter is evicted for it.
- *
- * <p>Handles load that shifts between many adapters while engines have few adapter slots: an
- * adapter goes to the engine with the least work that has a free slot, or whose least requested
- * idle adapter can be evicted. Not thread-safe; times are on a monotonic clock.
+ * Holds what is known of the engines, their adapters and the weight store, and answers where
+ * adapters are used or loaded. Not thread-safe; times are on a monotonic clock.
  */
 final class AdapterPlanner {
-    /** Minimum time since its last use before an adapter may be evicted. */
-    private static final long MINIMUM_IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
-
-    /**
-     * Cost of each adapter that is being loaded; an engine with all request slots in use costs 1.
-     */
-    private static final double LOADING_WEIGHT = 0.15;
-
-    /** Cost per recent request for the adapter that would be evicted. */
-    private static final double EVICTION_WEIGHT = 0.05;
-
-    /** Cost reduction for an adapter that the engine has in its own memory. */
-    private static final double CACHED_COST_REDUCTION = 0.5;
-
-    /** Load time from the engine's own memory, about a tenth of the usual load time. */
-    private static final long CACHED_LOAD_MILLIS = 30;
-
     /** Maximum age of the state in an engine's report. */
     private static final long REPORT_LAG_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
-    /** Wait for an adapter that costs 1, as much as an engine with all request slots in use. */
-    private static final double FULL_COST_WAIT_NANOS = 250e6;
-
     private final Map<String, PlannedEngine> engines = new HashMap<>();
     private final AdapterPopularity popularity = new AdapterPopularity();
     private final Map<AdapterKey, Long> requiredVersions = new HashMap<>();
     private final StoreLoads storeLoads = new StoreLoads();
+    private final EngineChoice choice =
+            new EngineChoice(engines, new EvictionChoice(popularity, requiredVersions), popularity);
 
     /** Applies an engine's announcement. */
     void announced(BackendAnnouncement announcement, EngineProfile profile, long nowNanos) {
@@ -191,14 +170,15 @@
     /** Returns why no engine can take an adapter now, and when to ask again. */
     AdapterRefusal refusal(AdapterRequest request, long nowNanos) {
         return AdapterRefusal.of(
-                engines.values().stream().filter(engine -> isCandidate(engine, request)).toList(),
+                engines.values().stream()
+                        .filter(engine -> EngineChoice.isCandidate(engine, request))
+                        .toList(),
                 nowNanos);
     }
 
     /** Returns where an adapter is or will be; empty if no engine with free slots has it. */
     Optional<AdapterPlacement> existing(AdapterRequest request, long nowNanos) {
-        final AdapterKey key = request.key();
-        return existingPlacement(request, key, requiredVersions.getOrDefault(key, 0L), nowNanos);
+        return choice.existing(request, requiredVersion(request.key()), nowNanos);
     }
 
     /**
@@ -206,8 +186,12 @@
      * weight store has no room and no engine has it in its own memory.
      */
     Optional<AdapterPlacement> load(AdapterRequest request, long nowNanos) {
-        final AdapterKey key = request.key();
-        return newPlacement(request, key, requiredVersions.getOrDefault(key, 0L), nowNanos);
+        return choice.load(
+                request, requiredVersion(request.key()), storeHasRoom(nowNanos), nowNanos);
+    }
+
+    private long requiredVersion(AdapterKey key) {
+        return requiredVersions.getOrDefault(key, 0L);
     }
 
     /** Returns whether another load from the weight store may begin now. */
@@ -239,31 +223,8 @@
                 engines.values().stream()
                         .filter(engine -> engine.announcement().service().equals(service))
                         .toList();
-        return AdapterSpread.next(serving, nowNanos).flatMap(copy -> placeCopy(copy, nowNanos));
-    }
-
-    private Optional<AdapterPlacement> placeCopy(AdapterSpread.Copy copy, long nowNanos) {
-        final PlannedEngine target = copy.target();
-        final Optional<AdapterKey> evicted =
-                target.hasFreeSlot() ? Optional.empty() : evictionCandidate(target, nowNanos);
-        final boolean isWorthLoading =
-                target.hasFreeSlot()
-                        || evicted.isPresent()
-                                && popularity.of(evicted.get(), nowNanos)
-                                        < popularity.of(copy.key(), nowNanos) / 2;
-        if (!isWorthLoading) {
-            return Optional.empty();
-        }
-        final boolean cached = target.slots().isCached(copy.key()) && copy.version() == 0;
-        return Optional.of(
-                new AdapterPlacement(
-                        target.backend(),
-                        copy.key(),
-                        requiredVersions.getOrDefault(copy.key(), 0L),
-                        evicted,
-                        true,
-                        cached,
-                        cached ? CACHED_LOAD_MILLIS : storeLoads.millis()));
+        return AdapterSpread.next(serving, nowNanos)
+                .flatMap(copy -> choice.copy(copy, requiredVersion(copy.key()), nowNanos));
     }
 
     /** Returns the services of all engines. */
@@ -306,111 +267,4 @@
     private long enginesHolding(String model) {
         return engines.values().stream().filter(engine -> engine.slots().holdsModel(model)).count();
     }
-
-    private Optional<AdapterPlacement> existingPlacement(
-            AdapterRequest request, AdapterKey key, long version, long nowNanos) {
-        AdapterPlacement best = null;
-        double bestCost = Double.MAX_VALUE;
-        for (final PlannedEngine engine : engines.values()) {
-            final Optional<EngineSlots.Slot> slot = engine.slots().find(key);
-            final boolean usable =
-                    isCandidate(engine, request)
-                            && slot.isPresent()
-                            && !slot.get().isUnloading()
-                            && !slot.get().isMissing()
-                            && slot.get().version() >= version;
-            if (!usable || engine.load() >= 1) {
-                continue;
-            }
-            final long wait = Math.max(0, slot.get().readyNanos() - nowNanos);
-            final double cost = engine.load() + wait / FULL_COST_WAIT_NANOS;
-            if (cost < bestCost) {
-                bestCost = cost;
-                best =
-                        new AdapterPlacement(
-                                engine.backend(),
-                                key,
-                                slot.get().version(),
-                                Optional.empty(),
-                                false,
-                                true,
-                                TimeUnit.NANOSECONDS.toMillis(wait));
-            }
-        }
-        return Optional.ofNullable(best);
-    }
-
-    private Optional<AdapterPlacement> newPlacement(
-            AdapterRequest request, AdapterKey key, long version, long nowNanos) {
-        final boolean storeHasRoom = storeHasRoom(nowNanos);
-        AdapterPlacement best = null;
-        double bestCost = Double.MAX_VALUE;
-        for (final PlannedEngine engine : engines.values()) {
-            if (!isCandidate(engine, request)
-                    || !engine.acceptsLoads(nowNanos)
-                    || engine.slots().find(key).isPresent()) {
-                continue;
-            }
-            final boolean cached = engine.slots().isCached(key) && version == 0;
-            if (!cached && !storeHasRoom) {
-                continue;
-            }
-            final Optional<AdapterKey> evicted =
-                    engine.hasFreeSlot() ? Optional.empty() : evictionCandidate(engine, nowNanos);
-            if (!engine.hasFreeSlot() && evicted.isEmpty()) {
-                continue;
-            }
-            final double cost =
-                    engine.load()
-                            - (cached ? CACHED_COST_REDUCTION : 0)
-                            + LOADING_WEIGHT * engine.slots().loadingCount(nowNanos)
-                            + EVICTION_WEIGHT
-                                    * evicted.map(candidate -> popularity.of(candidate, nowNanos))
-                                            .orElse(0.0);
-            if (cost < bestCost) {
-                bestCost = cost;
-                best =
-                        new AdapterPlacement(
-                                engine.backend(),
-                                key,
-                                version,
-                                evicted,
-                                true,
-                                cached,
-                                cached ? CACHED_LOAD_MILLIS : storeLoads.millis());
-            }
-        }
-        return Optional.ofNullable(best);
-    }
-
-    private boolean isCandidate(PlannedEngine engine, AdapterRequest request) {
-        return engine.serves(request.service(), request.model())
-                && !request.excludedBackends().contains(engine.backend());
-    }
-
-    /**
-     * Returns the idle adapter with the fewest recent requests; one of an outdated version comes
-     * before all others.
-     */
-    private Optional<AdapterKey> evictionCandidate(PlannedEngine engine, long nowNanos) {
-        AdapterKey best = null;
-        double fewestRequests = Double.MAX_VALUE;
-        for (final Map.Entry<AdapterKey, EngineSlots.Slot> entry :
-                engine.slots().all().entrySet()) {
-            final EngineSlots.Slot slot = entry.getValue();
-            if (slot.running() > 0
-                    || !slot.isConfirmed()
-                    || !slot.isUsable(nowNanos)
-                    || nowNanos - slot.usedNanos() < MINIMUM_IDLE_NANOS) {
-                continue;
-            }
-            final boolean old = slot.version() < requiredVersions.getOrDefault(entry.getKey(), 0L);
-            final double requests = old ? -1 : popularity.of(entry.getKey(), nowNanos);
-            if (requests < fewestRequests) {
-                fewestRequests = requests;
-                best = entry.getKey();
-            }
-        }
-        return Optional.ofNullable(best);
-    }
 }
--- a/daemon/src/main/java/org/crocushaven/fleet/StoreLoads.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/StoreLoads.java
@@ -18,7 +18,7 @@
      * Duration of a load at full speed; the platform's data sheet gives 250 ms, and one load more
      * than the store serves at full speed costs 3 % at the sizes that it names.
      */
-    private static final long USUAL_MILLIS = 258;
+    static final long USUAL_MILLIS = 258;
 
     /** Time after its expected end in which a load may still be found to be late. */
     private static final long SETTLING_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
@@ -40,11 +40,6 @@
         capacity.setEngineCount(engines);
     }
 
-    /** Returns how long a load takes that begins now, in milliseconds. */
-    long millis() {
-        return USUAL_MILLIS;
-    }
-
     /** Returns whether another load may begin without slowing those that run. */
     boolean hasRoom(long nowNanos) {
         return running(nowNanos) < capacity.loads();
