Show that bytes within one event do not keep a stalled stream

Evidence: by reading, only whole events count as progress; no test showed it. Change: a test in which a backend server sends a byte of one event every 20 ms, and the stream goes on at another one. Measured: it passes on the code as it is; nothing had to be mended.

--- a/daemon/src/test/java/org/crocushaven/forwarding/SilentBackendServerTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/SilentBackendServerTest.java
@@ -3,6 +3,11 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import org.crocushaven.ingress.RouteKind;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -12,6 +17,7 @@
 /** Tests what becomes of an answer while its backend server is silent. */
 class SilentBackendServerTest {
     private static final int SLOTS = 4;
+    private static final long BYTE_INTERVAL_MILLIS = 20;
 
     private StandInServer silent;
     private StandInServer other;
@@ -133,6 +139,32 @@
             assertEquals(1, fixture.requestsAt(other));
         }
 
+        /** Bytes are no progress: a stream goes on by whole events. */
+        @Test
+        void streamIsTakenFromOneThatSendsByteAfterByteOfOneEvent() throws Exception {
+            final StandInServer.Exchange stalled = startStream();
+            stalled.partialEvent(2);
+            final ScheduledExecutorService bytes = Executors.newSingleThreadScheduledExecutor();
+            try {
+                bytes.scheduleAtFixedRate(
+                        () -> writeByte(stalled), 0, BYTE_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+
+                other.awaitRequest().begin().event(2).end();
+
+                assertEquals("id: 1;id: 2;", answer.awaitEnd());
+            } finally {
+                bytes.shutdownNow();
+            }
+        }
+
+        private static void writeByte(StandInServer.Exchange stalled) {
+            try {
+                stalled.write("1\r\nx\r\n");
+            } catch (IOException closed) {
+                throw new UncheckedIOException(closed);
+            }
+        }
+
         @Test
         void streamStaysAtTheSilentOneWhenThatGoesOnFirst() throws Exception {
             final StandInServer.Exchange first = startStream();
