Load adapters that an engine held recently without waiting for the weight store

What callers saw: while the weight store was used up, requests for adapters that an engine had in its own memory were refused (1303, store-busy), although such a load takes a tenth of the time and nothing of the store. Cause: let each load wait its turn behind those for the store, and refused it when too many waited. Evidence: AdapterGrantsTest.anAdapterThatAnEngineHeldRecentlyIsLoadedAtOnce failed before. Change: such a load begins at once.

--- a/daemon/src/main/java/org/crocushaven/fleet/AdapterGrants.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/AdapterGrants.java
@@ -70,11 +70,10 @@
         if (nowNanos - ordersFromNanos < 0) {
             return refused(request, "no-orders-yet");
         }
-        if (queue.size() == 0 || queue.holds(request)) {
-            final Optional<AdapterPlacement> chosen = planner.load(request, nowNanos);
-            if (chosen.isPresent()) {
-                return load(chosen.get(), request, 0, fallbacksLeft);
-            }
+        final Optional<AdapterPlacement> chosen =
+                planner.load(request, nowNanos).filter(found -> mayLoadNow(found, request));
+        if (chosen.isPresent()) {
+            return load(chosen.get(), request, 0, fallbacksLeft);
         }
         if (closed || !queue.holds(request) && isQueueFull()) {
             return refused(request, "store-busy");
@@ -83,6 +82,14 @@
         return queue.add(request, nowNanos);
     }
 
+    /**
+     * Returns whether a load takes nobody's turn: no other one waits, or the engine has the adapter
+     * in its own memory.
+     */
+    private boolean mayLoadNow(AdapterPlacement found, AdapterRequest request) {
+        return found.fromMemory() || queue.size() == 0 || queue.holds(request);
+    }
+
     /** Returns whether a further load would begin after the longest wait. */
     private boolean isQueueFull() {
         return planner.storeMillisFor(queue.size() + 1) > AdapterQueue.MAXIMUM_WAIT_MILLIS;
--- /dev/null
+++ b/daemon/src/test/java/org/crocushaven/fleet/AdapterGrantsTest.java
@@ -0,0 +1,107 @@
+package org.crocushaven.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Load: more new adapters at the same moment than the weight store serves. */
+class AdapterGrantsTest {
+    private static final int ENGINES = 4;
+    private static final int SLOTS = ENGINES * PlacementSimulation.ADAPTER_SLOTS;
+    private static final int STORE_LOADS = 8;
+    private static final long ORDERS_MILLIS = 40;
+
+    private final PlacementSimulation simulation =
+            new PlacementSimulation(1, ENGINES, STORE_LOADS, 0);
+    private long nowMillis;
+
+    private CompletableFuture<AdapterGrant> ask(String adapter) {
+        return simulation
+                .placement()
+                .place(AdapterRequest.of("service", PlacementSimulation.MODEL, adapter, List.of()));
+    }
+
+    private List<CompletableFuture<AdapterGrant>> ask(String prefix, int count) {
+        return IntStream.range(0, count).mapToObj(number -> ask(prefix + number)).toList();
+    }
+
+    private void advance(long millis) {
+        nowMillis += millis;
+        simulation.run(nowMillis);
+    }
+
+    private Set<String> held() {
+        return IntStream.range(0, ENGINES)
+                .mapToObj(number -> simulation.placement().usable("e" + number))
+                .flatMap(List::stream)
+                .map(HeldAdapter::adapter)
+                .collect(Collectors.toSet());
+    }
+
+    /** Fills all adapter slots, and returns an adapter that was unloaded for another one. */
+    private String fillAndUnloadOne() {
+        advance(1_000);
+        for (int batch = 0; batch < SLOTS / STORE_LOADS; batch++) {
+            ask("held" + batch + "-", STORE_LOADS);
+            advance(500);
+        }
+        advance(3_000);
+        final Set<String> unloaded = new HashSet<>(held());
+        ask("another");
+        advance(3_000);
+        unloaded.removeAll(held());
+        assertEquals(1, unloaded.size());
+        return unloaded.iterator().next();
+    }
+
+    @Nested
+    class WhileTheStoreIsUsedUp {
+        @Test
+        void oneMoreLoadWaitsForItsTurn() {
+            fillAndUnloadOne();
+            ask("new", STORE_LOADS);
+
+            final CompletableFuture<AdapterGrant> waiting = ask("one-more");
+
+            advance(ORDERS_MILLIS);
+            assertFalse(waiting.isDone());
+        }
+
+        @Test
+        void manyMoreAreRefusedAtOnceAndToldToComeBackOneAfterTheOther() {
+            fillAndUnloadOne();
+            ask("new", STORE_LOADS);
+
+            final List<Long> delays =
+                    ask("more", 20).stream()
+                            .filter(CompletableFuture::isDone)
+                            .map(grant -> grant.join().readyInMillis())
+                            .toList();
+
+            assertTrue(delays.size() >= 10, delays + " were refused");
+            assertTrue(new HashSet<>(delays).size() >= 10, delays + " are the same");
+        }
+
+        /** The engine has it in its own memory, so it needs no room in the store. */
+        @Test
+        void anAdapterThatAnEngineHeldRecentlyIsLoadedAtOnce() {
+            final String recent = fillAndUnloadOne();
+            ask("new", STORE_LOADS);
+            ask("more", 20);
+
+            final CompletableFuture<AdapterGrant> grant = ask(recent);
+
+            advance(ORDERS_MILLIS);
+            assertTrue(grant.isDone() && grant.join().isGranted(), "not loaded: " + grant);
+        }
+    }
+}
