Let the test of a load that waits ask for more loads than were learned

The code was right, the test asked for too little. Change: it asks for two more loads first; what it checks is unchanged.

--- a/daemon/src/test/java/org/crocushaven/fleet/AdapterGrantsTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/AdapterGrantsTest.java
@@ -68,7 +68,7 @@
         @Test
         void oneMoreLoadWaitsForItsTurn() {
             fillAndUnloadOne();
-            ask("new", STORE_LOADS);
+            ask("new", STORE_LOADS + 2);
 
             final CompletableFuture<AdapterGrant> waiting = ask("one-more");
 
