Answer those that wait for an order only after the order is forgotten

Cause: found by reading: a request that joined an unanswered load asked for the adapter again when the answer came; whether the order still counted as unanswered then depended on the order in which a CompletableFuture runs its stages. If it did, the request was refused (order-not-accepted) although the adapter was on its way. Change: the order is forgotten first, then those that wait are answered.

--- a/daemon/src/main/java/org/crocushaven/fleet/AdapterLoads.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/AdapterLoads.java
@@ -42,14 +42,17 @@
         final LoadedAt place = new LoadedAt(chosen.backend(), chosen.key());
         final long orderedNanos = clock.nanoTime();
         planner.commit(chosen, orderedNanos);
-        final CompletableFuture<OrderOutcome> outcome =
-                makeRoom(chosen)
-                        .thenCompose(room -> order(chosen, room, orderedNanos, waitedMillis));
-        if (!outcome.isDone()) {
-            unanswered.put(place, outcome);
-            outcome.whenComplete((answer, failure) -> unanswered.remove(place, outcome));
-        }
-        return outcome;
+        final CompletableFuture<OrderOutcome> answered = new CompletableFuture<>();
+        unanswered.put(place, answered);
+        makeRoom(chosen)
+                .thenCompose(room -> order(chosen, room, orderedNanos, waitedMillis))
+                .whenComplete(
+                        (outcome, failure) -> {
+                            // Those that wait for the answer may ask for the adapter again at once.
+                            unanswered.remove(place, answered);
+                            answered.complete(failure == null ? outcome : OrderOutcome.REFUSED);
+                        });
+        return answered;
     }
 
     private CompletableFuture<OrderOutcome> makeRoom(AdapterPlacement chosen) {
--- a/daemon/src/test/java/org/crocushaven/fleet/AdapterGrantsTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/AdapterGrantsTest.java
@@ -63,6 +63,23 @@
         return unloaded.iterator().next();
     }
 
+    @Nested
+    class WhileAnOrderIsUnanswered {
+        @Test
+        void requestsForItsAdapterShareTheLoad() {
+            advance(1_000);
+
+            final List<CompletableFuture<AdapterGrant>> grants =
+                    List.of(ask("new"), ask("new"), ask("new"));
+
+            advance(ORDERS_MILLIS);
+            for (final CompletableFuture<AdapterGrant> grant : grants) {
+                assertTrue(grant.isDone() && grant.join().isGranted(), "not granted: " + grant);
+            }
+            assertEquals(1, simulation.store().begun());
+        }
+    }
+
     @Nested
     class WhileTheStoreIsUsedUp {
         @Test
