--- a/daemon/src/main/java/org/crocushaven/fleet/StoreLoads.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/StoreLoads.java
@@ -63,7 +63,7 @@
         }
     }
 
-    /** Records that a load did not begin after all, or was reported as ended. */
+    /** Records that a load did not begin after all. */
     void end(String backend, AdapterKey key) {
         loads.remove(new LoadedAt(backend, key));
     }
