--- /dev/null
+++ b/review/src/RepeatedRefusal.java
@@ -0,0 +1,110 @@
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * A worker answers a request with 421 since its adapter is not there yet, and writes a second copy
+ * of that answer where the next one is due. The request may not be repeated; it must run once.
+ */
+final class RepeatedRefusal {
+    /** The second copy is one in 40 answers to clients' requests, under x = 0.03 of the sheet. */
+    private static final int REQUESTS = 40;
+
+    private static final int FAULTY = 20;
+    private static final String SLOW_ADAPTER = "a77";
+
+    private RepeatedRefusal() {}
+
+    public static void main(String[] arguments) throws Exception {
+        final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+        int result = 2;
+        try (Record record = new Record(Path.of(arguments[0], "record.txt"));
+                Fleet fleet = new Fleet(record)) {
+            result = run(record, fleet, trouble);
+            record.line("exit %d", result);
+        } catch (Exception failure) {
+            failure.printStackTrace();
+        }
+        System.exit(result);
+    }
+
+    private static int run(Record record, Fleet fleet, boolean trouble) throws Exception {
+        final List<String> cores = List.of("core-a-1", "core-b-1", "core-c-1");
+        cores.forEach(fleet::place);
+        fleet.place("frontend-a-1");
+        for (final String name : cores) {
+            fleet.startControl(name, "zone-" + name.charAt(5), cores, true);
+        }
+        fleet.startGateway("frontend-a-1", "zone-a", cores);
+        final List<String> controls = cores.stream().map(fleet::controlOf).toList();
+        final Worker worker =
+                new Worker(
+                        "i-7f3a91c2",
+                        Configurations.ENGINE_SERVICE,
+                        "zone-a",
+                        fleet.newAddress(),
+                        controls,
+                        record,
+                        new Faults(trouble));
+        final Operator operator = new Operator(record);
+        if (!operator.replace(controls, 7, Configurations.of(7, 2), 20_000)
+                || !Fleet.awaitListening(fleet.ingressOf("frontend-a-1"), 10_000)) {
+            return 2;
+        }
+        Thread.sleep(5_000);
+        int served = 0;
+        for (int number = 1; number <= REQUESTS; number++) {
+            final String requestId = String.format("9c41d07be2a3%04x", number);
+            final String adapter = number == FAULTY ? SLOW_ADAPTER : "a" + number % 4;
+            final Client.Answer answer =
+                    Client.send(
+                            record, fleet.ingressOf("frontend-a-1"), requestId, adapter, 8_000);
+            served += answer.status() == 200 && answer.whole() ? 1 : 0;
+            Thread.sleep(150);
+        }
+        final Map<String, Integer> runs = new TreeMap<>();
+        worker.runs().forEach(run -> runs.merge(run.requestId(), 1, Integer::sum));
+        final List<String> twice = new ArrayList<>();
+        runs.forEach(
+                (request, count) -> {
+                    if (count > 1) {
+                        twice.add(request + " ran " + count + " times");
+                    }
+                });
+        fleet.quoteLogs("fault", "not run");
+        record.line("served whole: %d of %d; run more than once: %s", served, REQUESTS, twice);
+        worker.stop();
+        return served == 0 ? 2 : twice.isEmpty() ? 0 : 1;
+    }
+
+    /**
+     * One adapter takes a little longer to load than the gateway waits, so that the request for it
+     * is refused once; that refusal comes twice.
+     */
+    private static final class Faults implements Worker.Behaviour {
+        private static final long BEYOND_REFUSAL_MILLIS = 20;
+
+        private final boolean trouble;
+
+        private Faults(boolean trouble) {
+            this.trouble = trouble;
+        }
+
+        @Override
+        public boolean loadsUntilRefused(String adapter) {
+            return adapter.equals(SLOW_ADAPTER);
+        }
+
+        @Override
+        public long beyondRefusalMillis() {
+            return BEYOND_REFUSAL_MILLIS;
+        }
+
+        @Override
+        public boolean repeatsRefusal(String adapter, int refusalsOfIt) {
+            return trouble && adapter.equals(SLOW_ADAPTER) && refusalsOfIt == 1;
+        }
+    }
+}
