--- a/review/src/Client.java
+++ b/review/src/Client.java
@@ -12,10 +12,43 @@
 
     private Client() {}
 
+    /** Sends a request for a stream of an adapter. */
     static Answer send(
             Record record, String address, String requestId, String adapter, long deadlineMillis) {
-        final int colon = address.lastIndexOf(':');
         record.line("client sends %s for adapter %s to the gateway", requestId, adapter);
+        final String headers =
+                "X-Crocushaven-Model: " + Configurations.MODEL + '/' + adapter
+                        + "\r\nX-Crocushaven-Token-Usage: 900,48"
+                        + "\r\nX-Crocushaven-Prompt-Prefix: 5c1e07a2:120,"
+                        + Long.toHexString(requestId.hashCode() & 0xffffffffL) + ":780\r\n";
+        return exchange(
+                record,
+                address,
+                requestId,
+                Configurations.ENGINE_PREFIX + "2f",
+                headers,
+                Configurations.KEY,
+                deadlineMillis);
+    }
+
+    /** Sends a booking with a key; with none if that is empty. */
+    static Answer book(Record record, String address, String requestId, String key) {
+        record.line(
+                "client sends booking %s to the gateway, key: %s",
+                requestId, key.isEmpty() ? "none" : key);
+        return exchange(
+                record, address, requestId, Configurations.PLAIN_PREFIX + "2f", "", key, 1_500);
+    }
+
+    private static Answer exchange(
+            Record record,
+            String address,
+            String requestId,
+            String path,
+            String headers,
+            String key,
+            long deadlineMillis) {
+        final int colon = address.lastIndexOf(':');
         Answer answer = new Answer(0, false, "");
         try (Socket socket = new Socket()) {
             socket.connect(
@@ -27,17 +60,13 @@
             final String body = "{\"prompt\":\"" + requestId + "\"}";
             socket.getOutputStream()
                     .write(
-                            ("POST " + Configurations.ENGINE_PREFIX + "2f HTTP/1.1\r\nHost: "
-                                            + Configurations.HOST
+                            ("POST " + path + " HTTP/1.1\r\nHost: " + Configurations.HOST
                                             + "\r\nX-Crocushaven-Attempt-Id: " + requestId
-                                            + "\r\nX-Crocushaven-Model: " + Configurations.MODEL
-                                            + '/' + adapter
-                                            + "\r\nX-Crocushaven-Token-Usage: 900,48"
-                                            + "\r\nX-Crocushaven-Prompt-Prefix: 5c1e07a2:120,"
-                                            + Long.toHexString(requestId.hashCode() & 0xffffffffL)
-                                            + ":780\r\nX-Crocushaven-Deadline-Ms: "
-                                            + deadlineMillis + "\r\nAuthorization: Bearer "
-                                            + Configurations.KEY
+                                            + "\r\n" + headers + "X-Crocushaven-Deadline-Ms: "
+                                            + deadlineMillis
+                                            + (key.isEmpty()
+                                                    ? ""
+                                                    : "\r\nAuthorization: Bearer " + key)
                                             + "\r\nContent-Type: application/json"
                                             + "\r\nConnection: close\r\nContent-Length: "
                                             + body.length() + "\r\n\r\n" + body)
--- a/review/src/Worker.java
+++ b/review/src/Worker.java
@@ -311,10 +311,25 @@
             }
             return behaviour.repeatsRefusal(adapter, count) ? refusal : new byte[0];
         }
-        run(requestId, connection, in, out);
+        if (model.isEmpty()) {
+            runPlain(request, requestId, out);
+        } else {
+            run(requestId, connection, in, out);
+        }
         return new byte[0];
     }
 
+    /** Runs a request without a model, such as a booking. */
+    private void runPlain(Map<String, String> request, String requestId, OutputStream out)
+            throws IOException {
+        runs.add(new Run(requestId, record.seconds()));
+        record.line(
+                "%s runs %s, tenant: %s",
+                id, requestId, request.getOrDefault("x-crocushaven-tenant", "none"));
+        sleep(FIRST_EVENT_MILLIS);
+        write(out, 200, "X-Crocushaven-Server-Signature: 3e1b." + runs.size() + "\r\n", requestId, "done");
+    }
+
     /** Works on a request: a stream of events. Stops when its connection is closed. */
     private void run(String requestId, String connection, InputStream in, OutputStream out)
             throws IOException {
