Review case 3: shed the request in place of a load that is slower than the sheet

The stand-in's load took about 0.29 s where the sheet says 250 ms; now one of two workers sheds one request, as srv_grey shed does, and the late copy is of that 503. Case 1 does not use it and is unchanged.

--- a/review/src/RepeatedRefusal.java
+++ b/review/src/RepeatedRefusal.java
@@ -5,15 +5,15 @@
 import java.util.TreeMap;
 
 /**
- * A worker answers a request with 421 since its adapter is not there yet, and writes a second copy
- * of that answer where the next one is due. The request may not be repeated; it must run once.
+ * One of two workers sheds a request for an adapter that it has just loaded, and writes a second
+ * copy of that answer where the next one is due. The request may not be repeated; it must run once.
  */
 final class RepeatedRefusal {
     /** The second copy is one in 40 answers to clients' requests, under x = 0.03 of the sheet. */
     private static final int REQUESTS = 40;
 
     private static final int FAULTY = 20;
-    private static final String SLOW_ADAPTER = "a77";
+    private static final String SHED_ADAPTER = "a77";
 
     private RepeatedRefusal() {}
 
@@ -39,15 +39,19 @@
         }
         fleet.startGateway("frontend-a-1", "zone-a", cores);
         final List<String> controls = cores.stream().map(fleet::controlOf).toList();
-        final Worker worker =
-                new Worker(
-                        "i-7f3a91c2",
-                        Configurations.ENGINE_SERVICE,
-                        "zone-a",
-                        fleet.newAddress(),
-                        controls,
-                        record,
-                        new Faults(trouble));
+        final Faults faults = new Faults(trouble);
+        final List<Worker> workers = new ArrayList<>();
+        for (final String id : List.of("i-7f3a91c2", "i-02d9e6b4")) {
+            workers.add(
+                    new Worker(
+                            id,
+                            Configurations.ENGINE_SERVICE,
+                            "zone-a",
+                            fleet.newAddress(),
+                            controls,
+                            record,
+                            faults));
+        }
         final Operator operator = new Operator(record);
         if (!operator.replace(controls, 7, Configurations.of(7, 2), 20_000)
                 || !Fleet.awaitListening(fleet.ingressOf("frontend-a-1"), 10_000)) {
@@ -57,7 +61,7 @@
         int served = 0;
         for (int number = 1; number <= REQUESTS; number++) {
             final String requestId = String.format("9c41d07be2a3%04x", number);
-            final String adapter = number == FAULTY ? SLOW_ADAPTER : "a" + number % 4;
+            final String adapter = number == FAULTY ? SHED_ADAPTER : "a" + number % 4;
             final Client.Answer answer =
                     Client.send(
                             record, fleet.ingressOf("frontend-a-1"), requestId, adapter, 8_000);
@@ -65,7 +69,10 @@
             Thread.sleep(150);
         }
         final Map<String, Integer> runs = new TreeMap<>();
-        worker.runs().forEach(run -> runs.merge(run.requestId(), 1, Integer::sum));
+        for (final Worker worker : workers) {
+            worker.runs().forEach(run -> runs.merge(run.requestId(), 1, Integer::sum));
+            worker.stop();
+        }
         final List<String> twice = new ArrayList<>();
         runs.forEach(
                 (request, count) -> {
@@ -75,17 +82,11 @@
                 });
         fleet.quoteLogs("fault", "not run");
         record.line("served whole: %d of %d; run more than once: %s", served, REQUESTS, twice);
-        worker.stop();
         return served == 0 ? 2 : twice.isEmpty() ? 0 : 1;
     }
 
-    /**
-     * One adapter takes a little longer to load than the gateway waits, so that the request for it
-     * is refused once; that refusal comes twice.
-     */
+    /** One request is shed once, also without the trouble; with it, that answer comes twice. */
     private static final class Faults implements Worker.Behaviour {
-        private static final long BEYOND_REFUSAL_MILLIS = 20;
-
         private final boolean trouble;
 
         private Faults(boolean trouble) {
@@ -93,18 +94,13 @@
         }
 
         @Override
-        public boolean loadsUntilRefused(String adapter) {
-            return adapter.equals(SLOW_ADAPTER);
-        }
-
-        @Override
-        public long beyondRefusalMillis() {
-            return BEYOND_REFUSAL_MILLIS;
+        public boolean sheds(String adapter, int refusalsOfIt) {
+            return adapter.equals(SHED_ADAPTER) && refusalsOfIt == 0;
         }
 
         @Override
         public boolean repeatsRefusal(String adapter, int refusalsOfIt) {
-            return trouble && adapter.equals(SLOW_ADAPTER) && refusalsOfIt == 1;
+            return trouble && adapter.equals(SHED_ADAPTER) && refusalsOfIt == 1;
         }
     }
 }
--- a/review/src/Worker.java
+++ b/review/src/Worker.java
@@ -35,16 +35,11 @@
             return 250;
         }
 
-        /** Returns whether an adapter's load ends soon after the first request that it misses. */
-        default boolean loadsUntilRefused(String adapter) {
+        /** Returns whether a request is shed although there is room. */
+        default boolean sheds(String adapter, int refusalsOfIt) {
             return false;
         }
 
-        /** Returns the time from that request to the end of the load, in milliseconds. */
-        default long beyondRefusalMillis() {
-            return 0;
-        }
-
         /** Returns whether a second copy of a refusal follows where the next answer is due. */
         default boolean repeatsRefusal(String adapter, int refusalsOfIt) {
             return false;
@@ -268,20 +263,12 @@
             return 200;
         }
         orders.incrementAndGet();
-        final long millis =
-                behaviour.loadsUntilRefused(adapter) ? 3_000 : behaviour.loadMillis(adapter);
-        readyNanos.put(adapter, System.nanoTime() + millis * 1_000_000);
+        readyNanos.put(
+                adapter, System.nanoTime() + behaviour.loadMillis(adapter) * 1_000_000);
         record.line("%s is ordered to load %s", id, adapter);
         return 202;
     }
 
-    private synchronized void endLoadSoon(String adapter) {
-        readyNanos.computeIfPresent(
-                adapter,
-                (name, ready) ->
-                        System.nanoTime() + behaviour.beyondRefusalMillis() * 1_000_000);
-    }
-
     private synchronized boolean holds(String adapter) {
         return adapter.isEmpty()
                 || readyNanos.getOrDefault(adapter, Long.MAX_VALUE) - System.nanoTime() <= 0;
@@ -297,19 +284,20 @@
         final String model = request.getOrDefault("x-crocushaven-model", "");
         final int slash = model.indexOf('/');
         final String adapter = slash < 0 ? "" : model.substring(slash + 1);
-        if (!holds(adapter)) {
+        final int refused = refusals.getOrDefault(adapter, 0);
+        final boolean held = holds(adapter);
+        if (!held || behaviour.sheds(adapter, refused)) {
+            final int status = held ? 503 : 421;
             final byte[] refusal =
-                    head(421, "X-Crocushaven-Not-Executed: 1\r\n", requestId, 0)
+                    head(status, "X-Crocushaven-Not-Executed: 1\r\n", requestId, 0)
                             .getBytes(StandardCharsets.US_ASCII);
             record.line(
-                    "%s answers 421, not run, to %s on connection %s", id, requestId, connection);
+                    "%s answers %d, not run, to %s on connection %s",
+                    id, status, requestId, connection);
             out.write(refusal);
             out.flush();
-            final int count = refusals.merge(adapter, 1, Integer::sum);
-            if (count == 1 && behaviour.loadsUntilRefused(adapter)) {
-                endLoadSoon(adapter);
-            }
-            return behaviour.repeatsRefusal(adapter, count) ? refusal : new byte[0];
+            refusals.merge(adapter, 1, Integer::sum);
+            return held && behaviour.repeatsRefusal(adapter, refused + 1) ? refusal : new byte[0];
         }
         if (model.isEmpty()) {
             runPlain(request, requestId, out);
