Keep what is known of lost voters beyond elections and clock steps

Cause: the wait for a replacement, 6 s of silence, was counted by an object that each term made anew (LeaderTerms.start), also the second start within one term after a suspected suspension. Jumps or elections less than 6 s apart put it off without a bound.

Change: every instance collects the evidence from its start on, from joins and from each message of the group, in time that it observed itself; changes of voters need the group's own lease and no FleetLeader. VoterMaintenance moves to consensus, whose facts it decides on. New line voter-change-started with the silence that led to it. Nothing on the wire or on disk changes.

--- a/daemon/src/main/java/org/crocushaven/consensus/GroupHost.java
+++ b/daemon/src/main/java/org/crocushaven/consensus/GroupHost.java
@@ -3,11 +3,13 @@
 import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
@@ -41,6 +43,7 @@
     private final AppliedState applied;
     private final GroupLoop loop;
     private final BlockingQueue<LongConsumer> inputs = new LinkedBlockingQueue<>(QUEUE_CAPACITY);
+    private final Map<String, Long> contactNanos = new ConcurrentHashMap<>();
     private final Thread thread;
     private volatile boolean stopping;
     private volatile boolean rejectsInputs;
@@ -158,6 +161,11 @@
         return view.foreignVoters();
     }
 
+    /** Returns when the last message of this group came from each instance that sent one. */
+    public Map<String, Long> contactNanos() {
+        return Map.copyOf(contactNanos);
+    }
+
     @Override
     public CompletableFuture<Void> addVoter(String instance) {
         final CompletableFuture<Void> result = new CompletableFuture<>();
@@ -212,6 +220,7 @@
     }
 
     private void receive(String sender, GroupMessage message) {
+        contactNanos.put(sender, clock.nanoTime());
         if (!inputs.offer(nowNanos -> loop.receive(sender, message, nowNanos))) {
             Logger.warn("event=message-dropped group={} sender={}", settings.groupId(), sender);
         }
--- a/daemon/src/main/java/org/crocushaven/fleet/ControlInstance.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/ControlInstance.java
@@ -77,7 +77,8 @@
                         settings.toleratedLosses(),
                         transport,
                         loop,
-                        this::group);
+                        this::group,
+                        clock.nanoTime());
         this.electionWatch = new ElectionWatch(loop, this::isLeadershipSettled, this::startLeading);
         this.notices = new UpdateNotices(loop, clock, this::notifyGateways);
         this.commits = new FleetCommits(loop, this::group, this::applyCommitted);
@@ -94,7 +95,6 @@
                         state,
                         registry,
                         pool,
-                        membership,
                         this::group,
                         commits,
                         notices::request);
@@ -200,6 +200,11 @@
         return group().holdsLeaderLease();
     }
 
+    /** Returns the names of the voters, as far as this instance knows. */
+    List<String> voters() {
+        return group().voters();
+    }
+
     private GroupHost group() {
         return supervisor.replica();
     }
@@ -250,7 +255,7 @@
     }
 
     private CompletableFuture<Message> joined(ControlJoin join) {
-        membership.joined(join.instance(), currentLeader() != null, clock.nanoTime());
+        membership.joined(join.instance(), clock.nanoTime());
         return CompletableFuture.completedFuture(membership.hint());
     }
 
@@ -341,8 +346,8 @@
         if (activeLeader != null) {
             activeLeader.tick();
             departures.forgetObsolete(registry);
-            membership.maintainVoters(clock.nanoTime());
         }
+        membership.maintainVoters(clock.nanoTime());
         if (ticks++ % JOIN_TICKS == 0 && activeLeader == null) {
             membership.join();
         }
--- a/daemon/src/main/java/org/crocushaven/fleet/GroupMembership.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/GroupMembership.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 import org.crocushaven.consensus.GroupHost;
+import org.crocushaven.consensus.VoterMaintenance;
 import org.crocushaven.observability.EventLine;
 import org.crocushaven.protocol.Message;
 import org.crocushaven.protocol.PeerTransport;
@@ -22,12 +23,11 @@
     private static final Duration JOIN_TIMEOUT = Duration.ofMillis(900);
 
     private final String instance;
-    private final int toleratedLosses;
     private final PeerTransport transport;
     private final EventLoop loop;
     private final Supplier<GroupHost> group;
     private final Set<String> controlInstances = new LinkedHashSet<>();
-    private VoterMaintenance maintenance;
+    private final VoterMaintenance maintenance;
     private boolean changingVoters;
 
     /** The leader that another instance named last; only of use where the group names none. */
@@ -43,12 +43,13 @@
             int toleratedLosses,
             PeerTransport transport,
             EventLoop loop,
-            Supplier<GroupHost> group) {
+            Supplier<GroupHost> group,
+            long nowNanos) {
         this.instance = instance;
-        this.toleratedLosses = toleratedLosses;
         this.transport = transport;
         this.loop = loop;
         this.group = group;
+        this.maintenance = new VoterMaintenance(toleratedLosses, nowNanos);
     }
 
     /** Adds instances that may hold control state. */
@@ -78,17 +79,10 @@
         return new ControlHint(group.get().leader().orElse(""), controlInstances());
     }
 
-    /** Starts to maintain the voters when this instance becomes the leader. */
-    void leadingStarted(long nowNanos) {
-        maintenance = new VoterMaintenance(toleratedLosses, nowNanos);
-    }
-
     /** Records that an instance can hold control state. */
-    void joined(String other, boolean isLeader, long nowNanos) {
+    void joined(String other, long nowNanos) {
         controlInstances.add(other);
-        if (isLeader) {
-            maintenance.markAlive(other, nowNanos);
-        }
+        maintenance.heard(other, nowNanos);
     }
 
     /** Announces this instance to the leader, or to all others while no leader is known. */
@@ -122,18 +116,26 @@
         }
     }
 
-    /** Starts the next change of voters, if one is due. */
+    /** Records who has been heard from; starts the next change of voters if this one leads. */
     void maintainVoters(long nowNanos) {
-        if (changingVoters) {
-            return;
+        maintenance.observe(nowNanos);
+        group.get()
+                .contactNanos()
+                .forEach((other, atNanos) -> maintenance.contacted(other, atNanos, nowNanos));
+        if (!changingVoters && group.get().holdsLeaderLease()) {
+            maintenance
+                    .next(instance, group.get().voters(), group.get().foreignVoters())
+                    .ifPresent(this::changeVoters);
         }
-        maintenance
-                .next(instance, group.get().voters(), group.get().foreignVoters(), nowNanos)
-                .ifPresent(this::changeVoters);
     }
 
     private void changeVoters(VoterMaintenance.Step step) {
         changingVoters = true;
+        EventLine.of("voter-change-started")
+                .with("add", step.add())
+                .with("instance", step.instance())
+                .with("silent_ms", maintenance.silentMillis(step.instance()))
+                .info();
         final CompletableFuture<Void> change =
                 step.add()
                         ? group.get().addVoter(step.instance())
--- a/daemon/src/main/java/org/crocushaven/fleet/LeaderTerms.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/LeaderTerms.java
@@ -30,7 +30,6 @@
     private final FleetState state;
     private final BackendRegistry registry;
     private final BackendPool pool;
-    private final GroupMembership membership;
     private final Supplier<GroupHost> group;
     private final FleetCommits commits;
     private final Runnable noticeRequest;
@@ -62,7 +61,6 @@
             FleetState state,
             BackendRegistry registry,
             BackendPool pool,
-            GroupMembership membership,
             Supplier<GroupHost> group,
             FleetCommits commits,
             Runnable noticeRequest) {
@@ -75,7 +73,6 @@
         this.state = state;
         this.registry = registry;
         this.pool = pool;
-        this.membership = membership;
         this.group = group;
         this.commits = commits;
         this.noticeRequest = noticeRequest;
@@ -131,7 +128,6 @@
                 .with("draining", registry.count(BackendState.DRAINING))
                 .with("gone", registry.count(BackendState.GONE))
                 .info();
-        membership.leadingStarted(nowNanos);
         prepareStreams(term, nowNanos);
         leader =
                 new FleetLeader(
--- a/daemon/src/test/java/org/crocushaven/fleet/ControlFleet.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/ControlFleet.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicLong;
 import org.agrona.concurrent.SystemEpochClock;
 import org.agrona.concurrent.SystemNanoClock;
 import org.crocushaven.admission.ShareHolder;
@@ -26,6 +27,7 @@
 
     private final Path folder;
     private final ControlNetwork network = new ControlNetwork();
+    private final AtomicLong clockOffsetMillis = new AtomicLong();
     private final Map<String, DefaultEventLoop> loops = new TreeMap<>();
     private final Map<String, ControlInstance> instances = new TreeMap<>();
 
@@ -54,7 +56,7 @@
                         loop,
                         new NoDialect(),
                         SystemNanoClock.INSTANCE,
-                        SystemEpochClock.INSTANCE,
+                        () -> SystemEpochClock.INSTANCE.time() + clockOffsetMillis.get(),
                         name.hashCode());
         loops.put(name, loop);
         instances.put(name, instance);
@@ -69,6 +71,23 @@
         loops.remove(name).shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
     }
 
+    /** Sets the time of day forward on all instances. */
+    void setClocksForward(long millis) {
+        clockOffsetMillis.addAndGet(millis);
+    }
+
+    /** Returns the voters that an instance knows. */
+    List<String> voters(String instance) {
+        return instances.get(instance).voters();
+    }
+
+    /** Returns the instance that holds the lease; empty while there is none. */
+    Optional<String> leader() {
+        return instances.keySet().stream()
+                .filter(name -> instances.get(name).isLeader())
+                .findFirst();
+    }
+
     /** Returns whether an instance acknowledges an announcement within the time of a call. */
     boolean announce(String instance, BackendAnnouncement announcement) {
         final CompletableFuture<Void> acknowledged = new CompletableFuture<>();
--- /dev/null
+++ b/daemon/src/test/java/org/crocushaven/fleet/VoterReplacementTest.java
@@ -0,0 +1,119 @@
+package org.crocushaven.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class VoterReplacementTest {
+    private static final String SPARE = "spare";
+    private static final long START_MILLIS = 20_000;
+    private static final long POLL_MILLIS = 10;
+    private static final long CLOCK_STEP_MILLIS = 2_400_000;
+
+    @TempDir private Path folder;
+    private ControlFleet fleet;
+
+    @BeforeEach
+    void start() {
+        fleet = new ControlFleet(folder);
+        ControlFleet.VOTERS.forEach(fleet::start);
+        fleet.start(SPARE);
+        awaitLeader();
+    }
+
+    @AfterEach
+    void stop() {
+        fleet.close();
+    }
+
+    private String awaitLeader() {
+        final long startNanos = System.nanoTime();
+        Optional<String> leader = fleet.leader();
+        while (leader.isEmpty()) {
+            assertTrue(millisSince(startNanos) < START_MILLIS, "no instance leads");
+            pause();
+            leader = fleet.leader();
+        }
+        return leader.get();
+    }
+
+    private String anyFollower() {
+        final String leader = awaitLeader();
+        return ControlFleet.VOTERS.stream()
+                .filter(name -> !name.equals(leader))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    /** Returns whether, as all that run know, the spare votes and the lost voter does not. */
+    private boolean isReplaced(String lost) {
+        final List<String> running =
+                ControlFleet.VOTERS.stream().filter(name -> !name.equals(lost)).toList();
+        return running.stream()
+                .map(fleet::voters)
+                .allMatch(voters -> voters.contains(SPARE) && !voters.contains(lost));
+    }
+
+    private static long millisSince(long startNanos) {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+    }
+
+    private static void pause() {
+        LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(POLL_MILLIS));
+    }
+
+    private static void pass(long millis) {
+        final long startNanos = System.nanoTime();
+        while (millisSince(startNanos) < millis) {
+            pause();
+        }
+    }
+
+    @Nested
+    class LostVoter {
+        private static final long STEP_INTERVAL_MILLIS = 1_000;
+        private static final long CUT_MILLIS = 1_000;
+        private static final long BETWEEN_CUTS_MILLIS = 2_000;
+        private static final long LIMIT_MILLIS = 12_000;
+
+        // Guards against: each jump of the leader's clock began the wait for a replacement anew.
+        @Test
+        void isReplacedWhileTheClocksAreSetForwardAgainAndAgain() {
+            final String lost = anyFollower();
+            fleet.stop(lost);
+
+            final long startNanos = System.nanoTime();
+            while (!isReplaced(lost)) {
+                assertTrue(millisSince(startNanos) < LIMIT_MILLIS, lost + " is still a voter");
+                fleet.setClocksForward(CLOCK_STEP_MILLIS);
+                pass(STEP_INTERVAL_MILLIS);
+            }
+        }
+
+        // Guards against: each election began the wait for a replacement anew.
+        @Test
+        void isReplacedWhileLeadersAreElectedAgainAndAgain() {
+            final String lost = anyFollower();
+            fleet.stop(lost);
+
+            final long startNanos = System.nanoTime();
+            while (!isReplaced(lost)) {
+                assertTrue(millisSince(startNanos) < LIMIT_MILLIS, lost + " is still a voter");
+                final String leader = awaitLeader();
+                fleet.network().isolate(leader);
+                pass(CUT_MILLIS);
+                fleet.network().reconnect(leader);
+                pass(BETWEEN_CUTS_MILLIS);
+            }
+        }
+    }
+}
