Replace a lost voter before the next permitted loss; give the vote back at a stop

Cause: a voter that is gone was replaced after 6 s of silence, also with another instance waiting to vote, and a planned stop kept its vote.

Change: with a spare present, a voter is replaced after twice the longest election timeout; without one nothing changes. An instance that stops tells the voters (VoterChange, a type that decodes and answers with MESSAGE_TYPE_UNKNOWN, on which the instance ends as before) and ends once its removal is committed, within half of the grace. Spares announce themselves to every instance, a replica that cannot start an election forgets a leader that it hears no more, a silent learner is given up after 3 s, and the removal follows the addition in 20 ms.

VoterMaintenanceTest keeps its questions; ReplicaFuzzTest is as before.

--- a/daemon/src/main/java/org/crocushaven/consensus/Elections.java
+++ b/daemon/src/main/java/org/crocushaven/consensus/Elections.java
@@ -73,6 +73,8 @@
             votes.put(state.name(), state.identity());
             requestVotes(true, state.term() + 1);
             countVotes(nowNanos);
+        } else {
+            state.forgetLeader();
         }
     }
 
--- a/daemon/src/main/java/org/crocushaven/consensus/ReplicaState.java
+++ b/daemon/src/main/java/org/crocushaven/consensus/ReplicaState.java
@@ -131,6 +131,11 @@
         leaderContactNanos = nowNanos;
     }
 
+    /** Forgets a leader that this replica, which cannot start an election, hears no more. */
+    void forgetLeader() {
+        leader = Optional.empty();
+    }
+
     void startPreVote() {
         role = Role.PRE_CANDIDATE;
         leader = Optional.empty();
--- a/daemon/src/main/java/org/crocushaven/consensus/VoterChanges.java
+++ b/daemon/src/main/java/org/crocushaven/consensus/VoterChanges.java
@@ -23,7 +23,7 @@
  * voter first.
  */
 final class VoterChanges {
-    private static final long CONTACT_TIMEOUT_MILLIS = 10_000;
+    private static final long CONTACT_TIMEOUT_MILLIS = 3_000;
 
     private final ReplicaState state;
     private final LeaderReplication replication;
--- a/daemon/src/main/java/org/crocushaven/fleet/ControlInstance.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/ControlInstance.java
@@ -13,6 +13,7 @@
 import org.crocushaven.consensus.GroupSettings;
 import org.crocushaven.consensus.ReplicaSupervisor;
 import org.crocushaven.consensus.ReplicaTiming;
+import org.crocushaven.coordination.VoterChange;
 import org.crocushaven.observability.GuardedTask;
 import org.crocushaven.outbound.BackendPool;
 import org.crocushaven.protocol.Message;
@@ -30,6 +31,7 @@
  */
 public final class ControlInstance {
     private static final int GROUP = 0;
+    private static final ReplicaTiming TIMING = ReplicaTiming.FAST_FAILOVER;
     private static final long TICK_MILLIS = 200;
     private static final long JOIN_TICKS = 5;
 
@@ -78,7 +80,8 @@
                         transport,
                         loop,
                         this::group,
-                        clock.nanoTime());
+                        TIMING,
+                        clock);
         this.electionWatch = new ElectionWatch(loop, this::isLeadershipSettled, this::startLeading);
         this.notices = new UpdateNotices(loop, clock, this::notifyGateways);
         this.commits = new FleetCommits(loop, this::group, this::applyCommitted);
@@ -121,7 +124,7 @@
                         GROUP,
                         settings.instance(),
                         InitialVoters.loadOrStore(settings.dataFolder(), settings.firstVoters()),
-                        ReplicaTiming.FAST_FAILOVER),
+                        TIMING),
                 router,
                 settings.dataFolder(),
                 state,
@@ -157,6 +160,26 @@
         loop.execute(() -> membership.add(others));
     }
 
+    /**
+     * Gives the vote of this instance to another one, where one is there; call before {@link
+     * #close}.
+     *
+     * @param limitMillis time after which the returned future completes at the latest
+     */
+    public CompletableFuture<Void> giveVoteBack(long limitMillis) {
+        return CompletableFuture.supplyAsync(
+                        () ->
+                                new VoteReturn(
+                                                settings.instance(),
+                                                membership,
+                                                transport,
+                                                loop,
+                                                clock)
+                                        .start(limitMillis),
+                        loop)
+                .thenCompose(returned -> returned);
+    }
+
     /** Stops the replica. */
     public void close() {
         stopped = true;
@@ -218,6 +241,7 @@
         transport.registerHandler(
                 StreamOriginQuery.class, (sender, message) -> streamOriginRequested(message));
         transport.registerHandler(ControlJoin.class, (sender, message) -> joined(message));
+        transport.registerHandler(VoterChange.class, (sender, message) -> voterStops(message));
         transport.registerHandler(FleetProposal.class, (sender, message) -> proposed(message));
         transport.registerHandler(FleetRead.class, (sender, message) -> read());
     }
@@ -255,10 +279,25 @@
     }
 
     private CompletableFuture<Message> joined(ControlJoin join) {
-        membership.joined(join.instance(), clock.nanoTime());
+        membership.joined(join.instance());
         return CompletableFuture.completedFuture(membership.hint());
     }
 
+    /** Replaces a voter that stops; on an instance that does not lead, only remembers it. */
+    private CompletableFuture<Message> voterStops(VoterChange change) {
+        if (change.add()) {
+            return CompletableFuture.failedFuture(
+                    ResultException.of(
+                            ResultCode.VOTER_CHANGE_INVALID,
+                            change.instance() + " is added by the leader alone"));
+        }
+        if (!membership.leads()) {
+            membership.stopping(change.instance());
+            return CompletableFuture.failedFuture(notLeader());
+        }
+        return membership.replaceStopping(change.instance()).thenApply(done -> membership.hint());
+    }
+
     private CompletableFuture<Message> proposed(FleetProposal proposal) {
         return proposeHere(proposal.command())
                 .thenApply(done -> new FleetProposalDone(state.view().configurationVersion()));
@@ -347,7 +386,7 @@
             activeLeader.tick();
             departures.forgetObsolete(registry);
         }
-        membership.maintainVoters(clock.nanoTime());
+        membership.maintainVoters();
         if (ticks++ % JOIN_TICKS == 0 && activeLeader == null) {
             membership.join();
         }
--- a/daemon/src/main/java/org/crocushaven/fleet/GroupMembership.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/GroupMembership.java
@@ -3,13 +3,18 @@
 import io.netty.channel.EventLoop;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.agrona.concurrent.NanoClock;
 import org.crocushaven.consensus.GroupHost;
+import org.crocushaven.consensus.ReplicaTiming;
 import org.crocushaven.consensus.VoterMaintenance;
 import org.crocushaven.observability.EventLine;
 import org.crocushaven.protocol.Message;
@@ -21,6 +26,7 @@
  */
 final class GroupMembership {
     private static final Duration JOIN_TIMEOUT = Duration.ofMillis(900);
+    private static final long POLL_MILLIS = 20;
 
     private final String instance;
     private final PeerTransport transport;
@@ -28,7 +34,12 @@
     private final Supplier<GroupHost> group;
     private final Set<String> controlInstances = new LinkedHashSet<>();
     private final VoterMaintenance maintenance;
+    private final NanoClock clock;
     private boolean changingVoters;
+    private boolean leaving;
+
+    /** Removals of voters that stop and wait for it, by name. */
+    private final Map<String, CompletableFuture<Void>> removals = new HashMap<>();
 
     /** The leader that another instance named last; only of use where the group names none. */
     private Optional<String> leaderByHint = Optional.empty();
@@ -44,12 +55,14 @@
             PeerTransport transport,
             EventLoop loop,
             Supplier<GroupHost> group,
-            long nowNanos) {
+            ReplicaTiming timing,
+            NanoClock clock) {
         this.instance = instance;
         this.transport = transport;
         this.loop = loop;
         this.group = group;
-        this.maintenance = new VoterMaintenance(toleratedLosses, nowNanos);
+        this.maintenance = new VoterMaintenance(toleratedLosses, timing, clock.nanoTime());
+        this.clock = clock;
     }
 
     /** Adds instances that may hold control state. */
@@ -80,16 +93,22 @@
     }
 
     /** Records that an instance can hold control state. */
-    void joined(String other, long nowNanos) {
+    void joined(String other) {
         controlInstances.add(other);
-        maintenance.heard(other, nowNanos);
+        maintenance.heard(other, clock.nanoTime());
     }
 
-    /** Announces this instance to the leader, or to all others while no leader is known. */
+    /**
+     * Announces this instance to the leader. An instance that is no voter, or knows no leader,
+     * announces itself to all others, so that whoever leads next knows it.
+     */
     void join() {
+        if (leaving) {
+            return;
+        }
         final ControlJoin join = new ControlJoin(instance);
         final Optional<String> known = group.get().leader().filter(name -> !name.equals(instance));
-        if (known.isPresent()) {
+        if (known.isPresent() && isVoter()) {
             transport.send(known.get(), join);
             return;
         }
@@ -116,8 +135,53 @@
         }
     }
 
+    /** Returns whether this instance votes and another one could vote in its place. */
+    boolean canGiveVoteBack() {
+        return isVoter() && maintenance.hasSpare(instance, group.get().voters());
+    }
+
+    /** Announces this instance no more, because it stops. */
+    void stopJoining() {
+        leaving = true;
+    }
+
+    /** Records that a voter stops. */
+    void stopping(String voter) {
+        maintenance.stopping(voter);
+    }
+
+    /**
+     * Replaces a voter that stops, while this instance leads; completes once the removal of that
+     * voter is committed.
+     */
+    CompletableFuture<Void> replaceStopping(String voter) {
+        stopping(voter);
+        if (!changingVoters && !group.get().voters().contains(voter)) {
+            return CompletableFuture.completedFuture(null);
+        }
+        final CompletableFuture<Void> removal =
+                removals.computeIfAbsent(voter, name -> new CompletableFuture<>());
+        maintainVoters();
+        return removal;
+    }
+
+    /** Returns the names of the voters. */
+    List<String> voters() {
+        return group.get().voters();
+    }
+
+    /** Returns whether this instance holds the lease of the group's leader. */
+    boolean leads() {
+        return group.get().holdsLeaderLease();
+    }
+
+    private boolean isVoter() {
+        return group.get().voters().contains(instance);
+    }
+
     /** Records who has been heard from; starts the next change of voters if this one leads. */
-    void maintainVoters(long nowNanos) {
+    void maintainVoters() {
+        final long nowNanos = clock.nanoTime();
         maintenance.observe(nowNanos);
         group.get()
                 .contactNanos()
@@ -144,7 +208,7 @@
                 (ignored, failure) ->
                         loop.execute(
                                 () -> {
-                                    changingVoters = false;
+                                    changeEnded(step, failure == null);
                                     EventLine.of("voter-change")
                                             .with("add", step.add())
                                             .with("instance", step.instance())
@@ -154,4 +218,15 @@
                                             .info();
                                 }));
     }
+
+    /** Takes the next step soon, since the group bears no loss in the middle of a replacement. */
+    private void changeEnded(VoterMaintenance.Step step, boolean done) {
+        changingVoters = false;
+        if (done) {
+            if (!step.add() && removals.containsKey(step.instance())) {
+                removals.remove(step.instance()).complete(null);
+            }
+            loop.schedule(this::maintainVoters, POLL_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
 }
--- a/daemon/src/main/java/org/crocushaven/instance/Instance.java
+++ b/daemon/src/main/java/org/crocushaven/instance/Instance.java
@@ -57,6 +57,9 @@
      */
     private static final double STOP_WRITE_FRACTION = 0.04;
 
+    /** Fraction of the grace time within which an instance must have given its vote back. */
+    private static final double STOP_LEAVE_FRACTION = 0.5;
+
     private final InstanceSettings settings;
     private final NanoClock clock = SystemNanoClock.INSTANCE;
     private final EventLoopGroup group =
@@ -121,7 +124,8 @@
         gateway.ifPresent(
                 running ->
                         await(running.stop(graceMillis, writeMillis), graceMillis + writeMillis));
-        control.ifPresent(ControlInstance::close);
+        final long leaveMillis = (long) (settings.stopGraceMillis() * STOP_LEAVE_FRACTION);
+        control.ifPresent(running -> stopControl(running, leaveMillis));
         transport.close();
         EventLine.of("stopped").with("instance", settings.instance()).info();
     }
@@ -222,6 +226,11 @@
         return CompletableFuture.completedFuture(response);
     }
 
+    private static void stopControl(ControlInstance control, long leaveMillis) {
+        await(control.giveVoteBack(leaveMillis), leaveMillis);
+        control.close();
+    }
+
     private static void await(CompletableFuture<Void> future, long millis) {
         try {
             future.get(millis + TimeUnit.SECONDS.toMillis(1), TimeUnit.MILLISECONDS);
--- a/daemon/src/test/java/org/crocushaven/consensus/ClusterOracle.java
+++ b/daemon/src/test/java/org/crocushaven/consensus/ClusterOracle.java
@@ -39,6 +39,11 @@
         highestAcknowledged = Math.max(highestAcknowledged, index);
     }
 
+    /** Returns the number of acknowledged commands. */
+    int acknowledged() {
+        return acknowledged.size();
+    }
+
     /** Checks that a replica with the leader lease has applied every acknowledged command. */
     void checkLeaseHolder(String replica, long appliedIndex) {
         require(
--- a/daemon/src/test/java/org/crocushaven/consensus/ReplicaFuzzTest.java
+++ b/daemon/src/test/java/org/crocushaven/consensus/ReplicaFuzzTest.java
@@ -47,7 +47,9 @@
         private Case(SplittableRandom random, FaultCounts<ReplicaFault> counts) {
             this.random = random;
             this.counts = counts;
-            this.cluster = new SimulatedCluster(NAMES, VOTERS, random.split(), counts);
+            this.cluster =
+                    new SimulatedCluster(
+                            NAMES, VOTERS, ReplicaTiming.DEFAULT, random.split(), counts);
         }
 
         private void run() {
--- a/daemon/src/test/java/org/crocushaven/consensus/SimulatedCluster.java
+++ b/daemon/src/test/java/org/crocushaven/consensus/SimulatedCluster.java
@@ -22,6 +22,7 @@
     private static final long LINK_NANOS = TimeUnit.MICROSECONDS.toNanos(1_500);
     private static final long LATE_NANOS = TimeUnit.MILLISECONDS.toNanos(900);
 
+    private final ReplicaTiming timing;
     private final SplittableRandom random;
     private final FaultCounts<ReplicaFault> counts;
     private final ClusterOracle oracle = new ClusterOracle();
@@ -37,18 +38,26 @@
     SimulatedCluster(
             List<String> names,
             List<String> voters,
+            ReplicaTiming timing,
             SplittableRandom random,
             FaultCounts<ReplicaFault> counts) {
+        this.timing = timing;
         this.random = random;
         this.counts = counts;
-        for (String name : names) {
-            final SimulatedReplica replica =
-                    new SimulatedReplica(
-                            name, voters, new Link(name), oracle, counts, random.split());
-            replicas.put(name, replica);
-            replica.start(nowNanos);
-            scheduleTick(replica);
-        }
+        names.forEach(name -> start(name, voters));
+    }
+
+    /** Starts an instance that was never there before and is no voter. */
+    void startSpare(String name) {
+        start(name, List.of());
+    }
+
+    private void start(String name, List<String> voters) {
+        final SimulatedReplica replica =
+                new SimulatedReplica(
+                        name, voters, timing, new Link(name), oracle, counts, random.split());
+        replicas.put(name, replica);
+        restart(replica);
     }
 
     ClusterOracle oracle() {
@@ -90,6 +99,11 @@
         }
     }
 
+    /** Returns whether messages of one instance reach another. */
+    boolean reaches(String from, String to) {
+        return !cutLinks.contains(from + '>' + to);
+    }
+
     void healLinks() {
         cutLinks.clear();
     }
--- a/daemon/src/test/java/org/crocushaven/consensus/SimulatedReplica.java
+++ b/daemon/src/test/java/org/crocushaven/consensus/SimulatedReplica.java
@@ -28,12 +28,14 @@
     private GroupLoop loop;
     private AppliedState applied;
     private GroupView view;
+    private VoterMaintenance maintenance;
     private long globalNanos;
     private long frozenUntilNanos;
 
     SimulatedReplica(
             String name,
             List<String> initialVoters,
+            ReplicaTiming timing,
             PeerTransport transport,
             ClusterOracle oracle,
             FaultCounts<ReplicaFault> counts,
@@ -43,7 +45,7 @@
                         0,
                         name,
                         initialVoters,
-                        ReplicaTiming.DEFAULT,
+                        timing,
                         BATCH_BYTES,
                         CHUNK_BYTES,
                         COMPACTION_ENTRIES,
@@ -105,6 +107,24 @@
         loop = new GroupLoop(settings, core, store, applied, router, this::localNanos, this);
         router.register(0, (sender, message) -> loop.receive(sender, message, localNanos()));
         view = loop.view();
+        maintenance = new VoterMaintenance(1, settings.timing(), localNanos());
+    }
+
+    /** Returns what this process knows of the voters since it started. */
+    VoterMaintenance maintenance() {
+        return maintenance;
+    }
+
+    /** Records that another instance was heard outside of the group. */
+    void hear(String other, long nowNanos) {
+        setGlobalTime(nowNanos);
+        maintenance.heard(other, localNanos());
+    }
+
+    /** Records that this process runs. */
+    void observe(long nowNanos) {
+        setGlobalTime(nowNanos);
+        maintenance.observe(localNanos());
     }
 
     void freeze(long untilNanos) {
@@ -131,6 +151,7 @@
 
     void receive(String sender, GroupMessage message, long nowNanos) {
         setGlobalTime(nowNanos);
+        maintenance.contacted(sender, localNanos(), localNanos());
         loop.receive(sender, message, localNanos());
     }
 
--- a/daemon/src/test/java/org/crocushaven/consensus/VoterMaintenanceTest.java
+++ b/daemon/src/test/java/org/crocushaven/consensus/VoterMaintenanceTest.java
@@ -12,7 +12,8 @@
     private static final List<String> VOTERS = List.of("a", "b", "c");
     private static final long TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
-    private final VoterMaintenance maintenance = new VoterMaintenance(1, 0);
+    private final VoterMaintenance maintenance =
+            new VoterMaintenance(1, ReplicaTiming.FAST_FAILOVER, 0);
 
     private long nowNanos;
 
--- a/daemon/src/test/java/org/crocushaven/fleet/ControlFleet.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/ControlFleet.java
@@ -64,6 +64,11 @@
         instance.start(VOTERS);
     }
 
+    /** Lets an instance prepare its end as one does that was asked to stop. */
+    void giveVoteBack(String name) {
+        instances.get(name).giveVoteBack(CALL_TIMEOUT_MILLIS).join();
+    }
+
     /** Stops an instance, which forgets what it has not stored. */
     void stop(String name) {
         network.setRunning(name, false);
--- a/daemon/src/test/java/org/crocushaven/fleet/VoterReplacementTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/VoterReplacementTest.java
@@ -1,5 +1,6 @@
 package org.crocushaven.fleet;
 
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.file.Path;
@@ -26,7 +27,6 @@
     void start() {
         fleet = new ControlFleet(folder);
         ControlFleet.VOTERS.forEach(fleet::start);
-        fleet.start(SPARE);
         awaitLeader();
     }
 
@@ -88,6 +88,7 @@
         // Guards against: each jump of the leader's clock began the wait for a replacement anew.
         @Test
         void isReplacedWhileTheClocksAreSetForwardAgainAndAgain() {
+            fleet.start(SPARE);
             final String lost = anyFollower();
             fleet.stop(lost);
 
@@ -102,6 +103,7 @@
         // Guards against: each election began the wait for a replacement anew.
         @Test
         void isReplacedWhileLeadersAreElectedAgainAndAgain() {
+            fleet.start(SPARE);
             final String lost = anyFollower();
             fleet.stop(lost);
 
@@ -116,4 +118,63 @@
             }
         }
     }
+
+    @Nested
+    class RemovedVoter {
+        private static final long BETWEEN_MILLIS = 1_000;
+
+        /** Time after its start for which the predecessor of a new instance counts as lost. */
+        private static final long CATCH_UP_MILLIS = 4_000;
+
+        // Guards against: the next permitted loss came before a removed leader was replaced.
+        @Test
+        void leaderIsReplacedBeforeTheNextLossMayCome() {
+            final long startNanos = System.nanoTime();
+            fleet.start(SPARE);
+            pass(BETWEEN_MILLIS);
+            final String lost = awaitLeader();
+            fleet.stop(lost);
+
+            awaitReplacement(lost, startNanos);
+        }
+
+        // Guards against: a lost voter was still counted when the next permitted loss came.
+        @Test
+        void lostLeaderIsReplacedBeforeTheNextLossMayCome() {
+            final String lost = awaitLeader();
+            fleet.stop(lost);
+            pass(BETWEEN_MILLIS);
+            final long startNanos = System.nanoTime();
+            fleet.start(SPARE);
+
+            awaitReplacement(lost, startNanos);
+        }
+
+        // Guards against: a planned stop kept its vote although another instance was there.
+        @Test
+        void voterThatStopsAsPlannedHasNoVoteWhenItEnds() {
+            fleet.start(SPARE);
+            pass(CATCH_UP_MILLIS);
+            final String leader = awaitLeader();
+            final String follower = anyFollower();
+
+            fleet.giveVoteBack(follower);
+            assertTrue(isReplaced(follower), follower + " is still a voter");
+            fleet.stop(follower);
+            fleet.start(follower);
+            pass(CATCH_UP_MILLIS);
+            fleet.giveVoteBack(leader);
+            fleet.stop(leader);
+
+            assertTrue(fleet.voters(SPARE).contains(follower), follower + " is no voter again");
+            assertFalse(fleet.voters(SPARE).contains(leader), leader + " is still a voter");
+        }
+
+        private void awaitReplacement(String lost, long startNanos) {
+            while (!isReplaced(lost)) {
+                assertTrue(millisSince(startNanos) < CATCH_UP_MILLIS, lost + " is still a voter");
+                pause();
+            }
+        }
+    }
 }
