Send a request at most once on each connection

Another operator's form of it: a client is told "not run" for a request that runs (REFUSED).

Cause: answers are matched by the request's identifier, and a later send of a request got the connection of its earlier one. A backend server that wrote its refusal once more on that connection had its copy taken for the answer to the later send, which it then ran.

The identifier tells requests apart, the connection tells the sends of one request apart, so a copy of an earlier answer always comes where its request is not awaited. Nothing on the wire changes.

--- a/daemon/src/main/java/org/crocushaven/forwarding/AttemptSender.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/AttemptSender.java
@@ -42,6 +42,7 @@
                 .pool()
                 .acquire(
                         new InetSocketAddress(backend.host(), backend.port()),
+                        request.requestId(),
                         !admission.route().isRetryable())
                 .whenComplete(
                         (channel, failure) -> {
@@ -111,6 +112,7 @@
                                                 usage.promptTokens(),
                                                 environment.nowNanos()));
         channel.send(
+                request.requestId(),
                 new BackendRequestFactory(environment)
                         .create(
                                 request,
--- a/daemon/src/main/java/org/crocushaven/forwarding/HandOver.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/HandOver.java
@@ -100,7 +100,10 @@
         environment.observer().handedOver(served.request(), chosen.gateway(), reason);
         environment
                 .pool()
-                .acquire(addressOf(chosen), !served.route().isRetryable())
+                .acquire(
+                        addressOf(chosen),
+                        served.request().requestId(),
+                        !served.route().isRetryable())
                 .whenComplete(
                         (opened, failure) ->
                                 end.orAfterFault(() -> connected(chosen, opened, failure)));
@@ -125,6 +128,7 @@
             channel = opened;
             sent = true;
             opened.send(
+                    served.request().requestId(),
                     new BackendRequestFactory(environment)
                             .createRelayed(served.request(), body, fields()),
                     this);
--- a/daemon/src/main/java/org/crocushaven/outbound/BackendCall.java
+++ b/daemon/src/main/java/org/crocushaven/outbound/BackendCall.java
@@ -20,6 +20,9 @@
 public final class BackendCall implements BackendAnswerListener {
     private static final int MAXIMUM_ANSWER_BYTES = 4 << 20;
 
+    /** Each call has an identifier of its own, so that none is sent twice. */
+    private static final String UNNAMED = "";
+
     private final CompletableFuture<Answer> answer = new CompletableFuture<>();
     private final String target;
     private final Predicate<HttpResponse> answersAnother;
@@ -50,7 +53,7 @@
         final ScheduledFuture<?> timer =
                 loop.schedule(
                         () -> call.timeOut(timeoutMillis), timeoutMillis, TimeUnit.MILLISECONDS);
-        pool.acquire(address, true)
+        pool.acquire(address, UNNAMED, true)
                 .whenComplete(
                         (opened, failure) -> {
                             if (failure != null) {
@@ -61,7 +64,7 @@
                                 opened.close();
                             } else {
                                 call.channel = opened;
-                                opened.send(request, call);
+                                opened.send(UNNAMED, request, call);
                             }
                         });
         call.answer.whenComplete((ignored, failure) -> timer.cancel(false));
--- a/daemon/src/main/java/org/crocushaven/outbound/BackendChannel.java
+++ b/daemon/src/main/java/org/crocushaven/outbound/BackendChannel.java
@@ -29,6 +29,7 @@
 
     private final Consumer<BackendChannel> onReusable;
     private final AnswerOverhead overhead;
+    private final CarriedRequests carried = new CarriedRequests();
     private Channel channel;
     private BackendAnswerListener listener;
     private ForeignAnswers foreignAnswers;
@@ -69,8 +70,19 @@
         return keepAliveNanos;
     }
 
-    /** Sends a request; takes over the reference to it. */
-    public void send(FullHttpRequest request, BackendAnswerListener answerListener) {
+    /** Returns whether the request with the given identifier was sent on this connection before. */
+    boolean hasCarried(String identifier) {
+        return carried.contains(identifier);
+    }
+
+    /**
+     * Sends a request; takes over the reference to it.
+     *
+     * @param identifier identifier of the request by which its answer is known
+     */
+    public void send(
+            String identifier, FullHttpRequest request, BackendAnswerListener answerListener) {
+        carried.add(identifier);
         listener = answerListener;
         reusable = true;
         headReceived = false;
--- a/daemon/src/main/java/org/crocushaven/outbound/BackendPool.java
+++ b/daemon/src/main/java/org/crocushaven/outbound/BackendPool.java
@@ -66,14 +66,16 @@
     }
 
     /**
-     * Returns a connection that carries no request.
+     * Returns a connection that carries no request, and that has not carried this one before.
      *
+     * @param identifier identifier of the request that is to be sent
      * @param freshOnly whether to reuse only connections that have been idle for less than half of
      *     the usable keep-alive time, for requests that must not be lost on a connection that the
      *     backend server is closing
      */
-    public CompletableFuture<BackendChannel> acquire(InetSocketAddress address, boolean freshOnly) {
-        final BackendChannel idleChannel = takeIdle(address, freshOnly);
+    public CompletableFuture<BackendChannel> acquire(
+            InetSocketAddress address, String identifier, boolean freshOnly) {
+        final BackendChannel idleChannel = takeIdle(address, identifier, freshOnly);
         return idleChannel == null
                 ? connect(address)
                 : CompletableFuture.completedFuture(idleChannel);
@@ -124,12 +126,20 @@
         }
     }
 
-    private BackendChannel takeIdle(InetSocketAddress address, boolean freshOnly) {
-        final Deque<BackendChannel> deque = idle.get(address);
+    /** Takes the connection that was used last of those that may carry the request. */
+    private BackendChannel takeIdle(
+            InetSocketAddress address, String identifier, boolean freshOnly) {
+        final Iterator<BackendChannel> newestFirst =
+                idle.getOrDefault(address, new ArrayDeque<>()).descendingIterator();
         final long nowNanos = clock.nanoTime();
-        while (deque != null && !deque.isEmpty()) {
-            final BackendChannel channel = deque.pollLast();
-            if (isUsable(channel, freshOnly, nowNanos)) {
+        while (newestFirst.hasNext()) {
+            final BackendChannel channel = newestFirst.next();
+            final boolean usable = isUsable(channel, freshOnly, nowNanos);
+            if (usable && channel.hasCarried(identifier)) {
+                continue;
+            }
+            newestFirst.remove();
+            if (usable) {
                 return channel;
             }
             channel.close();
