Let nobody in where a configuration names an empty list of organisations

Cause: "names organisations" and "has at least one" were one state. The decoder read an absent and an empty list alike, and needsKeys asked for an element.

--- a/daemon/src/main/java/org/crocushaven/ingress/IngressConfiguration.java
+++ b/daemon/src/main/java/org/crocushaven/ingress/IngressConfiguration.java
@@ -10,7 +10,7 @@
     private final long version;
     private final List<IngressRoute> routes;
     private final Map<String, IngressService> services = new HashMap<>();
-    private final List<KeyedOrganisation> organisations;
+    private final Optional<List<KeyedOrganisation>> organisations;
     private final Map<String, KeyedOrganisation> organisationByKey = new HashMap<>();
     private final IngressLimits limits;
     private final RouteTable table;
@@ -19,30 +19,34 @@
             long version,
             List<IngressRoute> routes,
             List<IngressService> services,
-            List<KeyedOrganisation> organisations,
+            Optional<List<KeyedOrganisation>> organisations,
             IngressLimits limits) {
         this.version = version;
         this.routes = List.copyOf(routes);
-        this.organisations = List.copyOf(organisations);
+        this.organisations = organisations.map(List::copyOf);
         this.limits = limits;
         this.table = RouteTable.of(routes);
         services.forEach(service -> this.services.put(service.name(), service));
-        organisations.forEach(
-                organisation ->
-                        organisation
-                                .keys()
-                                .forEach(key -> organisationByKey.put(key, organisation)));
+        organisations()
+                .forEach(
+                        organisation ->
+                                organisation
+                                        .keys()
+                                        .forEach(key -> organisationByKey.put(key, organisation)));
     }
 
     /**
      * Returns a configuration with the given parts, which must be valid: no key may belong to two
      * organisations.
+     *
+     * @param organisations the organisations that hold keys; empty where requests need none. A list
+     *     without an element lets nobody in but on open routes.
      */
     public static IngressConfiguration of(
             long version,
             List<IngressRoute> routes,
             List<IngressService> services,
-            List<KeyedOrganisation> organisations,
+            Optional<List<KeyedOrganisation>> organisations,
             IngressLimits limits) {
         return new IngressConfiguration(version, routes, services, organisations, limits);
     }
@@ -69,12 +73,12 @@
 
     /** Returns all organisations. */
     public List<KeyedOrganisation> organisations() {
-        return organisations;
+        return organisations.orElse(List.of());
     }
 
     /** Returns whether requests need a key on routes that are not open. */
     public boolean needsKeys() {
-        return !organisations.isEmpty();
+        return organisations.isPresent();
     }
 
     /** Returns the organisation that holds a key. */
--- a/daemon/src/test/java/org/crocushaven/forwarding/ChatRouteBuilder.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/ChatRouteBuilder.java
@@ -1,6 +1,7 @@
 package org.crocushaven.forwarding;
 
 import java.util.List;
+import java.util.Optional;
 import org.crocushaven.ingress.IngressConfiguration;
 import org.crocushaven.ingress.IngressLimits;
 import org.crocushaven.ingress.IngressRoute;
@@ -82,11 +83,16 @@
 
     /** Returns a configuration of version 1 with only this route. */
     IngressConfiguration configuration(List<KeyedOrganisation> organisations) {
-        return IngressConfiguration.of(
-                1, List.of(build()), List.of(), organisations, IngressLimits.DEFAULT);
+        return configuration(Optional.of(organisations));
     }
 
+    /** Returns a configuration of version 1 with only this route, whose requests need no key. */
     IngressConfiguration configuration() {
-        return configuration(List.of());
+        return configuration(Optional.empty());
+    }
+
+    private IngressConfiguration configuration(Optional<List<KeyedOrganisation>> organisations) {
+        return IngressConfiguration.of(
+                1, List.of(build()), List.of(), organisations, IngressLimits.DEFAULT);
     }
 }
--- a/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
@@ -170,14 +170,15 @@
     /** Puts a configuration in force that has no route, no key and no service. */
     void removeAllRoutes() {
         configuration =
-                IngressConfiguration.of(2, List.of(), List.of(), List.of(), IngressLimits.DEFAULT);
+                IngressConfiguration.of(
+                        2, List.of(), List.of(), Optional.empty(), IngressLimits.DEFAULT);
     }
 
     /** Puts a configuration in force that has these limits and is the same otherwise. */
     void limit(IngressLimits limits) {
         configuration =
                 IngressConfiguration.of(
-                        2, configuration.routes(), List.of(), organisations, limits);
+                        2, configuration.routes(), List.of(), Optional.of(organisations), limits);
     }
 
     /** Withdraws all backend servers. */
