Give the requests of a test on kept connections identifiers of their own

Cause: all requests of ForwardingFixture have the identifier "request", so that the second one in that test was, for the pool, the first one once more, which may not go out on the same connection again. Clients name each try apart. The test now does the same and asks the same: the connection of a request that was not run carries the next one.

--- a/daemon/src/test/java/org/crocushaven/forwarding/EndlessAnswersTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/EndlessAnswersTest.java
@@ -167,6 +167,7 @@
         @Test
         void connectionOfNotRunAnswerIsUsedAgainWhenItsShortBodyFollowsLater() throws Exception {
             use(RouteKind.NON_IDEMPOTENT, "", "x");
+            fixture.nameRequestsApart();
             addSound();
             fixture.occupy("endless", 2 * SLOTS);
             final ForwardingFixture.RecordedAnswer refused = fixture.start();
--- a/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
@@ -82,6 +82,8 @@
     private Optional<ModelReference> model = Optional.empty();
     private Optional<String> lastEventId = Optional.empty();
     private boolean sharesGranted = true;
+    private volatile boolean namedApart;
+    private int requests;
     private volatile IngressConfiguration configuration;
     private volatile long passedNanos;
     private volatile boolean requestEndsFail;
@@ -145,6 +147,11 @@
         model = Optional.of(new ModelReference("base", "a1"));
     }
 
+    /** Gives each request an identifier of its own; else all have the same one. */
+    void nameRequestsApart() {
+        namedApart = true;
+    }
+
     /** Makes all requests take up a stream of which this gateway knows nothing. */
     void takeUpStreams() {
         lastEventId = Optional.of("1");
@@ -430,6 +437,7 @@
 
     private IngressRequest request() {
         return ChatRequestBuilder.plain()
+                .named(namedApart ? "request-" + ++requests : "request")
                 .model(model)
                 .key(KEY)
                 .promptParts(promptParts)
