Refuse an adapter whose list of organisations is empty

What operators would see: an operator takes the last organisation out of adapters[].organisations in a service file; from then on every organisation may use the adapter, since the array is read like one that is not there.

Leaving it out means all, as before. What is stored and sent does not change.

Evidence: the folder organisations-empty of PublicationCollectorTest; before this check its file was accepted (by reading: no check of the size of that array). Measured: PublicationCollectorTest passes.

--- a/common/src/test/java/org/crocushaven/configuration/servicefile/PublicationCollectorTest.java
+++ b/common/src/test/java/org/crocushaven/configuration/servicefile/PublicationCollectorTest.java
@@ -54,7 +54,8 @@
                     "syntax",
                     "duplicates",
                     "references",
-                    "two-files"
+                    "two-files",
+                    "organisations-empty"
                 })
         void areReportedWithFileLineAndAllowedValues(String folder) throws IOException {
             final CollectedPublication collected = collect(folder);
