Refuse late requests of a stopping gateway by the clock, not by a timer

But the refusal began when a timer of 50 ms ran: with a busy event loop, requests that had come after the 2.6 s, later than the 3 s also, could be read and passed on before it.

Change: IngressServer knows from when on it refuses and asks the clock for each request. Nothing else of the stop changes.

Evidence: GracefulStopTest.requestThatComesLateIsRefusedAsNotRunAlsoWhereTheTimerIsLate fails before ("504 Gateway Timeout" after it was passed on) and passes now.

--- a/daemon/src/main/java/org/crocushaven/forwarding/GracefulStop.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/GracefulStop.java
@@ -57,7 +57,7 @@
             long graceMillis,
             long writeMillis) {
         final GracefulStop stop = new GracefulStop(server, loop, clock, graceMillis, writeMillis);
-        server.startStopping();
+        server.startStopping(Math.min(BALANCER_DETECTION_MILLIS, graceMillis));
         stop.check();
         return stop.stopped;
     }
@@ -83,9 +83,6 @@
 
     /** Returns whether no connection is busy any more. */
     private boolean advance(long passedMillis) {
-        if (passedMillis >= Math.min(BALANCER_DETECTION_MILLIS, graceMillis)) {
-            server.startRefusing();
-        }
         if (passedMillis >= graceMillis) {
             server.endRequests();
         }
--- a/daemon/src/main/java/org/crocushaven/forwarding/IngressServer.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/IngressServer.java
@@ -8,6 +8,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.crocushaven.ingress.IngressConfiguration;
 import org.crocushaven.ingress.IngressLimits;
 import org.crocushaven.network.Listener;
@@ -19,7 +20,7 @@
     private final Set<IngressConnection> connections = new HashSet<>();
     private Listener listener;
     private boolean stopping;
-    private boolean refusing;
+    private long refuseAtNanos;
 
     IngressServer(ForwardingEnvironment environment) {
         this.environment = environment;
@@ -47,18 +48,18 @@
         return stopping;
     }
 
-    /** Makes each connection close after its next answer. */
-    void startStopping() {
+    /**
+     * Makes each connection close after its next answer, and refuse new requests, which other
+     * gateways can serve, after a time: also where a busy event loop runs a timer late.
+     */
+    void startStopping(long refuseAfterMillis) {
         stopping = true;
+        refuseAtNanos = environment.nowNanos() + TimeUnit.MILLISECONDS.toNanos(refuseAfterMillis);
     }
 
-    /** Makes connections refuse new requests, which other gateways can serve. */
-    void startRefusing() {
-        refusing = true;
-    }
-
+    /** Returns whether new requests are refused. */
     boolean isRefusing() {
-        return refusing;
+        return stopping && environment.nowNanos() - refuseAtNanos >= 0;
     }
 
     /** Closes idle connections and returns whether no busy connection is left. */
--- a/daemon/src/test/java/org/crocushaven/forwarding/AnswerNotYetWrittenTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/AnswerNotYetWrittenTest.java
@@ -89,8 +89,7 @@
         send();
         answerAndLetTheGatewayTakeIt();
 
-        fixture.run(server::startStopping);
-        fixture.run(server::startRefusing);
+        fixture.run(() -> server.startStopping(0));
         fixture.run(server::closeIdle);
 
         assertEquals(true, readAll() > BODY_BYTES, "the answer was cut");
@@ -98,7 +97,7 @@
 
     @Test
     void noRequestIsSentOnThatArrivesAfterTheConnectionsLastAnswer() throws Exception {
-        fixture.run(server::startStopping);
+        fixture.run(() -> server.startStopping(ForwardingFixture.AWAIT_MILLIS));
         send();
         assertEquals("backend", fixture.awaitSend());
         answerAndLetTheGatewayTakeIt();
--- a/daemon/src/test/java/org/crocushaven/forwarding/GracefulStopTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/GracefulStopTest.java
@@ -88,6 +88,12 @@
                 .collect(Collectors.joining("\n"));
     }
 
+    private String firstLine() throws Exception {
+        return new BufferedReader(
+                        new InputStreamReader(client.getInputStream(), StandardCharsets.UTF_8))
+                .readLine();
+    }
+
     private void assertStatus(int status, String received) {
         assertTrue(received.startsWith("HTTP/1.1 " + status + ' '), "received: " + received);
     }
@@ -245,6 +251,20 @@
             assertFalse(backend.hasRequest());
         }
 
+        // Guards against: a request that came late was passed on, and cut at the end of the grace,
+        // since the timer from which on requests are refused was late.
+        @Test
+        void requestThatComesLateIsRefusedAsNotRunAlsoWhereTheTimerIsLate() throws Exception {
+            send("");
+            fixture.run(() -> server.startStopping(ForwardingFixture.AWAIT_MILLIS));
+            fixture.passTime(ForwardingFixture.AWAIT_MILLIS);
+
+            client.getOutputStream().write(REQUEST.getBytes(StandardCharsets.US_ASCII));
+
+            assertStatus(503, firstLine());
+            assertFalse(backend.hasRequest());
+        }
+
         @Test
         void answerThatItsClientDoesNotTakeDoesNotHoldTheStopAndIsReported() throws Exception {
             send(REQUEST);
