Bound the answers to all calls to engines together

The answers to orders and questions for reports were bounded at 4 MiB each, but not together: a leader asks all engines, 59 on the large site, 236 MiB in a heap of 160.

Change: BackendCall takes its memory from the AnswerMemory of its pool, as requests do; a call that finds none fails as BACKEND_SERVER_FAILED, as one that is too large does.

Evidence: BackendCallTest.EndlessAnswers.manyAtOnceStayWithinOneBound, 24 answers of 4 MiB that lack their last byte, before: the first one ends with BACKEND_SERVER_TIMEOUT after 8 s, all 96 MiB held; now one ends with BACKEND_SERVER_FAILED at once.

--- a/daemon/src/main/java/org/crocushaven/outbound/BackendCall.java
+++ b/daemon/src/main/java/org/crocushaven/outbound/BackendCall.java
@@ -26,12 +26,15 @@
     private final CompletableFuture<Answer> answer = new CompletableFuture<>();
     private final String target;
     private final Predicate<HttpResponse> answersAnother;
+    private final AnswerMemory.Share memory;
     private final ByteBuf body = Unpooled.buffer();
     private BackendChannel channel;
     private int status;
 
-    private BackendCall(String target, Predicate<HttpResponse> answersAnother) {
+    private BackendCall(
+            String target, AnswerMemory.Share memory, Predicate<HttpResponse> answersAnother) {
         this.target = target;
+        this.memory = memory;
         this.answersAnother = answersAnother;
     }
 
@@ -49,7 +52,11 @@
             FullHttpRequest request,
             long timeoutMillis,
             Predicate<HttpResponse> answersAnother) {
-        final BackendCall call = new BackendCall(address.toString(), answersAnother);
+        final BackendCall call =
+                new BackendCall(
+                        address.toString(),
+                        pool.answerMemory().share(MAXIMUM_ANSWER_BYTES),
+                        answersAnother);
         final ScheduledFuture<?> timer =
                 loop.schedule(
                         () -> call.timeOut(timeoutMillis), timeoutMillis, TimeUnit.MILLISECONDS);
@@ -67,7 +74,11 @@
                                 opened.send(UNNAMED, request, call);
                             }
                         });
-        call.answer.whenComplete((ignored, failure) -> timer.cancel(false));
+        call.answer.whenComplete(
+                (ignored, failure) -> {
+                    timer.cancel(false);
+                    call.memory.release();
+                });
         return call.answer;
     }
 
@@ -82,7 +93,7 @@
 
     @Override
     public void content(ByteBuf data) {
-        if (body.readableBytes() + data.readableBytes() > MAXIMUM_ANSWER_BYTES) {
+        if (!answer.isDone() && !memory.tryResize(body.readableBytes() + data.readableBytes())) {
             channel.abort();
             failed(true, "answer too large");
         } else {
--- a/daemon/src/test/java/org/crocushaven/outbound/BackendCallTest.java
+++ b/daemon/src/test/java/org/crocushaven/outbound/BackendCallTest.java
@@ -19,6 +19,8 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -34,6 +36,8 @@
     private static final long AWAIT_SECONDS = 10;
     private static final long LONG_TIMEOUT_MILLIS = 8_000;
     private static final long CUT_MILLIS = 2_000;
+    private static final int CALLS_AT_ONCE = 24;
+    private static final int LARGE_BYTES = 4 << 20;
     private static final long MAXIMUM_TAKEN_BYTES = 16 << 20;
 
     private final EventLoopGroup group =
@@ -208,6 +212,47 @@
             assertCut("", "HTTP/1.1 102 Processing\r\n\r\n");
         }
 
+        // Guards against: each of many answers without end was within its own bound, but all
+        // together took more memory than there is.
+        @Test
+        void manyAtOnceStayWithinOneBound() throws Exception {
+            try (ServerSocket listener =
+                    new ServerSocket(0, CALLS_AT_ONCE, InetAddress.getLoopbackAddress())) {
+                final List<CompletableFuture<BackendCall.Answer>> calls = new ArrayList<>();
+                final List<Socket> open = new ArrayList<>();
+                for (int number = 0; number < CALLS_AT_ONCE; number++) {
+                    calls.add(call(listener.getLocalPort(), LONG_TIMEOUT_MILLIS));
+                    open.add(listener.accept());
+                    beginAnswer(open.get(number));
+                }
+                final CompletableFuture<?> firstEnd =
+                        CompletableFuture.anyOf(calls.toArray(CompletableFuture[]::new));
+
+                final ExecutionException failure =
+                        assertThrows(
+                                ExecutionException.class,
+                                () -> firstEnd.get(AWAIT_SECONDS, TimeUnit.SECONDS));
+                assertEquals(
+                        ResultCode.BACKEND_SERVER_FAILED,
+                        ((ResultException) failure.getCause()).code());
+                for (final Socket socket : open) {
+                    socket.close();
+                }
+            }
+        }
+
+        /** Writes all but the last byte of a large answer. */
+        private void beginAnswer(Socket socket) throws IOException {
+            readRequest(socket);
+            final String head = "HTTP/1.1 200 OK\r\nContent-Length: " + LARGE_BYTES + "\r\n\r\n";
+            try {
+                socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+                socket.getOutputStream().write(new byte[LARGE_BYTES - 1]);
+            } catch (IOException closed) {
+                socket.close();
+            }
+        }
+
         @Test
         void silenceIsCutByTheTimeLimit() throws Exception {
             try (ServerSocket silent = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
