Form a group with a majority of its first voters

Cause: while the voters were known by name only, all of them had to vote, so that one that had lost its disk could not elect a second leader with one that had not heard of the first.

Change: on the users' platform, where an instance has the list of first voters only on its disk or at the very first start, a majority elects the first leader and binds those that voted; the others are bound by entries of the leader once they answer and count for no commit and no lease before. A replica that knows no voter grants no vote. The product's own settings name the first voters for ever: there all of them must still vote.

Why it works: a commit is on a quorum of bound voters, an election needs a quorum of names; they share a bound voter that holds the entry, or that has lost its disk and has no vote.

--- a/daemon/src/main/java/org/crocushaven/consensus/Elections.java
+++ b/daemon/src/main/java/org/crocushaven/consensus/Elections.java
@@ -15,6 +15,8 @@
  * depose a leader when it reconnects. A replica that received a message from a leader within the
  * minimum election timeout refuses both kinds of vote, so that the leader's lease expires before a
  * majority can elect another leader.
+ *
+ * <p>A replica that knows no voter, since it is new or lost its disk, has no vote.
  */
 final class Elections {
     private static final int GRANTED = 0;
@@ -125,6 +127,9 @@
         if (!request.preVote() && request.term() > state.term()) {
             state.adoptTerm(request.term());
         }
+        if (state.log().configuration().voters().isEmpty()) {
+            return ResultCode.FOREIGN_INCARNATION.number();
+        }
         if (!state.log().isNoNewerThan(request.lastIndex(), request.lastTerm())) {
             return state.log().configuration().isForeign(sender, request.identity())
                     ? ResultCode.FOREIGN_INCARNATION.number()
@@ -152,7 +157,7 @@
     }
 
     private void countVotes(long nowNanos) {
-        if (!state.log().configuration().hasElectionQuorum(votes)) {
+        if (!state.log().configuration().hasElectionQuorum(votes, state.settings().formation())) {
             return;
         }
         if (state.role() == Role.PRE_CANDIDATE) {
--- a/daemon/src/main/java/org/crocushaven/consensus/GroupSettings.java
+++ b/daemon/src/main/java/org/crocushaven/consensus/GroupSettings.java
@@ -9,6 +9,7 @@
  * @param instance name of the instance
  * @param initialVoters voters of the group when the data folder is new; if this instance is not
  *     among them, it starts as a non-voter until it is added
+ * @param formation which first voters must vote for the first leader
  * @param timing timeouts and intervals
  * @param batchBytes maximum bytes of entries in one message; a larger first entry is sent alone
  * @param chunkBytes maximum bytes of a snapshot in one message
@@ -20,6 +21,7 @@
         int groupId,
         String instance,
         List<String> initialVoters,
+        FormationRule formation,
         ReplicaTiming timing,
         int batchBytes,
         int chunkBytes,
@@ -37,16 +39,26 @@
 
     /** Returns settings with the default intervals and sizes. */
     public static GroupSettings of(int groupId, String instance, List<String> initialVoters) {
-        return of(groupId, instance, initialVoters, ReplicaTiming.DEFAULT);
+        return of(
+                groupId,
+                instance,
+                initialVoters,
+                FormationRule.ALL_FIRST_VOTERS,
+                ReplicaTiming.DEFAULT);
     }
 
-    /** Returns settings with the given intervals and the default sizes. */
+    /** Returns settings with the given formation and intervals and the default sizes. */
     public static GroupSettings of(
-            int groupId, String instance, List<String> initialVoters, ReplicaTiming timing) {
+            int groupId,
+            String instance,
+            List<String> initialVoters,
+            FormationRule formation,
+            ReplicaTiming timing) {
         return new GroupSettings(
                 groupId,
                 instance,
                 initialVoters,
+                formation,
                 timing,
                 DEFAULT_BATCH_BYTES,
                 DEFAULT_CHUNK_BYTES,
--- a/daemon/src/main/java/org/crocushaven/consensus/LeaderReplication.java
+++ b/daemon/src/main/java/org/crocushaven/consensus/LeaderReplication.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 import org.crocushaven.consensus.ReplicaState.Role;
 import org.crocushaven.storage.EntryKind;
 import org.crocushaven.storage.LogEntry;
@@ -25,8 +27,8 @@
     }
 
     /**
-     * Starts leading the current term. The first leader of a group also binds the storage
-     * identities of its voters.
+     * Starts leading the current term. While some voters are not bound to their storage identities,
+     * a leader binds those that voted for it.
      */
     void start(Map<String, Long> votes, long nowNanos) {
         peers.clear();
@@ -53,7 +55,7 @@
     /** Returns the names of voters whose replica answers with another storage identity. */
     List<String> foreignVoters() {
         return state.log().configuration().voters().stream()
-                .filter(voter -> !voter.name().equals(state.name()))
+                .filter(voter -> !voter.name().equals(state.name()) && voter.isBound())
                 .filter(
                         voter ->
                                 peer(voter.name()).hasContact()
@@ -62,6 +64,13 @@
                 .toList();
     }
 
+    /** Returns the storage identities of the voters that have answered, by name. */
+    Map<String, Long> identitiesOfAnswering() {
+        return state.log().configuration().names().stream()
+                .filter(name -> peer(name).hasContact())
+                .collect(Collectors.toMap(Function.identity(), name -> peer(name).identity()));
+    }
+
     /**
      * Returns when the lease ends, or the current time when it has expired. The lease starts at the
      * latest time such that a quorum has answered messages sent at that time or later.
--- a/daemon/src/main/java/org/crocushaven/consensus/Voter.java
+++ b/daemon/src/main/java/org/crocushaven/consensus/Voter.java
@@ -10,4 +10,9 @@
 public record Voter(String name, long identity) {
     /** Identity of a voter that is known by name only. */
     public static final long UNBOUND = 0;
+
+    /** Returns whether its storage identity is known. */
+    public boolean isBound() {
+        return identity != UNBOUND;
+    }
 }
--- a/daemon/src/main/java/org/crocushaven/consensus/VoterChanges.java
+++ b/daemon/src/main/java/org/crocushaven/consensus/VoterChanges.java
@@ -78,6 +78,23 @@
                 return;
             }
         }
+        bindVoters();
+    }
+
+    /** Binds voters that were not there when the group got its first leader, once they answer. */
+    private void bindVoters() {
+        final VoterConfiguration configuration = state.log().configuration();
+        final long committedFrom =
+                Math.max(state.termStartIndex(), state.log().configurationIndex());
+        if (state.role() != Role.LEADER
+                || configuration.isBound()
+                || state.commitIndex() < committedFrom) {
+            return;
+        }
+        final VoterConfiguration bound = configuration.bind(replication.identitiesOfAnswering());
+        if (!bound.equals(configuration)) {
+            propose(bound);
+        }
     }
 
     private void step(PendingVoterChange change, long nowNanos) {
--- a/daemon/src/main/java/org/crocushaven/consensus/VoterConfiguration.java
+++ b/daemon/src/main/java/org/crocushaven/consensus/VoterConfiguration.java
@@ -10,9 +10,9 @@
 /**
  * The voters of a group.
  *
- * <p>A new group knows its voters by name only. Its first election needs the votes of all of them,
- * and the first entry then binds each name to a storage identity. Hence a voter that has lost its
- * disk cannot form a quorum with voters that have not received any entry yet.
+ * <p>A new group knows its voters by name only. The first entry of the first leader binds the names
+ * of those that voted for it to their storage identities, and later entries bind the others, once
+ * they answer. A voter that is not bound counts in elections, but for no commit.
  *
  * @param voters the voters
  */
@@ -64,7 +64,7 @@
 
     /** Returns whether every voter's identity is known. */
     public boolean isBound() {
-        return voters.stream().noneMatch(voter -> voter.identity() == Voter.UNBOUND);
+        return voters.stream().allMatch(Voter::isBound);
     }
 
     /** Returns the number of voters in a quorum. */
@@ -80,7 +80,7 @@
     /** Returns whether the replica is a voter; unbound voters match by name only. */
     public boolean includes(String name, long identity) {
         return find(name)
-                .filter(voter -> voter.identity() == identity || voter.identity() == Voter.UNBOUND)
+                .filter(voter -> voter.identity() == identity || !voter.isBound())
                 .isPresent();
     }
 
@@ -90,24 +90,33 @@
     }
 
     /**
-     * Returns whether the votes of replicas with these identities, by name, elect a leader. While
-     * any identity is unbound, all voters must vote.
+     * Returns whether the votes of replicas with these identities, by name, elect a leader.
+     *
+     * @param formation which voters must vote while any identity is unbound
      */
-    public boolean hasElectionQuorum(Map<String, Long> identities) {
+    public boolean hasElectionQuorum(Map<String, Long> identities, FormationRule formation) {
         final long votes =
                 voters.stream()
                         .map(Voter::name)
                         .filter(identities::containsKey)
                         .filter(name -> includes(name, identities.get(name)))
                         .count();
-        return !voters.isEmpty() && votes >= (isBound() ? quorum() : voters.size());
+        final boolean majorityElects = isBound() || formation == FormationRule.MAJORITY;
+        return !voters.isEmpty() && votes >= (majorityElects ? quorum() : voters.size());
     }
 
-    /** Returns the same voters bound to these identities, by name. */
+    /** Returns the same voters, those not bound yet bound to these identities, by name. */
     public VoterConfiguration bind(Map<String, Long> identities) {
         return new VoterConfiguration(
                 voters.stream()
-                        .map(voter -> new Voter(voter.name(), identities.get(voter.name())))
+                        .map(
+                                voter ->
+                                        voter.isBound()
+                                                ? voter
+                                                : new Voter(
+                                                        voter.name(),
+                                                        identities.getOrDefault(
+                                                                voter.name(), Voter.UNBOUND)))
                         .toList());
     }
 
--- a/daemon/src/main/java/org/crocushaven/fleet/ControlInstance.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/ControlInstance.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import org.agrona.concurrent.EpochClock;
 import org.agrona.concurrent.NanoClock;
+import org.crocushaven.consensus.FormationRule;
 import org.crocushaven.consensus.GroupHost;
 import org.crocushaven.consensus.GroupRouter;
 import org.crocushaven.consensus.GroupSettings;
@@ -124,6 +125,7 @@
                         GROUP,
                         settings.instance(),
                         InitialVoters.loadOrStore(settings.dataFolder(), settings.firstVoters()),
+                        FormationRule.MAJORITY,
                         TIMING),
                 router,
                 settings.dataFolder(),
--- a/daemon/src/test/java/org/crocushaven/consensus/GroupHostTest.java
+++ b/daemon/src/test/java/org/crocushaven/consensus/GroupHostTest.java
@@ -194,6 +194,7 @@
                         0,
                         name,
                         voters,
+                        defaults.formation(),
                         defaults.timing(),
                         defaults.batchBytes(),
                         1_024,
--- a/daemon/src/test/java/org/crocushaven/consensus/ReplicaFuzzTest.java
+++ b/daemon/src/test/java/org/crocushaven/consensus/ReplicaFuzzTest.java
@@ -17,12 +17,24 @@
 
     @Test
     void keepsSafetyPropertiesUnderRandomFaults() {
+        run("replicas", FormationRule.ALL_FIRST_VOTERS);
+    }
+
+    // Guards against: a majority that forms the group elects leaders that miss what was committed.
+    @Test
+    void keepsSafetyPropertiesWhereMajorityFormsTheGroup() {
+        run("replicas-majority", FormationRule.MAJORITY);
+    }
+
+    private static void run(String name, FormationRule formation) {
         final FaultCounts<ReplicaFault> counts = FaultCounts.of(ReplicaFault.class);
         try {
             FuzzSettings.forEachCase(
-                    "replicas", CASES, seed -> new Case(new SplittableRandom(seed), counts).run());
+                    name,
+                    CASES,
+                    seed -> new Case(new SplittableRandom(seed), formation, counts).run());
         } finally {
-            counts.print("replicas");
+            counts.print(name);
         }
         if (!FuzzSettings.isSingleCase()) {
             counts.assertAllOccurred();
@@ -44,12 +56,20 @@
         private int quietSteps;
         private int lossesWhileUnbound;
 
-        private Case(SplittableRandom random, FaultCounts<ReplicaFault> counts) {
+        private Case(
+                SplittableRandom random,
+                FormationRule formation,
+                FaultCounts<ReplicaFault> counts) {
             this.random = random;
             this.counts = counts;
             this.cluster =
                     new SimulatedCluster(
-                            NAMES, VOTERS, ReplicaTiming.DEFAULT, random.split(), counts);
+                            NAMES,
+                            VOTERS,
+                            formation,
+                            ReplicaTiming.DEFAULT,
+                            random.split(),
+                            counts);
         }
 
         private void run() {
--- a/daemon/src/test/java/org/crocushaven/consensus/SimulatedCluster.java
+++ b/daemon/src/test/java/org/crocushaven/consensus/SimulatedCluster.java
@@ -22,6 +22,7 @@
     private static final long LINK_NANOS = TimeUnit.MICROSECONDS.toNanos(1_500);
     private static final long LATE_NANOS = TimeUnit.MILLISECONDS.toNanos(900);
 
+    private final FormationRule formation;
     private final ReplicaTiming timing;
     private final SplittableRandom random;
     private final FaultCounts<ReplicaFault> counts;
@@ -38,9 +39,11 @@
     SimulatedCluster(
             List<String> names,
             List<String> voters,
+            FormationRule formation,
             ReplicaTiming timing,
             SplittableRandom random,
             FaultCounts<ReplicaFault> counts) {
+        this.formation = formation;
         this.timing = timing;
         this.random = random;
         this.counts = counts;
@@ -55,7 +58,14 @@
     private void start(String name, List<String> voters) {
         final SimulatedReplica replica =
                 new SimulatedReplica(
-                        name, voters, timing, new Link(name), oracle, counts, random.split());
+                        name,
+                        voters,
+                        formation,
+                        timing,
+                        new Link(name),
+                        oracle,
+                        counts,
+                        random.split());
         replicas.put(name, replica);
         restart(replica);
     }
--- a/daemon/src/test/java/org/crocushaven/consensus/SimulatedReplica.java
+++ b/daemon/src/test/java/org/crocushaven/consensus/SimulatedReplica.java
@@ -16,7 +16,7 @@
     private static final int BATCH_BYTES = 200;
     private static final int RETAINED_ENTRIES = 5;
 
-    private final GroupSettings settings;
+    private GroupSettings settings;
     private final PeerTransport transport;
     private final ClusterOracle oracle;
     private final FaultCounts<ReplicaFault> counts;
@@ -35,21 +35,13 @@
     SimulatedReplica(
             String name,
             List<String> initialVoters,
+            FormationRule formation,
             ReplicaTiming timing,
             PeerTransport transport,
             ClusterOracle oracle,
             FaultCounts<ReplicaFault> counts,
             SplittableRandom random) {
-        this.settings =
-                new GroupSettings(
-                        0,
-                        name,
-                        initialVoters,
-                        timing,
-                        BATCH_BYTES,
-                        CHUNK_BYTES,
-                        COMPACTION_ENTRIES,
-                        RETAINED_ENTRIES);
+        this.settings = settings(name, initialVoters, formation, timing);
         this.transport = transport;
         this.oracle = oracle;
         this.counts = counts;
@@ -58,6 +50,23 @@
         this.store = new MemoryLogStore(randomIdentity(), random, counts);
     }
 
+    private static GroupSettings settings(
+            String name,
+            List<String> initialVoters,
+            FormationRule formation,
+            ReplicaTiming timing) {
+        return new GroupSettings(
+                0,
+                name,
+                initialVoters,
+                formation,
+                timing,
+                BATCH_BYTES,
+                CHUNK_BYTES,
+                COMPACTION_ENTRIES,
+                RETAINED_ENTRIES);
+    }
+
     String name() {
         return settings.instance();
     }
@@ -144,8 +153,12 @@
         loop = null;
     }
 
+    /** Loses the disk, and with it the list of first voters where that list counts only there. */
     void loseDisk() {
         counts.count(ReplicaFault.DISK_LOST);
+        if (settings.formation() == FormationRule.MAJORITY) {
+            settings = settings(name(), List.of(), settings.formation(), settings.timing());
+        }
         store = new MemoryLogStore(randomIdentity(), random, counts);
     }
 
--- a/daemon/src/test/java/org/crocushaven/consensus/VoterReplacementFuzzTest.java
+++ b/daemon/src/test/java/org/crocushaven/consensus/VoterReplacementFuzzTest.java
@@ -64,11 +64,20 @@
             this.random = random;
             this.cluster =
                     new SimulatedCluster(
-                            VOTERS, VOTERS, ReplicaTiming.FAST_FAILOVER, random.split(), counts);
+                            VOTERS,
+                            VOTERS,
+                            FormationRule.MAJORITY,
+                            ReplicaTiming.FAST_FAILOVER,
+                            random.split(),
+                            counts);
         }
 
         private void run() {
-            pass(3_000);
+            if (random.nextInt(4) == 0) {
+                disturbAndPass(loseAtFirstStart());
+            } else {
+                pass(3_000);
+            }
             cluster.setFaultChance(random.nextInt(3) * 0.01);
             for (int loss = 0; loss < LOSSES; loss++) {
                 requireAcknowledgement("before loss " + loss);
@@ -117,6 +126,12 @@
                     .isPresent();
         }
 
+        /** Loses a first voter before or just after the group has its first leader. */
+        private long loseAtFirstStart() {
+            pass(random.nextLong(1, 2_000));
+            return lose();
+        }
+
         /** Starts the successor after the loss; returns when the next loss may come. */
         private long lose() {
             anyVoter().crash();
--- a/daemon/src/test/java/org/crocushaven/fleet/VoterReplacementTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/VoterReplacementTest.java
@@ -20,14 +20,15 @@
     private static final long POLL_MILLIS = 10;
     private static final long CLOCK_STEP_MILLIS = 2_400_000;
 
+    /** Time after its start for which the predecessor of a new instance counts as lost. */
+    private static final long CATCH_UP_MILLIS = 4_000;
+
     @TempDir private Path folder;
     private ControlFleet fleet;
 
     @BeforeEach
-    void start() {
+    void createFleet() {
         fleet = new ControlFleet(folder);
-        ControlFleet.VOTERS.forEach(fleet::start);
-        awaitLeader();
     }
 
     @AfterEach
@@ -78,8 +79,18 @@
         }
     }
 
+    private void startVoters() {
+        ControlFleet.VOTERS.forEach(fleet::start);
+        awaitLeader();
+    }
+
     @Nested
     class LostVoter {
+        @BeforeEach
+        void start() {
+            startVoters();
+        }
+
         private static final long STEP_INTERVAL_MILLIS = 1_000;
         private static final long CUT_MILLIS = 1_000;
         private static final long BETWEEN_CUTS_MILLIS = 2_000;
@@ -121,10 +132,12 @@
 
     @Nested
     class RemovedVoter {
-        private static final long BETWEEN_MILLIS = 1_000;
+        @BeforeEach
+        void start() {
+            startVoters();
+        }
 
-        /** Time after its start for which the predecessor of a new instance counts as lost. */
-        private static final long CATCH_UP_MILLIS = 4_000;
+        private static final long BETWEEN_MILLIS = 1_000;
 
         // Guards against: the next permitted loss came before a removed leader was replaced.
         @Test
@@ -177,4 +190,36 @@
             }
         }
     }
+
+    @Nested
+    class FirstStart {
+        private static final String LOST = "three";
+        private static final long LIMIT_MILLIS = 12_000;
+
+        // Guards against: a voter lost at the first start kept the group from ever forming.
+        @Test
+        void groupFormsWithoutOneThatIsLost() {
+            ControlFleet.VOTERS.stream().filter(name -> !name.equals(LOST)).forEach(fleet::start);
+            fleet.start(SPARE);
+
+            final long startNanos = System.nanoTime();
+            while (!isReplaced(LOST)) {
+                assertTrue(millisSince(startNanos) < LIMIT_MILLIS, LOST + " is still a voter");
+                pause();
+            }
+        }
+
+        // Guards against: a voter that came late was never counted.
+        @Test
+        void oneThatComesLateIsNeededAndCounts() {
+            ControlFleet.VOTERS.stream().filter(name -> !name.equals(LOST)).forEach(fleet::start);
+            final String first = awaitLeader();
+            fleet.start(LOST);
+            pass(CATCH_UP_MILLIS);
+            fleet.stop(first);
+
+            awaitLeader();
+            assertTrue(fleet.voters(LOST).contains(LOST), LOST + " is no voter");
+        }
+    }
 }
