Let a request line be as long as the heads that are allowed

Seen by the review by reading: a proper request whose line is longer than 8 KiB was refused (431), although maxHeaderBytes, 16 KiB in the sheets, is all that bounds heads; such a refusal counts as DENIED.

Cause: StrictRequestDecoder had a bound of its own for the first line.

Evidence: IdleConnectionsTest.requestLineMayBeAsLongAsHeads fails before ("expected 404 but was 431"), passes now, with the 12 others of its class. Change: the configured bound holds for the line too. The product's own edge (docs/INTERFACES.md) keeps its 8,192 bytes, which are part of its interface.

--- a/daemon/src/main/java/org/crocushaven/forwarding/StrictRequestDecoder.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/StrictRequestDecoder.java
@@ -14,15 +14,12 @@
  * smuggling).
  */
 final class StrictRequestDecoder extends HttpRequestDecoder {
-    private static final int MAXIMUM_LINE_BYTES = 8 * 1024;
-
     private boolean requestBegun;
 
     StrictRequestDecoder(IngressLimits limits) {
         super(
                 new HttpDecoderConfig()
-                        .setMaxInitialLineLength(
-                                Math.min(MAXIMUM_LINE_BYTES, limits.maximumHeaderBytes()))
+                        .setMaxInitialLineLength(limits.maximumHeaderBytes())
                         .setMaxHeaderSize(limits.maximumHeaderBytes())
                         .setAllowDuplicateContentLengths(false)
                         .setStrictLineParsing(true)
--- a/daemon/src/test/java/org/crocushaven/forwarding/IdleConnectionsTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/IdleConnectionsTest.java
@@ -18,6 +18,7 @@
     private static final long SHORT_LIMIT_MILLIS = 5_000;
     private static final int SMALL_BYTES = 100;
     private static final int LARGE_BYTES = 1_000;
+    private static final int LONG_LINE_BYTES = 12_000;
     private static final int NOT_FOUND = 404;
     private static final int BODY_TOO_LARGE = 413;
     private static final int HEADERS_TOO_LARGE = 431;
@@ -155,6 +156,18 @@
             }
         }
 
+        // Guards against: a request line of more than 8 KiB was refused although heads may be larger.
+        @Test
+        void requestLineMayBeAsLongAsHeads() throws Exception {
+            limitBytes(LONG_LINE_BYTES + LARGE_BYTES, LARGE_BYTES);
+            final String path = "/chat/" + "x".repeat(LONG_LINE_BYTES);
+            try (RawClient client = RawClient.connect(port)) {
+                client.send(request(1, 0).replace("/chat/x", path));
+
+                assertEquals(NOT_FOUND, client.awaitStatus());
+            }
+        }
+
         @Test
         void openOneRefusesBodyThatIsTooLargeNow() throws Exception {
             try (RawClient client = connect()) {
