Revert "Refuse an adapter whose list of organisations is empty"

The check was wrong: examples/drewno/services/ model-dyzur/crocushaven.toml publishes a series with organisations = [], which has meant "all may use it" until now, and a build that refuses it refuses on an upgrade what accepted.

--- a/common/src/main/java/org/crocushaven/configuration/servicefile/ServiceFileChecks.java
+++ b/common/src/main/java/org/crocushaven/configuration/servicefile/ServiceFileChecks.java
@@ -18,7 +18,6 @@
 final class ServiceFileChecks {
     private static final int MAXIMUM_ROUTES = 200;
     private static final int MAXIMUM_VERSIONS = 64;
-    private static final int MAXIMUM_ORGANISATIONS = 10_000;
     private static final Pattern ADAPTER_VERSION = Pattern.compile("[^@]+@[^@]+");
 
     private ServiceFileChecks() {}
@@ -93,7 +92,6 @@
         checks.add(PatternCheck.name(table + ".versions[]"));
         checks.add(DistinctElementsCheck.ofTexts(table + ".versions"));
         checks.add(DefaultVersionCheck.of(table));
-        checks.add(SizeCheck.of(table + ".organisations", 1, MAXIMUM_ORGANISATIONS));
         checks.add(PatternCheck.name(table + ".organisations[]"));
         checks.add(DistinctElementsCheck.ofTexts(table + ".organisations"));
     }
