--- a/daemon/src/test/java/org/crocushaven/fleet/ControlInstanceTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/ControlInstanceTest.java
@@ -145,12 +145,6 @@
         }
     }
 
-    /**
-     * The leader of a moment.
-     *
-     * @param instance its name
-     * @param update its answer to a gateway that knows nothing
-     */
     @Nested
     class SoftwareVersionsInUse {
         @Test
@@ -241,5 +235,11 @@
         throw new AssertionError(backend + " is not told to gateways");
     }
 
+    /**
+     * The leader of a moment.
+     *
+     * @param instance its name
+     * @param update its answer to a gateway that knows nothing
+     */
     private record Led(String instance, GatewayUpdate update) {}
 }
--- a/daemon/src/test/java/org/crocushaven/forwarding/IdleConnectionsTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/IdleConnectionsTest.java
@@ -156,7 +156,8 @@
             }
         }
 
-        // Guards against: a request line of more than 8 KiB was refused although heads may be larger.
+        // Guards against: a request line of more than 8 KiB was refused although heads may be
+        // larger.
         @Test
         void requestLineMayBeAsLongAsHeads() throws Exception {
             limitBytes(LONG_LINE_BYTES + LARGE_BYTES, LARGE_BYTES);
