Put the constants of a test's classes before their methods

Checkstyle refused five constants of VoterReplacementTest (DeclarationOrder); the run of mvn verify without tests passes now.

--- a/daemon/src/test/java/org/crocushaven/fleet/VoterReplacementTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/VoterReplacementTest.java
@@ -86,16 +86,16 @@
 
     @Nested
     class LostVoter {
-        @BeforeEach
-        void start() {
-            startVoters();
-        }
-
         private static final long STEP_INTERVAL_MILLIS = 1_000;
         private static final long CUT_MILLIS = 1_000;
         private static final long BETWEEN_CUTS_MILLIS = 2_000;
         private static final long LIMIT_MILLIS = 12_000;
 
+        @BeforeEach
+        void start() {
+            startVoters();
+        }
+
         // Guards against: each jump of the leader's clock began the wait for a replacement anew.
         @Test
         void isReplacedWhileTheClocksAreSetForwardAgainAndAgain() {
@@ -132,13 +132,13 @@
 
     @Nested
     class RemovedVoter {
+        private static final long BETWEEN_MILLIS = 1_000;
+
         @BeforeEach
         void start() {
             startVoters();
         }
 
-        private static final long BETWEEN_MILLIS = 1_000;
-
         // Guards against: the next permitted loss came before a removed leader was replaced.
         @Test
         void leaderIsReplacedBeforeTheNextLossMayCome() {
