--- a/daemon/src/test/java/org/crocushaven/fleet/FleetStateTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/FleetStateTest.java
@@ -123,21 +123,10 @@
                         5,
                         false,
                         List.of());
-        final FleetState state = FleetState.create();
 
-        state.apply(
-                1,
-                MessageCodec.encodeValue(
-                        List.of(
-                                0,
-                                new byte[0],
-                                List.of(),
-                                List.of(),
-                                List.of(),
-                                List.of(stored),
-                                List.of())));
-
-        assertEquals(List.of(departure(BackendState.DRAINING, 20, 5)), state.departures());
+        assertEquals(
+                List.of(departure(BackendState.DRAINING, 20, 5)),
+                stateWithStored(stored).departures());
     }
 
     @Test
@@ -157,8 +146,15 @@
                         List.of(),
                         "",
                         "later");
-        final FleetState state = FleetState.create();
 
+        assertEquals(
+                List.of(departure(BackendState.DRAINING, 20, 5)),
+                stateWithStored(stored).departures());
+    }
+
+    /** Returns the state after a command that holds a departure as it was stored. */
+    private static FleetState stateWithStored(List<Object> departure) {
+        final FleetState state = FleetState.create();
         state.apply(
                 1,
                 MessageCodec.encodeValue(
@@ -168,10 +164,9 @@
                                 List.of(),
                                 List.of(),
                                 List.of(),
-                                List.of(stored),
+                                List.of(departure),
                                 List.of())));
-
-        assertEquals(List.of(departure(BackendState.DRAINING, 20, 5)), state.departures());
+        return state;
     }
 
     @Test
