--- a/daemon/src/test/java/org/crocushaven/forwarding/SilentIdleConnectionsTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/SilentIdleConnectionsTest.java
@@ -21,6 +21,7 @@
                 ForwardingFixture.withRetries(
                         RouteKind.IDEMPOTENT, ForwardingFixture.TIMEOUT_MILLIS);
         fixture.announce(server, 8);
+        fixture.nameRequestsApart();
     }
 
     @AfterEach
