Let every voter be heard by all that may lead next

Change: a voter announces itself to all voters each second, so that the evidence of every instance is its own; and a leader replaces nobody until its first messages can have been answered (250 ms).

Evidence: VoterReplacementTest.RemovedVoter.everyVoterIsHeardByThoseThatMayLeadNext fails before ("first ==> expected: <true> but was: <false>") and passes now, with the seven others of its class, ControlInstanceTest and VoterMaintenanceTest.

--- a/daemon/src/main/java/org/crocushaven/fleet/GroupMembership.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/GroupMembership.java
@@ -28,6 +28,9 @@
     private static final Duration JOIN_TIMEOUT = Duration.ofMillis(900);
     private static final long POLL_MILLIS = 20;
 
+    /** Time within which a new leader's first messages are answered; three heartbeats. */
+    private static final long ANSWER_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
     private final String instance;
     private final PeerTransport transport;
     private final EventLoop loop;
@@ -99,8 +102,8 @@
     }
 
     /**
-     * Announces this instance to the leader. An instance that is no voter, or knows no leader,
-     * announces itself to all others, so that whoever leads next knows it.
+     * Announces this instance to all voters, so that whoever leads next has heard it; while it is
+     * no voter, or knows no leader, to all others.
      */
     void join() {
         if (leaving) {
@@ -109,7 +112,9 @@
         final ControlJoin join = new ControlJoin(instance);
         final Optional<String> known = group.get().leader().filter(name -> !name.equals(instance));
         if (known.isPresent() && isVoter()) {
-            transport.send(known.get(), join);
+            voters().stream()
+                    .filter(name -> !name.equals(instance))
+                    .forEach(name -> transport.send(name, join));
             return;
         }
         for (final String other : controlInstances()) {
@@ -186,13 +191,18 @@
         group.get()
                 .contactNanos()
                 .forEach((other, atNanos) -> maintenance.contacted(other, atNanos, nowNanos));
-        if (!changingVoters && group.get().holdsLeaderLease()) {
+        if (!changingVoters && hasHeardAnswers(nowNanos)) {
             maintenance
                     .next(instance, group.get().voters(), group.get().foreignVoters())
                     .ifPresent(this::changeVoters);
         }
     }
 
+    /** Returns whether this instance leads, for so long that voters that live have answered it. */
+    private boolean hasHeardAnswers(long nowNanos) {
+        return leads() && nowNanos - group.get().leaderSinceNanos() >= ANSWER_NANOS;
+    }
+
     private void changeVoters(VoterMaintenance.Step step) {
         changingVoters = true;
         EventLine.of("voter-change-started")
--- a/daemon/src/test/java/org/crocushaven/fleet/ControlNetwork.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/ControlNetwork.java
@@ -18,6 +18,7 @@
     private final Set<String> running = ConcurrentHashMap.newKeySet();
     private final Set<String> isolated = ConcurrentHashMap.newKeySet();
     private final Set<Class<?>> lostTypes = ConcurrentHashMap.newKeySet();
+    private final Set<String> joins = ConcurrentHashMap.newKeySet();
 
     PeerTransport endpoint(String name, Executor loop) {
         final Endpoint endpoint = new Endpoint(name, loop);
@@ -49,11 +50,21 @@
         lostTypes.add(type);
     }
 
+    /** Returns whether an instance has announced itself to another. */
+    boolean hasJoined(String name, String other) {
+        return joins.contains(name + '>' + other);
+    }
+
     /** Delivers the messages of all types again. */
     void loseNothing() {
         lostTypes.clear();
     }
 
+    /** Forgets which instances have announced themselves. */
+    void forgetJoins() {
+        joins.clear();
+    }
+
     /** Sends a request from outside of the group, such as a gateway's. */
     CompletableFuture<Message> ask(String instance, Message message) {
         return endpoints.get(instance).receive("outside", message);
@@ -97,6 +108,9 @@
         }
 
         private CompletableFuture<Message> receive(String sender, Message message) {
+            if (message instanceof ControlJoin) {
+                joins.add(sender + '>' + name);
+            }
             final Message decoded =
                     MessageCodec.decode(MessageType.of(message), MessageCodec.encode(message));
             final CompletableFuture<Message> answered = new CompletableFuture<>();
--- a/daemon/src/test/java/org/crocushaven/fleet/VoterReplacementTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/VoterReplacementTest.java
@@ -163,6 +163,20 @@
             awaitReplacement(lost, startNanos);
         }
 
+        // Guards against: a new leader took a voter for silent that only the last leader had heard.
+        @Test
+        void everyVoterIsHeardByThoseThatMayLeadNext() {
+            pass(CATCH_UP_MILLIS);
+            fleet.network().forgetJoins();
+            pass(2 * BETWEEN_MILLIS);
+
+            final String leader = awaitLeader();
+            final List<String> followers =
+                    ControlFleet.VOTERS.stream().filter(name -> !name.equals(leader)).toList();
+            assertTrue(fleet.network().hasJoined(followers.get(0), followers.get(1)), "first");
+            assertTrue(fleet.network().hasJoined(followers.get(1), followers.get(0)), "second");
+        }
+
         // Guards against: a planned stop kept its vote although another instance was there.
         @Test
         void voterThatStopsAsPlannedHasNoVoteWhenItEnds() {
