Name connection and send where an answer is dropped

They named neither the connection of a send, nor what was skipped before its answer, nor the bytes that came on an idle connection after it.

Change: `foreign-answer` says which request the dropped answer names, its status, the connection and the send on it. `unasked-bytes` is new: when bytes come on an idle connection, it names the request that was answered last there, once for each connection, which is closed as before. A wrong answer that was taken for a request shows there: the true one follows it. No logic changes; fields are added at the end of the existing line.

--- a/daemon/src/main/java/org/crocushaven/forwarding/BackendAttempt.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/BackendAttempt.java
@@ -128,7 +128,10 @@
                         .filter(id -> !id.equals(forwarding.request().requestId()))
                         .isPresent();
         if (foreign) {
-            forwarding.foreignAnswerReceived(this);
+            forwarding.foreignAnswerReceived(
+                    this,
+                    new ForeignAnswer(
+                            decoded.requestId().get(), head.status().code(), channel.use()));
             return false;
         }
         status = head.status();
--- a/daemon/src/main/java/org/crocushaven/forwarding/ForwardingObserver.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/ForwardingObserver.java
@@ -70,7 +70,7 @@
      * Called when a backend server's answer carries the identifier of another request and is
      * dropped.
      */
-    void foreignAnswer(IngressRequest request, String backend, int attempt);
+    void foreignAnswer(IngressRequest request, String backend, int attempt, ForeignAnswer answer);
 
     /** Called when a request is handed over to another gateway. */
     void handedOver(IngressRequest request, String gateway, String reason);
--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
@@ -163,10 +163,10 @@
     }
 
     /** Reports an answer that carries the identifier of another request. */
-    void foreignAnswerReceived(BackendAttempt from) {
+    void foreignAnswerReceived(BackendAttempt from, ForeignAnswer answer) {
         environment
                 .observer()
-                .foreignAnswer(request(), from.target().backend().backend(), from.number());
+                .foreignAnswer(request(), from.target().backend().backend(), from.number(), answer);
     }
 
     AnswerMemory.Share newAnswerShare() {
--- a/daemon/src/main/java/org/crocushaven/instance/ForwardingLog.java
+++ b/daemon/src/main/java/org/crocushaven/instance/ForwardingLog.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import org.crocushaven.fleet.BackendRecord;
 import org.crocushaven.fleet.Trait;
+import org.crocushaven.forwarding.ForeignAnswer;
 import org.crocushaven.forwarding.ForwardingObserver;
 import org.crocushaven.forwarding.ForwardingSummary;
 import org.crocushaven.forwarding.UnfinishedWork;
@@ -237,12 +238,17 @@
     }
 
     @Override
-    public void foreignAnswer(IngressRequest request, String backend, int attempt) {
+    public void foreignAnswer(
+            IngressRequest request, String backend, int attempt, ForeignAnswer answer) {
         foreignAnswers.inc();
         EventLine.of("foreign-answer")
                 .with("request", request.requestId())
                 .with("backend", backend)
                 .with("attempt", attempt)
+                .with("answers", answer.requestId())
+                .with("status", answer.status())
+                .with("connection", answer.use().connection())
+                .with("send", answer.use().send())
                 .info();
     }
 
--- a/daemon/src/main/java/org/crocushaven/outbound/BackendChannel.java
+++ b/daemon/src/main/java/org/crocushaven/outbound/BackendChannel.java
@@ -14,6 +14,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.crocushaven.observability.EventLine;
 
 /**
  * Handles one connection to a backend server, which carries one request at a time.
@@ -29,6 +30,7 @@
 
     private final Consumer<BackendChannel> onReusable;
     private final AnswerOverhead overhead;
+    private final long number;
     private final CarriedRequests carried = new CarriedRequests();
     private Channel channel;
     private BackendAnswerListener listener;
@@ -38,16 +40,21 @@
     private boolean reusable;
     private boolean headReceived;
     private boolean answered;
+    private long sends;
+    private String lastIdentifier = "";
+    private boolean unaskedBytesReported;
     private long idleSinceNanos;
     private long keepAliveNanos = TimeUnit.SECONDS.toNanos(DEFAULT_KEEP_ALIVE_SECONDS);
 
     /**
      * Creates the handler of a connection.
      *
+     * @param number number of the connection in its pool
      * @param overhead counts what is received
      * @param onReusable is called when the connection can carry another request
      */
-    BackendChannel(AnswerOverhead overhead, Consumer<BackendChannel> onReusable) {
+    BackendChannel(long number, AnswerOverhead overhead, Consumer<BackendChannel> onReusable) {
+        this.number = number;
         this.overhead = overhead;
         this.onReusable = onReusable;
     }
@@ -57,6 +64,11 @@
         return answered;
     }
 
+    /** Returns which send on which connection the last one is. */
+    public ConnectionUse use() {
+        return new ConnectionUse(number, sends);
+    }
+
     boolean isActive() {
         return channel != null && channel.isActive();
     }
@@ -83,6 +95,8 @@
     public void send(
             String identifier, FullHttpRequest request, BackendAnswerListener answerListener) {
         carried.add(identifier);
+        lastIdentifier = identifier;
+        sends++;
         listener = answerListener;
         reusable = true;
         headReceived = false;
@@ -144,7 +158,7 @@
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
             if (listener == null) {
-                close();
+                closeForUnaskedBytes(message);
             } else {
                 read(message);
             }
@@ -156,7 +170,7 @@
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
         if (listener == null && overhead.hasBytes()) {
-            close();
+            closeForUnaskedBytes(null);
         } else if (listener != null && overhead.isExceeded()) {
             failAndClose("too many bytes beside the answer's body");
         } else if (listener != null) {
@@ -178,6 +192,23 @@
         close();
     }
 
+    /** Closes the connection since bytes came that answer nothing, and reports them once. */
+    private void closeForUnaskedBytes(Object message) {
+        if (answered && channel.isActive() && !unaskedBytesReported) {
+            unaskedBytesReported = true;
+            EventLine.of("unasked-bytes")
+                    .with("backend", channel.remoteAddress())
+                    .with("connection", number)
+                    .with("sends", sends)
+                    .with("last_request", lastIdentifier)
+                    .with(
+                            "status",
+                            message instanceof HttpResponse head ? head.status().code() : "-")
+                    .info();
+        }
+        close();
+    }
+
     private void read(Object message) {
         if (message instanceof io.netty.handler.codec.DecoderResultProvider decoded
                 && decoded.decoderResult().isFailure()) {
--- a/daemon/src/main/java/org/crocushaven/outbound/BackendPool.java
+++ b/daemon/src/main/java/org/crocushaven/outbound/BackendPool.java
@@ -49,6 +49,7 @@
     private final Map<InetSocketAddress, Deque<BackendChannel>> idle = new HashMap<>();
     private final Map<InetSocketAddress, Long> distrusted = new HashMap<>();
     private final AnswerMemory answerMemory = new AnswerMemory();
+    private long connections;
 
     private BackendPool(EventLoop loop, NanoClock clock) {
         this.loop = loop;
@@ -156,8 +157,9 @@
     private CompletableFuture<BackendChannel> connect(InetSocketAddress address) {
         final CompletableFuture<BackendChannel> opened = new CompletableFuture<>();
         final AnswerOverhead overhead = new AnswerOverhead();
+        connections++;
         final BackendChannel handler =
-                new BackendChannel(overhead, channel -> release(address, channel));
+                new BackendChannel(connections, overhead, channel -> release(address, channel));
         final Bootstrap bootstrap =
                 new Bootstrap()
                         .group(loop)
--- a/daemon/src/test/java/org/crocushaven/forwarding/IgnoringObserver.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/IgnoringObserver.java
@@ -51,7 +51,8 @@
     public void retryUnavailable(IngressRequest request, String missing) {}
 
     @Override
-    public void foreignAnswer(IngressRequest request, String backend, int attempt) {}
+    public void foreignAnswer(
+            IngressRequest request, String backend, int attempt, ForeignAnswer answer) {}
 
     @Override
     public void ended(ForwardingSummary summary) {}
