Take no answer by its place on a connection that names requests

Cause: an answer that names no request counted as the one that was due, whatever came before on its connection. A late second answer without an identifier was so passed on in place of the next request's own answer.

Change: the listener says which request an answer names, the connection decides: once an answer on it has named its request, one that names none is skipped like any other request's, and the own one is awaited. A first answer without a name is taken, since nothing can have come before it, and its connection is not used again. So a place proves something only where nothing else could have come in it. Other gateways refuse in order and without a name; their successes bear names. Engines need not name calls: there an unnamed answer is taken as before, unless that engine names them.

Tests: two stand-ins that let a connection be used again name their requests now, as backend servers do; what they check is unchanged.

--- a/daemon/src/main/java/org/crocushaven/fleet/ControlDialect.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/ControlDialect.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import org.crocushaven.ingress.IngressConfiguration;
+import org.crocushaven.outbound.AnsweredRequest;
 
 /** Encodes and decodes the calls between this system, operators and backend servers. */
 public interface ControlDialect {
@@ -23,11 +24,8 @@
     /** Encodes an order to an engine. */
     FullHttpRequest encodeOrder(String backend, EngineOrder order, OrderFence fence);
 
-    /**
-     * Returns whether an answer on an engine's connection is to another call than this order or
-     * request for a report.
-     */
-    boolean answersAnother(FullHttpRequest call, HttpResponse answer);
+    /** Returns whether an engine's answer names this order or request for a report. */
+    AnsweredRequest answeredCall(FullHttpRequest call, HttpResponse answer);
 
     /** Returns the outcome of an order, from the HTTP status of the engine's answer. */
     OrderOutcome decodeOrderAnswer(int status);
--- a/daemon/src/main/java/org/crocushaven/fleet/EngineOrderQueue.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/EngineOrderQueue.java
@@ -104,7 +104,7 @@
                     address(),
                     written,
                     timeoutMillis,
-                    head -> context.dialect().answersAnother(written, head));
+                    head -> context.dialect().answeredCall(written, head));
         } catch (RuntimeException fault) {
             EventLine.fault(fault).error();
             return CompletableFuture.failedFuture(
--- a/daemon/src/main/java/org/crocushaven/forwarding/BackendAttempt.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/BackendAttempt.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import java.util.Set;
 import org.crocushaven.outbound.AnswerMemory;
+import org.crocushaven.outbound.AnsweredRequest;
 import org.crocushaven.outbound.BackendAnswerListener;
 import org.crocushaven.outbound.BackendChannel;
 
@@ -120,20 +121,20 @@
     }
 
     @Override
-    public boolean head(HttpResponse head) {
+    public AnsweredRequest answeredRequest(HttpResponse head) {
+        return forwarding.answeredRequest(head);
+    }
+
+    @Override
+    public void answerSkipped(HttpResponse head) {
+        forwarding.heard(this);
+        forwarding.foreignAnswerReceived(this, head, channel.use());
+    }
+
+    @Override
+    public void head(HttpResponse head) {
         forwarding.heard(this);
         final BackendAnswerHead decoded = forwarding.dialect().decodeAnswer(head);
-        final boolean foreign =
-                decoded.requestId()
-                        .filter(id -> !id.equals(forwarding.request().requestId()))
-                        .isPresent();
-        if (foreign) {
-            forwarding.foreignAnswerReceived(
-                    this,
-                    new ForeignAnswer(
-                            decoded.requestId().get(), head.status().code(), channel.use()));
-            return false;
-        }
         status = head.status();
         delimited = HttpUtil.isTransferEncodingChunked(head) || HttpUtil.isContentLengthSet(head);
         headers = ForwardableHeaders.copy(head.headers(), Set.of());
@@ -156,7 +157,6 @@
             memory = forwarding.newAnswerShare();
             body = new AnswerBody(memory);
         }
-        return true;
     }
 
     @Override
--- a/daemon/src/main/java/org/crocushaven/forwarding/ForwardedRequest.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/ForwardedRequest.java
@@ -1,5 +1,6 @@
 package org.crocushaven.forwarding;
 
+import io.netty.handler.codec.http.HttpResponse;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
@@ -8,6 +9,7 @@
 import org.crocushaven.ingress.IngressRequest;
 import org.crocushaven.ingress.IngressRoute;
 import org.crocushaven.outbound.AnswerMemory;
+import org.crocushaven.outbound.AnsweredRequest;
 
 /**
  * Contains what is known of a request while it is served: its limits, its attempts and how far its
@@ -99,6 +101,20 @@
         return limit - TimeUnit.NANOSECONDS.toMillis(environment.nowNanos() - arrivedNanos);
     }
 
+    /** Returns which request an answer names by its head. */
+    AnsweredRequest answeredRequest(HttpResponse head) {
+        return environment
+                .dialect()
+                .decodeAnswer(head)
+                .requestId()
+                .map(
+                        named ->
+                                named.equals(request.requestId())
+                                        ? AnsweredRequest.OWN
+                                        : AnsweredRequest.ANOTHER)
+                .orElse(AnsweredRequest.UNNAMED);
+    }
+
     boolean isDone() {
         return done;
     }
--- a/daemon/src/main/java/org/crocushaven/forwarding/HandOver.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/HandOver.java
@@ -12,6 +12,7 @@
 import org.crocushaven.fleet.Relay;
 import org.crocushaven.ingress.IngressRequest;
 import org.crocushaven.outbound.AnswerMemory;
+import org.crocushaven.outbound.AnsweredRequest;
 import org.crocushaven.outbound.BackendAnswerListener;
 import org.crocushaven.outbound.BackendChannel;
 import org.crocushaven.result.ResultCode;
@@ -185,16 +186,17 @@
         }
     }
 
+    /** Other gateways answer in order, and name no request where they refuse one themselves. */
     @Override
-    public boolean head(HttpResponse head) {
+    public AnsweredRequest answeredRequest(HttpResponse head) {
+        final AnsweredRequest named = served.answeredRequest(head);
+        final boolean success = head.status().codeClass() == HttpStatusClass.SUCCESS;
+        return named == AnsweredRequest.UNNAMED && !success ? AnsweredRequest.OWN : named;
+    }
+
+    @Override
+    public void head(HttpResponse head) {
         final BackendAnswerHead decoded = environment.dialect().decodeAnswer(head);
-        final boolean foreign =
-                decoded.requestId()
-                        .filter(id -> !id.equals(served.request().requestId()))
-                        .isPresent();
-        if (foreign) {
-            return false;
-        }
         status = head.status();
         headers = ForwardableHeaders.copy(head.headers(), Set.of());
         signed = decoded.signed();
@@ -204,7 +206,6 @@
         } else if (!isStream()) {
             answer = new AnswerBody(memory);
         }
-        return true;
     }
 
     private boolean isSuccess() {
--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
@@ -1,10 +1,13 @@
 package org.crocushaven.forwarding;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpResponse;
 import java.util.Optional;
 import org.crocushaven.ingress.IngressRequest;
 import org.crocushaven.ingress.RouteKind;
 import org.crocushaven.outbound.AnswerMemory;
+import org.crocushaven.outbound.AnsweredRequest;
+import org.crocushaven.outbound.ConnectionUse;
 import org.crocushaven.result.ResultCode;
 import org.crocushaven.result.ResultException;
 
@@ -162,11 +165,20 @@
         environment.recordNotices(request(), from.target().backend(), head, from.sentNanos());
     }
 
-    /** Reports an answer that carries the identifier of another request. */
-    void foreignAnswerReceived(BackendAttempt from, ForeignAnswer answer) {
+    AnsweredRequest answeredRequest(HttpResponse head) {
+        return served.answeredRequest(head);
+    }
+
+    /** Reports an answer that is not to this request, though it came in its place. */
+    void foreignAnswerReceived(BackendAttempt from, HttpResponse head, ConnectionUse use) {
+        final String answered = dialect().decodeAnswer(head).requestId().orElse("-");
         environment
                 .observer()
-                .foreignAnswer(request(), from.target().backend().backend(), from.number(), answer);
+                .foreignAnswer(
+                        request(),
+                        from.target().backend().backend(),
+                        from.number(),
+                        new ForeignAnswer(answered, head.status().code(), use));
     }
 
     AnswerMemory.Share newAnswerShare() {
--- a/daemon/src/main/java/org/crocushaven/outbound/BackendAnswerListener.java
+++ b/daemon/src/main/java/org/crocushaven/outbound/BackendAnswerListener.java
@@ -5,11 +5,19 @@
 
 /** Receives the answer to one request. Called on the event loop. */
 public interface BackendAnswerListener {
-    /**
-     * Handles the head of an answer; returns false when it answers another request and must be
-     * skipped.
-     */
-    boolean head(HttpResponse head);
+    /** Returns which request an answer names by its head. */
+    AnsweredRequest answeredRequest(HttpResponse head);
+
+    /** Returns whether a connection may go on after an answer that names no request. */
+    default boolean allowsReuseUnnamed() {
+        return false;
+    }
+
+    /** Handles the head of the answer to this request. */
+    void head(HttpResponse head);
+
+    /** Called for an answer that is not to this request, which is skipped. */
+    default void answerSkipped(HttpResponse head) {}
 
     /** Handles a part of the body; the buffer is valid only during the call. */
     void content(ByteBuf data);
--- a/daemon/src/main/java/org/crocushaven/outbound/BackendCall.java
+++ b/daemon/src/main/java/org/crocushaven/outbound/BackendCall.java
@@ -9,7 +9,7 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Predicate;
+import java.util.function.Function;
 import org.crocushaven.result.ResultCode;
 import org.crocushaven.result.ResultException;
 
@@ -25,25 +25,26 @@
 
     private final CompletableFuture<Answer> answer = new CompletableFuture<>();
     private final String target;
-    private final Predicate<HttpResponse> answersAnother;
+    private final Function<HttpResponse, AnsweredRequest> named;
     private final AnswerMemory.Share memory;
     private final ByteBuf body = Unpooled.buffer();
     private BackendChannel channel;
     private int status;
 
     private BackendCall(
-            String target, AnswerMemory.Share memory, Predicate<HttpResponse> answersAnother) {
+            String target,
+            AnswerMemory.Share memory,
+            Function<HttpResponse, AnsweredRequest> named) {
         this.target = target;
         this.memory = memory;
-        this.answersAnother = answersAnother;
+        this.named = named;
     }
 
     /**
      * Sends the request. The future fails with {@code BACKEND_SERVER_FAILED} or {@code
      * BACKEND_SERVER_TIMEOUT}, which state whether the request may have reached the backend server.
      *
-     * @param answersAnother whether an answer, by its head, is to another request that used the
-     *     connection before; it is skipped
+     * @param named returns which request an answer names by its head
      */
     public static CompletableFuture<Answer> send(
             BackendPool pool,
@@ -51,12 +52,10 @@
             InetSocketAddress address,
             FullHttpRequest request,
             long timeoutMillis,
-            Predicate<HttpResponse> answersAnother) {
+            Function<HttpResponse, AnsweredRequest> named) {
         final BackendCall call =
                 new BackendCall(
-                        address.toString(),
-                        pool.answerMemory().share(MAXIMUM_ANSWER_BYTES),
-                        answersAnother);
+                        address.toString(), pool.answerMemory().share(MAXIMUM_ANSWER_BYTES), named);
         final ScheduledFuture<?> timer =
                 loop.schedule(
                         () -> call.timeOut(timeoutMillis), timeoutMillis, TimeUnit.MILLISECONDS);
@@ -83,14 +82,21 @@
     }
 
     @Override
-    public boolean head(HttpResponse head) {
-        if (answersAnother.test(head)) {
-            return false;
-        }
-        status = head.status().code();
+    public AnsweredRequest answeredRequest(HttpResponse head) {
+        return named.apply(head);
+    }
+
+    /** Engines need not name calls, whose answers are checked by the sequence of orders. */
+    @Override
+    public boolean allowsReuseUnnamed() {
         return true;
     }
 
+    @Override
+    public void head(HttpResponse head) {
+        status = head.status().code();
+    }
+
     @Override
     public void content(ByteBuf data) {
         if (!answer.isDone() && !memory.tryResize(body.readableBytes() + data.readableBytes())) {
--- a/daemon/src/main/java/org/crocushaven/outbound/BackendChannel.java
+++ b/daemon/src/main/java/org/crocushaven/outbound/BackendChannel.java
@@ -40,6 +40,7 @@
     private boolean reusable;
     private boolean headReceived;
     private boolean answered;
+    private boolean namesRequests;
     private long sends;
     private String lastIdentifier = "";
     private boolean unaskedBytesReported;
@@ -230,16 +231,31 @@
         }
         reusable &= HttpUtil.isKeepAlive(head) && isDelimited(head);
         readKeepAlive(head);
-        skippingForeignAnswer = !listener.head(head);
-        headReceived |= !skippingForeignAnswer;
+        final AnsweredRequest request = listener.answeredRequest(head);
+        skippingForeignAnswer = !isAwaited(request);
         if (skippingForeignAnswer) {
-            skipForeignAnswer(isDelimited(head));
+            skipForeignAnswer(head);
+            return;
         }
+        headReceived = true;
+        namesRequests |= request == AnsweredRequest.OWN;
+        reusable &= request == AnsweredRequest.OWN || listener.allowsReuseUnnamed();
+        listener.head(head);
+    }
+
+    /**
+     * Returns whether an answer is the one that is awaited. On a connection that has named requests
+     * before, one that names none may be a late copy of any earlier answer.
+     */
+    private boolean isAwaited(AnsweredRequest request) {
+        return request == AnsweredRequest.OWN
+                || request == AnsweredRequest.UNNAMED && !namesRequests;
     }
 
-    private void skipForeignAnswer(boolean delimited) {
+    private void skipForeignAnswer(HttpResponse head) {
         reusable = false;
-        if (!delimited) {
+        listener.answerSkipped(head);
+        if (!isDelimited(head)) {
             failAndClose("another request's answer without length");
         } else if (!foreignAnswers.tryBegin()) {
             failAndClose("too many answers to other requests");
--- a/daemon/src/main/java/org/crocushaven/outbound/DrainedAnswer.java
+++ b/daemon/src/main/java/org/crocushaven/outbound/DrainedAnswer.java
@@ -24,10 +24,13 @@
     }
 
     @Override
-    public boolean head(HttpResponse head) {
-        return true;
+    public AnsweredRequest answeredRequest(HttpResponse head) {
+        return AnsweredRequest.OWN;
     }
 
+    @Override
+    public void head(HttpResponse head) {}
+
     @Override
     public void content(ByteBuf data) {
         bytes += data.readableBytes();
--- a/daemon/src/test/java/org/crocushaven/fleet/ControlFleet.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/ControlFleet.java
@@ -17,6 +17,7 @@
 import org.agrona.concurrent.SystemNanoClock;
 import org.crocushaven.admission.ShareHolder;
 import org.crocushaven.ingress.IngressConfiguration;
+import org.crocushaven.outbound.AnsweredRequest;
 import org.crocushaven.protocol.Message;
 
 /** Runs control instances in one process on a {@link ControlNetwork}. */
@@ -182,8 +183,8 @@
         }
 
         @Override
-        public boolean answersAnother(FullHttpRequest call, HttpResponse answer) {
-            return false;
+        public AnsweredRequest answeredCall(FullHttpRequest call, HttpResponse answer) {
+            return AnsweredRequest.UNNAMED;
         }
 
         @Override
--- a/daemon/src/test/java/org/crocushaven/fleet/EngineOrderQueueTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/EngineOrderQueueTest.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.TimeUnit;
 import org.agrona.concurrent.SystemNanoClock;
 import org.crocushaven.ingress.IngressConfiguration;
+import org.crocushaven.outbound.AnsweredRequest;
 import org.crocushaven.outbound.BackendPool;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -144,8 +145,8 @@
         }
 
         @Override
-        public boolean answersAnother(FullHttpRequest call, HttpResponse answer) {
-            return false;
+        public AnsweredRequest answeredCall(FullHttpRequest call, HttpResponse answer) {
+            return AnsweredRequest.UNNAMED;
         }
 
         @Override
--- a/daemon/src/test/java/org/crocushaven/forwarding/EndlessAnswersTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/EndlessAnswersTest.java
@@ -172,7 +172,9 @@
             fixture.occupy("endless", 2 * SLOTS);
             final ForwardingFixture.RecordedAnswer refused = fixture.start();
             final StandInServer.Exchange connection = sound.awaitRequest();
-            connection.write("HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 4\r\n\r\n");
+            connection.write(
+                    "HTTP/1.1 503 Busy\r\nRequest-Id: request-1\r\nNot-Run: 1\r\n"
+                            + "Content-Length: 4\r\n\r\n");
             assertEquals("refused QUEUE_FULL", refused.awaitEnd());
 
             connection.write("busy");
--- a/daemon/src/test/java/org/crocushaven/forwarding/SilentIdleConnectionsTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/SilentIdleConnectionsTest.java
@@ -36,9 +36,11 @@
             fixture.start();
             exchanges[number] = server.awaitRequest();
         }
-        for (final StandInServer.Exchange exchange : exchanges) {
-            exchange.write(
-                    "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=60\r\nContent-Length: 2\r\n\r\nok");
+        for (int number = 0; number < CONNECTIONS; number++) {
+            exchanges[number].write(
+                    "HTTP/1.1 200 OK\r\nRequest-Id: request-"
+                            + (number + 1)
+                            + "\r\nKeep-Alive: timeout=60\r\nContent-Length: 2\r\n\r\nok");
         }
         fixture.awaitBytes();
     }
--- a/daemon/src/test/java/org/crocushaven/outbound/BackendCallTest.java
+++ b/daemon/src/test/java/org/crocushaven/outbound/BackendCallTest.java
@@ -65,7 +65,7 @@
                                                 "/report",
                                                 Unpooled.EMPTY_BUFFER),
                                         timeoutMillis,
-                                        head -> false))
+                                        head -> AnsweredRequest.UNNAMED))
                 .get();
     }
 
@@ -93,7 +93,10 @@
                                                     "/order",
                                                     Unpooled.EMPTY_BUFFER),
                                             LONG_TIMEOUT_MILLIS,
-                                            head -> !id.equals(head.headers().get("Id"))))
+                                            head ->
+                                                    id.equals(head.headers().get("Id"))
+                                                            ? AnsweredRequest.OWN
+                                                            : AnsweredRequest.ANOTHER))
                     .get();
         }
 
