Remember the requests of a connection by time, not by number

Cause: a connection carries an identifier once, but remembered the last 64 only; a busy one carries more within the life of a request.

Change: two sets of hashes, exchanged every five minutes, so that nothing is forgotten within five; a hash met by chance costs a new connection. At the target (33 requests a second for an instance) that is 20,000 hashes over all connections. The channel takes its time from the pool's clock now, which judges it.

Measured: RepeatedRequestTest, CarriedRequestsTest (4), LateCopyOfRefusal, UnnamedAnswers and SilentIdleConnections pass.

--- a/daemon/src/main/java/org/crocushaven/outbound/BackendChannel.java
+++ b/daemon/src/main/java/org/crocushaven/outbound/BackendChannel.java
@@ -14,6 +14,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.agrona.concurrent.NanoClock;
 import org.crocushaven.observability.EventLine;
 
 /**
@@ -31,7 +32,8 @@
     private final Consumer<BackendChannel> onReusable;
     private final AnswerOverhead overhead;
     private final long number;
-    private final CarriedRequests carried = new CarriedRequests();
+    private final NanoClock clock;
+    private final CarriedRequests carried;
     private Channel channel;
     private BackendAnswerListener listener;
     private ForeignAnswers foreignAnswers;
@@ -54,8 +56,14 @@
      * @param overhead counts what is received
      * @param onReusable is called when the connection can carry another request
      */
-    BackendChannel(long number, AnswerOverhead overhead, Consumer<BackendChannel> onReusable) {
+    BackendChannel(
+            long number,
+            NanoClock clock,
+            AnswerOverhead overhead,
+            Consumer<BackendChannel> onReusable) {
         this.number = number;
+        this.clock = clock;
+        this.carried = new CarriedRequests(clock.nanoTime());
         this.overhead = overhead;
         this.onReusable = onReusable;
     }
@@ -95,7 +103,7 @@
      */
     public void send(
             String identifier, FullHttpRequest request, BackendAnswerListener answerListener) {
-        carried.add(identifier);
+        carried.add(identifier, clock.nanoTime());
         lastIdentifier = identifier;
         sends++;
         listener = answerListener;
@@ -290,7 +298,7 @@
         listener = null;
         overhead.begin();
         answered = true;
-        idleSinceNanos = System.nanoTime();
+        idleSinceNanos = clock.nanoTime();
         if (reusable && channel.isActive()) {
             channel.config().setAutoRead(true);
             onReusable.accept(this);
--- a/daemon/src/main/java/org/crocushaven/outbound/BackendPool.java
+++ b/daemon/src/main/java/org/crocushaven/outbound/BackendPool.java
@@ -159,7 +159,8 @@
         final AnswerOverhead overhead = new AnswerOverhead();
         connections++;
         final BackendChannel handler =
-                new BackendChannel(connections, overhead, channel -> release(address, channel));
+                new BackendChannel(
+                        connections, clock, overhead, channel -> release(address, channel));
         final Bootstrap bootstrap =
                 new Bootstrap()
                         .group(loop)
--- a/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
@@ -152,6 +152,11 @@
         namedApart = true;
     }
 
+    /** Gives the next requests the identifiers of the first ones again. */
+    void nameRequestsAgain() {
+        requests = 0;
+    }
+
     /** Makes all requests take up a stream of which this gateway knows nothing. */
     void takeUpStreams() {
         lastEventId = Optional.of("1");
