Let the stand-ins that keep connections share their server

CopyingBackend and KeptConnectionBackend each had the same loop of accepting and reading; KeptConnectionServer has it now, and each gives the script of a connection. What the tests check is unchanged.

--- a/daemon/src/test/java/org/crocushaven/forwarding/CopyingBackend.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/CopyingBackend.java
@@ -1,12 +1,6 @@
 package org.crocushaven.forwarding;
 
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
-import java.net.InetAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -19,21 +13,20 @@
     /** Identifier of all requests of {@link ForwardingFixture}. */
     private static final String IDENTIFIER = ChatRequestBuilder.plain().build().requestId();
 
-    private final ServerSocket listener;
+    private final KeptConnectionServer server;
     private final BlockingQueue<Integer> refusals = new LinkedBlockingQueue<>();
     private final AtomicInteger runs = new AtomicInteger();
 
-    private CopyingBackend(ServerSocket listener) {
-        this.listener = listener;
-        startThread(this::acceptAll);
+    private CopyingBackend() throws IOException {
+        server = KeptConnectionServer.start(Copies::new);
     }
 
     static CopyingBackend start() throws IOException {
-        return new CopyingBackend(new ServerSocket(0, 50, InetAddress.getLoopbackAddress()));
+        return new CopyingBackend();
     }
 
     int port() {
-        return listener.getLocalPort();
+        return server.port();
     }
 
     /** Refuses the next request, as not run, with the given status. */
@@ -48,73 +41,28 @@
 
     @Override
     public void close() throws IOException {
-        listener.close();
-    }
-
-    private void acceptAll() {
-        while (!listener.isClosed()) {
-            try {
-                final Socket socket = listener.accept();
-                startThread(() -> serve(socket));
-            } catch (IOException closed) {
-                continue;
-            }
-        }
-    }
-
-    private void serve(Socket socket) {
-        try (socket) {
-            final BufferedReader reader =
-                    new BufferedReader(
-                            new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
-            String before = "";
-            while (readRequest(reader)) {
-                final String answer = answer();
-                write(socket, before + answer);
-                before = answer;
-            }
-        } catch (IOException closed) {
-            return;
-        }
+        server.close();
     }
 
     private String answer() {
         final Integer refusal = refusals.poll();
         if (refusal != null) {
-            return head(refusal, "Not-Run: 1\r\n", 0);
+            return KeptConnectionBackend.named(IDENTIFIER, refusal, "Not-Run: 1\r\n", "");
         }
         runs.incrementAndGet();
-        return head(200, "", 4) + "done";
+        return KeptConnectionBackend.named(IDENTIFIER, 200, "", "done");
     }
 
-    private static String head(int status, String headers, int length) {
-        return "HTTP/1.1 "
-                + status
-                + " Status\r\nRequest-Id: "
-                + IDENTIFIER
-                + "\r\n"
-                + headers
-                + "Content-Length: "
-                + length
-                + "\r\n\r\n";
-    }
-
-    private static void write(Socket socket, String text) throws IOException {
-        socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
-        socket.getOutputStream().flush();
-    }
+    /** Writes each answer of a connection, and a copy of it in front of the next one. */
+    private final class Copies implements KeptConnectionServer.Script {
+        private String before = "";
 
-    private static boolean readRequest(BufferedReader reader) throws IOException {
-        String line = reader.readLine();
-        while (line != null && !line.isEmpty()) {
-            line = reader.readLine();
+        @Override
+        public String next() {
+            final String answer = answer();
+            final String written = before + answer;
+            before = answer;
+            return written;
         }
-        return line != null;
-    }
-
-    private static void startThread(Runnable task) {
-        final Thread thread = new Thread(task, "copying-backend");
-        thread.setDaemon(true);
-        thread.start();
     }
 }
--- a/daemon/src/test/java/org/crocushaven/forwarding/KeptConnectionBackend.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/KeptConnectionBackend.java
@@ -1,12 +1,6 @@
 package org.crocushaven.forwarding;
 
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
-import java.net.InetAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -17,18 +11,17 @@
  * has queued for it, whatever they are.
  */
 final class KeptConnectionBackend implements AutoCloseable {
-    private final ServerSocket listener;
+    private final KeptConnectionServer server;
     private final BlockingQueue<String> answers = new LinkedBlockingQueue<>();
     private final AtomicInteger requests = new AtomicInteger();
     private final AtomicInteger connections = new AtomicInteger();
 
-    private KeptConnectionBackend(ServerSocket listener) {
-        this.listener = listener;
-        startThread(this::acceptAll);
+    private KeptConnectionBackend() throws IOException {
+        server = KeptConnectionServer.start(this::opened);
     }
 
     static KeptConnectionBackend start() throws IOException {
-        return new KeptConnectionBackend(new ServerSocket(0, 50, InetAddress.getLoopbackAddress()));
+        return new KeptConnectionBackend();
     }
 
     /** Returns an answer that names its request. */
@@ -49,7 +42,7 @@
     }
 
     int port() {
-        return listener.getLocalPort();
+        return server.port();
     }
 
     /** Queues the bytes that are written for the next request, in one packet. */
@@ -69,59 +62,24 @@
 
     @Override
     public void close() throws IOException {
-        listener.close();
+        server.close();
     }
 
-    private void acceptAll() {
-        while (!listener.isClosed()) {
-            try {
-                final Socket socket = listener.accept();
-                connections.incrementAndGet();
-                startThread(() -> serve(socket));
-            } catch (IOException closed) {
-                continue;
-            }
-        }
-    }
-
-    private void serve(Socket socket) {
-        try (socket) {
-            final BufferedReader reader =
-                    new BufferedReader(
-                            new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
-            while (readRequest(reader)) {
-                requests.incrementAndGet();
-                socket.getOutputStream().write(nextAnswer());
-                socket.getOutputStream().flush();
-            }
-        } catch (IOException closed) {
-            return;
-        }
+    private KeptConnectionServer.Script opened() {
+        connections.incrementAndGet();
+        return this::nextAnswer;
     }
 
-    private byte[] nextAnswer() throws IOException {
+    private String nextAnswer() throws IOException {
+        requests.incrementAndGet();
         try {
             final String next = answers.poll(ForwardingFixture.AWAIT_MILLIS, TimeUnit.MILLISECONDS);
             if (next == null) {
                 throw new IOException("no answer is queued");
             }
-            return next.getBytes(StandardCharsets.US_ASCII);
+            return next;
         } catch (InterruptedException stopped) {
             throw new IOException(stopped);
         }
     }
-
-    private static boolean readRequest(BufferedReader reader) throws IOException {
-        String line = reader.readLine();
-        while (line != null && !line.isEmpty()) {
-            line = reader.readLine();
-        }
-        return line != null;
-    }
-
-    private static void startThread(Runnable task) {
-        final Thread thread = new Thread(task, "kept-connection-backend");
-        thread.setDaemon(true);
-        thread.start();
-    }
 }
