--- a/daemon/src/main/java/org/crocushaven/outbound/BackendChannel.java
+++ b/daemon/src/main/java/org/crocushaven/outbound/BackendChannel.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -31,6 +32,7 @@
 
     private final Consumer<BackendChannel> onReusable;
     private final AnswerOverhead overhead;
+    private final AnswerDecoder decoder;
     private final long number;
     private final NanoClock clock;
     private final CarriedRequests carried;
@@ -53,18 +55,22 @@
      * Creates the handler of a connection.
      *
      * @param number number of the connection in its pool
+     * @param clock clock of the pool
      * @param overhead counts what is received
+     * @param decoder decodes the answers
      * @param onReusable is called when the connection can carry another request
      */
     BackendChannel(
             long number,
             NanoClock clock,
             AnswerOverhead overhead,
+            AnswerDecoder decoder,
             Consumer<BackendChannel> onReusable) {
         this.number = number;
         this.clock = clock;
         this.carried = new CarriedRequests(clock.nanoTime());
         this.overhead = overhead;
+        this.decoder = decoder;
         this.onReusable = onReusable;
     }
 
@@ -110,6 +116,7 @@
         reusable = true;
         headReceived = false;
         overhead.begin();
+        decoder.expectAnswer(request.method().equals(HttpMethod.HEAD));
         skippingForeignAnswer = false;
         foreignAnswers =
                 new ForeignAnswers(
