Give requests without identifier connections of their own

Since an answer without a name is skipped on a connection whose answers named theirs.

- A request that its client gave no identifier is answered without one, so it gets a new connection, on which nothing can have come before.

--- a/daemon/src/main/java/org/crocushaven/forwarding/AttemptSender.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/AttemptSender.java
@@ -39,10 +39,9 @@
     void send(BackendAttempt attempt) {
         final BackendRecord backend = attempt.target().backend();
         environment
-                .pool()
-                .acquire(
+                .connectionFor(
+                        request,
                         new InetSocketAddress(backend.host(), backend.port()),
-                        request.requestId(),
                         !admission.route().isRetryable())
                 .whenComplete(
                         (channel, failure) -> {
--- a/daemon/src/main/java/org/crocushaven/forwarding/ForwardingEnvironment.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/ForwardingEnvironment.java
@@ -1,12 +1,15 @@
 package org.crocushaven.forwarding;
 
 import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
 import org.agrona.concurrent.NanoClock;
 import org.crocushaven.fleet.BackendRecord;
 import org.crocushaven.ingress.IngressConfiguration;
 import org.crocushaven.ingress.IngressRequest;
+import org.crocushaven.outbound.BackendChannel;
 import org.crocushaven.outbound.BackendPool;
 
 /**
@@ -58,6 +61,19 @@
         return clock.nanoTime();
     }
 
+    /**
+     * Returns a connection for a request; one without identifier gets a new one, since only the
+     * place of its answer says what it answers.
+     *
+     * @param freshOnly whether an idle connection must not be one that may be about to be closed
+     */
+    CompletableFuture<BackendChannel> connectionFor(
+            IngressRequest request, InetSocketAddress address, boolean freshOnly) {
+        return request.isNamed()
+                ? pool.acquire(address, request.requestId(), freshOnly)
+                : pool.connect(address);
+    }
+
     /**
      * Records what a backend server says of itself in an answer, and reports what is new.
      *
--- a/daemon/src/main/java/org/crocushaven/forwarding/HandOver.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/HandOver.java
@@ -100,11 +100,7 @@
         environment.relays().requestStarted(chosen);
         environment.observer().handedOver(served.request(), chosen.gateway(), reason);
         environment
-                .pool()
-                .acquire(
-                        addressOf(chosen),
-                        served.request().requestId(),
-                        !served.route().isRetryable())
+                .connectionFor(served.request(), addressOf(chosen), !served.route().isRetryable())
                 .whenComplete(
                         (opened, failure) ->
                                 end.orAfterFault(() -> connected(chosen, opened, failure)));
--- a/daemon/src/main/java/org/crocushaven/ingress/IngressRequest.java
+++ b/daemon/src/main/java/org/crocushaven/ingress/IngressRequest.java
@@ -43,10 +43,18 @@
         Optional<String> lastEventId,
         Optional<String> resumedRequestId,
         OptionalInt relayedAttempts) {
+    /** Stands for the identifier where a client sends none. */
+    public static final String UNNAMED = "-";
+
     public IngressRequest {
         promptParts = List.copyOf(promptParts);
     }
 
+    /** Returns whether the client has given the request an identifier. */
+    public boolean isNamed() {
+        return !requestId.equals(UNNAMED);
+    }
+
     /** Returns whether another gateway has handed the request over. */
     public boolean isRelayed() {
         return relayedAttempts.isPresent();
--- a/daemon/src/main/java/org/crocushaven/outbound/BackendPool.java
+++ b/daemon/src/main/java/org/crocushaven/outbound/BackendPool.java
@@ -152,7 +152,8 @@
         return channel.isActive() && idleNanos < (freshOnly ? bound / 2 : bound);
     }
 
-    private CompletableFuture<BackendChannel> connect(InetSocketAddress address) {
+    /** Opens a connection for a request whose answer only its place can name. */
+    public CompletableFuture<BackendChannel> connect(InetSocketAddress address) {
         final CompletableFuture<BackendChannel> opened = new CompletableFuture<>();
         final AnswerOverhead overhead = new AnswerOverhead();
         final AnswerDecoder decoder = AnswerDecoder.of(MAXIMUM_HEADER_BYTES);
--- a/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
@@ -83,6 +83,7 @@
     private Optional<String> lastEventId = Optional.empty();
     private boolean sharesGranted = true;
     private volatile boolean namedApart;
+    private volatile boolean unnamed;
     private int requests;
     private volatile IngressConfiguration configuration;
     private volatile long passedNanos;
@@ -157,6 +158,11 @@
         requests = 0;
     }
 
+    /** Gives the next requests no identifiers. */
+    void nameNoRequests() {
+        unnamed = true;
+    }
+
     /** Makes all requests take up a stream of which this gateway knows nothing. */
     void takeUpStreams() {
         lastEventId = Optional.of("1");
@@ -440,9 +446,16 @@
         return admission;
     }
 
+    private String nextName() {
+        if (unnamed) {
+            return IngressRequest.UNNAMED;
+        }
+        return namedApart ? "request-" + ++requests : "request";
+    }
+
     private IngressRequest request() {
         return ChatRequestBuilder.plain()
-                .named(namedApart ? "request-" + ++requests : "request")
+                .named(nextName())
                 .model(model)
                 .key(KEY)
                 .promptParts(promptParts)
--- a/daemon/src/test/java/org/crocushaven/forwarding/UnnamedAnswersTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/UnnamedAnswersTest.java
@@ -109,4 +109,17 @@
             assertEquals(2, backend.connections());
         }
     }
+
+    @Nested
+    class OfRequestsWithoutName {
+        // Guards against: a request without identifier never got its answer, which bears none.
+        @Test
+        void areTakenOnConnectionsOfTheirOwn() throws Exception {
+            serveFirst(RouteKind.NON_IDEMPOTENT);
+            fixture.nameNoRequests();
+
+            assertEquals("200 own", second(unnamed(200, "", "own")));
+            assertEquals(2, backend.connections());
+        }
+    }
 }
