Show that an answer cut within its head is never passed on as whole

After a reset at once, the kernel may drop what was unread, so the resets check the end, and not surely each prefix.

--- a/daemon/src/test/java/org/crocushaven/backend/HttpBackendClientTest.java
+++ b/daemon/src/test/java/org/crocushaven/backend/HttpBackendClientTest.java
@@ -34,6 +34,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class HttpBackendClientTest {
     private static final AdapterVersion VERSION = AdapterVersion.of("dyzur", "2");
@@ -333,6 +335,37 @@
         }
     }
 
+    @Nested
+    class CutAnswers {
+        // Guards against: an answer that was cut within its head ended as whole.
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "Content-Length: 3\r\n\r\nown",
+                    "Transfer-Encoding: chunked\r\n\r\n3\r\nown\r\n0\r\n\r\n",
+                    "\r\n",
+                })
+        void areNeverWhole(String rest) throws Exception {
+            final String answer = "HTTP/1.1 200 OK\r\n" + ECHO + rest;
+            for (int cut = 0; cut < answer.length(); cut++) {
+                assertCutFails(answer.substring(0, cut), false);
+                assertCutFails(answer.substring(0, cut), true);
+            }
+        }
+
+        private void assertCutFails(String bytes, boolean reset) throws Exception {
+            final Recorder recorder = send("r1");
+            final ScriptedServer.Received received = engine.next().answer(bytes);
+            if (reset) {
+                received.socket().setSoLinger(true, 0);
+            }
+            received.closeConnection();
+
+            recorder.failure();
+            assertTrue(recorder.events.stream().noneMatch(event -> event.startsWith("end")));
+        }
+    }
+
     @Nested
     class Failures {
         @Test
--- a/daemon/src/test/java/org/crocushaven/forwarding/PairedGateway.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/PairedGateway.java
@@ -126,6 +126,12 @@
                 .get();
     }
 
+    /** Lets this gateway know only of another one, at the given port. */
+    void introduceAt(int otherPort) throws Exception {
+        final Relay other = new Relay("another", "127.0.0.1:" + otherPort, List.of());
+        loop.submit(() -> relays.apply(List.of(other))).get();
+    }
+
     /** Lets this gateway know only of another one that reaches the service no more than it does. */
     void knowOnlyAnotherWithoutPaths() throws Exception {
         final Relay other = new Relay("another", "127.0.0.1:" + port, List.of(GatewayPair.SERVICE));
--- a/daemon/src/test/java/org/crocushaven/outbound/BackendCallTest.java
+++ b/daemon/src/test/java/org/crocushaven/outbound/BackendCallTest.java
@@ -25,12 +25,15 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.agrona.concurrent.SystemNanoClock;
+import org.crocushaven.forwarding.CuttingServer;
 import org.crocushaven.forwarding.EndlessServer;
 import org.crocushaven.result.ResultCode;
 import org.crocushaven.result.ResultException;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class BackendCallTest {
     private static final long AWAIT_SECONDS = 10;
@@ -77,6 +80,37 @@
         }
     }
 
+    @Nested
+    class CutAnswers {
+        private static final String HEAD = "HTTP/1.1 200 OK\r\nId: 1\r\n";
+
+        // Guards against: an engine's answer that was cut within its head counted as a success.
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "Content-Length: 3\r\n\r\nown",
+                    "Transfer-Encoding: chunked\r\n\r\n3\r\nown\r\n0\r\n\r\n",
+                    "\r\n",
+                })
+        void areFailures(String rest) throws Exception {
+            final String answer = HEAD + rest;
+            try (CuttingServer server = CuttingServer.start()) {
+                for (final CuttingServer.End end : CuttingServer.End.values()) {
+                    for (int cut = 0; cut < answer.length(); cut++) {
+                        server.answer(answer.substring(0, cut), end);
+                        final CompletableFuture<BackendCall.Answer> received =
+                                call(server.port(), LONG_TIMEOUT_MILLIS);
+                        assertThrows(
+                                ExecutionException.class,
+                                () -> received.get(AWAIT_SECONDS, TimeUnit.SECONDS),
+                                end + " after " + cut + " bytes");
+                    }
+                }
+                assertEquals(2 * answer.length(), server.requests());
+            }
+        }
+    }
+
     @Nested
     class HeadRequests {
         private CompletableFuture<BackendCall.Answer> call(int port) throws Exception {
