End a begun stream, rather than deliver another gateway's error in it

Cause: HandOver.deliver wrote the whole answer, head and body, whatever the client had before. Here no byte of it reached a client, only because the encoder throws on a second head and the connection is closed then. The request was logged as served (OK or RELAY_REFUSED). By reading: a pipelined request was begun on a connection that was lost.

Change: in a begun stream such an answer ends the request as incomplete, with an abrupt end. A hand-over whose answer is complete also gives its connection up at once: it may carry another request by then, which the end of this one would have closed (by reading).

--- a/daemon/src/main/java/org/crocushaven/forwarding/HandOver.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/HandOver.java
@@ -258,6 +258,7 @@
 
     @Override
     public void complete() {
+        channel = null;
         if (answer == null) {
             streamEnded();
         } else if (!signed && environment.dialect().isPromise(status) && mayAskAnother()) {
@@ -289,6 +290,13 @@
     }
 
     private void deliver() {
+        if (served.isStreamStarted()) {
+            environment
+                    .observer()
+                    .handOverFailed(served.request(), relay.gateway(), "answer is not a stream");
+            end.giveUp();
+            return;
+        }
         if (!signed && environment.dialect().isPromise(status) && served.retries().mayHaveRun()) {
             end.giveUp();
             return;
@@ -300,7 +308,6 @@
 
     private void finish() {
         final ResultCode code = signed ? ResultCode.OK : ResultCode.RELAY_REFUSED;
-        channel = null;
         end.finish(code, status.code(), "served through " + relay.gateway());
     }
 
