Take an answer as the rest of a stream only if it is such a stream

Cause: on a route of streams every signed 2xx counted as a stream. A body of another type that contains an empty line was cut into "events" and passed on after those of the first server; its end was the stream's end.

Change: once a stream goes to the client, an answer goes on with it only with the status and the media type with which it began. Any other one is a failed attempt, like an error, before a byte of it is forwarded.

--- a/daemon/src/main/java/org/crocushaven/forwarding/BackendAttempt.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/BackendAttempt.java
@@ -148,6 +148,9 @@
         } else if (success && !decoded.signed()) {
             abort();
             forwarding.handleFailure(this, true, "unsigned answer");
+        } else if (success && !forwarding.mayGoOnWith(status, headers)) {
+            abort();
+            forwarding.handleFailure(this, true, "answer is not a stream");
         } else if (success && forwarding.isStream()) {
             answerKind = AnswerKind.EVENT_STREAM;
             memory = forwarding.newAnswerShare();
--- a/daemon/src/main/java/org/crocushaven/forwarding/ForwardedRequest.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/ForwardedRequest.java
@@ -1,9 +1,14 @@
 package org.crocushaven.forwarding;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import org.crocushaven.fleet.BackendRecord;
 import org.crocushaven.ingress.IngressRequest;
@@ -32,6 +37,8 @@
     private long adapterWaitMillis;
     private int requestsAtBackend;
     private boolean streamStarted;
+    private HttpResponseStatus streamStatus;
+    private String streamMediaType;
     private boolean done;
     private long firstByteNanos;
 
@@ -143,8 +150,25 @@
         return streamStarted;
     }
 
-    void recordStreamStarted() {
+    /** Records that a stream with the given head goes to the client. */
+    void recordStreamStarted(HttpResponseStatus status, HttpHeaders headers) {
         streamStarted = true;
+        streamStatus = status;
+        streamMediaType = mediaType(headers);
+    }
+
+    /** Returns whether an answer with the given head may go on with what the client has. */
+    boolean mayGoOnWith(HttpResponseStatus status, HttpHeaders headers) {
+        return !streamStarted
+                || status.equals(streamStatus) && mediaType(headers).equals(streamMediaType);
+    }
+
+    private static String mediaType(HttpHeaders headers) {
+        final String type = headers.get(HttpHeaderNames.CONTENT_TYPE, "");
+        final CharSequence withoutParameters = HttpUtil.getMimeType(type);
+        return withoutParameters == null
+                ? ""
+                : withoutParameters.toString().trim().toLowerCase(Locale.ROOT);
     }
 
     /** Returns the time of the answer's first byte; 0 while there is none. */
--- a/daemon/src/main/java/org/crocushaven/forwarding/HandOver.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/HandOver.java
@@ -203,6 +203,8 @@
         memory = served.answerShare(AnswerMemory.MAXIMUM_ANSWER_BYTES);
         if (isSuccess() && !signed) {
             fail("unsigned answer");
+        } else if (isSuccess() && !served.mayGoOnWith(status, headers)) {
+            fail("answer is not a stream");
         } else if (!isStream()) {
             answer = new AnswerBody(memory);
         }
@@ -234,7 +236,7 @@
             return;
         }
         if (!served.isStreamStarted()) {
-            served.recordStreamStarted();
+            served.recordStreamStarted(status, headers);
             served.recordFirstByte();
             client.startStream(status, headers);
         }
@@ -282,7 +284,7 @@
             return;
         }
         if (!served.isStreamStarted()) {
-            served.recordStreamStarted();
+            served.recordStreamStarted(status, headers);
             client.startStream(status, headers);
         }
         client.endStream();
--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestForwarding.java
@@ -1,7 +1,9 @@
 package org.crocushaven.forwarding;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Optional;
 import org.crocushaven.ingress.IngressRequest;
 import org.crocushaven.ingress.RouteKind;
@@ -98,6 +100,11 @@
         return served.route().kind() == RouteKind.STREAM;
     }
 
+    /** Returns whether an answer with the given head may go on with what the client has. */
+    boolean mayGoOnWith(HttpResponseStatus status, HttpHeaders headers) {
+        return served.mayGoOnWith(status, headers);
+    }
+
     long arrivedNanos() {
         return served.arrivedNanos();
     }
--- a/daemon/src/main/java/org/crocushaven/forwarding/StreamForwarding.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/StreamForwarding.java
@@ -52,7 +52,7 @@
     }
 
     private void firstEventReceived(BackendAttempt from) {
-        served.recordStreamStarted();
+        served.recordStreamStarted(from.status(), from.headers());
         served.recordFirstByte();
         final String backend = from.target().backend().backend();
         served.continuation().firstEventReceived(from.target().backend());
@@ -106,7 +106,7 @@
             return;
         }
         if (!served.isStreamStarted()) {
-            served.recordStreamStarted();
+            served.recordStreamStarted(from.status(), from.headers());
             client.startStream(from.status(), from.headers());
         }
         failures.answerEnded(from);
