Take a begun stream's end only from a server that brought events of it

Cause: the next server's answer without any event (an empty body, or one that only repeats what the client has) ended the stream. Through another gateway also an answer that left events out did so, when its end came in the same read: the check for missing events ran at the end of a read only.

Change: an answer that goes on with a begun stream and brings no event is a failed attempt ("stream ended without an event"); HandOver checks for missing events also at the end of an answer. A stream of which only the end was missing is now cut, and its client takes it up again: nothing tells such an end from an empty answer.

--- a/daemon/src/main/java/org/crocushaven/forwarding/HandOver.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/HandOver.java
@@ -44,6 +44,7 @@
     private AnswerMemory.Share memory;
     private AnswerBody answer;
     private boolean sent;
+    private long eventsBefore;
 
     HandOver(
             ForwardedRequest served,
@@ -96,6 +97,7 @@
     private void start(Relay chosen, String reason) {
         relay = chosen;
         tried.add(chosen.gateway());
+        eventsBefore = succession.splitter().eventCount();
         served.admission().refund();
         environment.relays().requestStarted(chosen);
         environment.observer().handedOver(served.request(), chosen.gateway(), reason);
@@ -279,10 +281,15 @@
     }
 
     private void streamEnded() {
-        if (succession.splitter().hasPartialEvent()) {
+        final EventSplitter splitter = succession.splitter();
+        if (splitter.hasPartialEvent() || splitter.isBroken()) {
             failed(true, "stream ended within an event");
             return;
         }
+        if (served.isStreamStarted() && splitter.eventCount() == eventsBefore) {
+            failed(true, "stream ended without an event");
+            return;
+        }
         if (!served.isStreamStarted()) {
             served.recordStreamStarted(status, headers);
             client.startStream(status, headers);
--- a/daemon/src/main/java/org/crocushaven/forwarding/StreamForwarding.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/StreamForwarding.java
@@ -96,7 +96,8 @@
             failures.attemptFailed(from, true, "stream ended within an event");
             return;
         }
-        if (from == served.attempts().replacement()) {
+        final boolean broughtNone = splitter.eventCount() == from.eventsBefore();
+        if (from == served.attempts().replacement() || served.isStreamStarted() && broughtNone) {
             failures.attemptFailed(from, true, "stream ended without an event");
             return;
         }
--- a/daemon/src/test/java/org/crocushaven/forwarding/PairedGateway.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/PairedGateway.java
@@ -5,6 +5,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.util.Arrays;
 import java.util.List;
 import java.util.OptionalInt;
 import java.util.Random;
@@ -115,21 +116,26 @@
 
     /** Lets this gateway know of another one. */
     void introduce(PairedGateway other) throws Exception {
-        loop.submit(
-                        () ->
-                                relays.apply(
-                                        List.of(
-                                                new Relay(
-                                                        other.name(),
-                                                        "127.0.0.1:" + other.port(),
-                                                        List.of()))))
-                .get();
+        know(List.of(relayAt(other.name(), other.port())));
+    }
+
+    /** Lets this gateway know of stand-ins for other gateways alone. */
+    void introduce(StandInServer... others) throws Exception {
+        know(Arrays.stream(others).map(other -> relayAt(other.name(), other.port())).toList());
+    }
+
+    private static Relay relayAt(String gateway, int port) {
+        return new Relay(gateway, "127.0.0.1:" + port, List.of());
+    }
+
+    private void know(List<Relay> others) throws Exception {
+        loop.submit(() -> relays.apply(others)).get();
     }
 
     /** Lets this gateway know only of another one that reaches the service no more than it does. */
     void knowOnlyAnotherWithoutPaths() throws Exception {
         final Relay other = new Relay("another", "127.0.0.1:" + port, List.of(GatewayPair.SERVICE));
-        loop.submit(() -> relays.apply(List.of(other))).get();
+        know(List.of(other));
     }
 
     /** Lets the leader answer no report any more, for long enough that this is known. */
--- a/daemon/src/test/java/org/crocushaven/forwarding/RawClient.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/RawClient.java
@@ -5,6 +5,8 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 
@@ -13,6 +15,7 @@
     private static final String LENGTH = "content-length: ";
     private static final int STATUS_BEGIN = "HTTP/1.1 ".length();
     private static final int STATUS_END = STATUS_BEGIN + 3;
+    private static final int SOON_MILLIS = 1_500;
 
     private final Socket socket = new Socket();
 
@@ -49,6 +52,37 @@
         return status;
     }
 
+    /** Reads until what came ends with a text, and returns all of it. */
+    String readUntil(String end) throws IOException {
+        final StringBuilder text = new StringBuilder();
+        while (text.lastIndexOf(end) < 0 || text.lastIndexOf(end) + end.length() < text.length()) {
+            final int next = socket.getInputStream().read();
+            if (next < 0) {
+                throw new AssertionError("the connection ended after: " + text);
+            }
+            text.append((char) next);
+        }
+        return text.toString();
+    }
+
+    /** Returns all bytes that come until the connection ends, which it does soon. */
+    String readToEnd() throws IOException {
+        socket.setSoTimeout(SOON_MILLIS);
+        final StringBuilder text = new StringBuilder();
+        try {
+            int next = socket.getInputStream().read();
+            while (next >= 0) {
+                text.append((char) next);
+                next = socket.getInputStream().read();
+            }
+        } catch (SocketTimeoutException open) {
+            throw new AssertionError("the connection is open after: <" + text + ">", open);
+        } catch (SocketException reset) {
+            return text.toString();
+        }
+        return text.toString();
+    }
+
     @Override
     public void close() throws IOException {
         socket.close();
