--- a/daemon/src/main/java/org/crocushaven/forwarding/HandOver.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/HandOver.java
@@ -44,6 +44,7 @@
     private AnswerMemory.Share memory;
     private AnswerBody answer;
     private boolean sent;
+    private long eventsBefore;
 
     HandOver(
             ForwardedRequest served,
@@ -96,6 +97,7 @@
     private void start(Relay chosen, String reason) {
         relay = chosen;
         tried.add(chosen.gateway());
+        eventsBefore = succession.splitter().eventCount();
         served.admission().refund();
         environment.relays().requestStarted(chosen);
         environment.observer().handedOver(served.request(), chosen.gateway(), reason);
@@ -199,6 +201,8 @@
         memory = served.answerShare(AnswerMemory.MAXIMUM_ANSWER_BYTES);
         if (isSuccess() && !signed) {
             fail("unsigned answer");
+        } else if (isSuccess() && !served.mayGoOnWith(status, headers)) {
+            fail("answer is not a stream");
         } else if (!isStream()) {
             answer = new AnswerBody(memory);
         }
@@ -230,7 +234,7 @@
             return;
         }
         if (!served.isStreamStarted()) {
-            served.recordStreamStarted();
+            served.recordStreamStarted(status, headers);
             served.recordFirstByte();
             client.startStream(status, headers);
         }
@@ -254,6 +258,7 @@
 
     @Override
     public void complete() {
+        channel = null;
         if (answer == null) {
             streamEnded();
         } else if (!signed && environment.dialect().isPromise(status) && mayAskAnother()) {
@@ -272,12 +277,17 @@
     }
 
     private void streamEnded() {
-        if (succession.splitter().hasPartialEvent()) {
+        final EventSplitter splitter = succession.splitter();
+        if (splitter.hasPartialEvent() || splitter.isBroken()) {
             failed(true, "stream ended within an event");
             return;
         }
+        if (served.isStreamStarted() && splitter.eventCount() == eventsBefore) {
+            failed(true, "stream ended without an event");
+            return;
+        }
         if (!served.isStreamStarted()) {
-            served.recordStreamStarted();
+            served.recordStreamStarted(status, headers);
             client.startStream(status, headers);
         }
         client.endStream();
@@ -285,6 +295,13 @@
     }
 
     private void deliver() {
+        if (served.isStreamStarted()) {
+            environment
+                    .observer()
+                    .handOverFailed(served.request(), relay.gateway(), "answer is not a stream");
+            end.giveUp();
+            return;
+        }
         if (!signed && environment.dialect().isPromise(status) && served.retries().mayHaveRun()) {
             end.giveUp();
             return;
@@ -296,7 +313,6 @@
 
     private void finish() {
         final ResultCode code = signed ? ResultCode.OK : ResultCode.RELAY_REFUSED;
-        channel = null;
         end.finish(code, status.code(), "served through " + relay.gateway());
     }
 
--- a/daemon/src/main/java/org/crocushaven/forwarding/StreamForwarding.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/StreamForwarding.java
@@ -52,7 +52,7 @@
     }
 
     private void firstEventReceived(BackendAttempt from) {
-        served.recordStreamStarted();
+        served.recordStreamStarted(from.status(), from.headers());
         served.recordFirstByte();
         final String backend = from.target().backend().backend();
         served.continuation().firstEventReceived(from.target().backend());
@@ -96,7 +96,8 @@
             failures.attemptFailed(from, true, "stream ended within an event");
             return;
         }
-        if (from == served.attempts().replacement()) {
+        final boolean broughtNone = splitter.eventCount() == from.eventsBefore();
+        if (from == served.attempts().replacement() || served.isStreamStarted() && broughtNone) {
             failures.attemptFailed(from, true, "stream ended without an event");
             return;
         }
@@ -106,7 +107,7 @@
             return;
         }
         if (!served.isStreamStarted()) {
-            served.recordStreamStarted();
+            served.recordStreamStarted(from.status(), from.headers());
             client.startStream(from.status(), from.headers());
         }
         failures.answerEnded(from);
