Fill disks at every operation, one after another, in three kinds of tests

MemoryLogStore and ControlFleet get the switch for this; the stand-in dialect of ControlFleet now decodes a configuration, which it refused to do before. No check is changed.

--- a/daemon/src/test/java/org/crocushaven/consensus/MemoryLogStore.java
+++ b/daemon/src/test/java/org/crocushaven/consensus/MemoryLogStore.java
@@ -21,6 +21,7 @@
     private HardState hardState = HardState.INITIAL;
     private Optional<SnapshotImage> snapshot = Optional.empty();
     private double crashChance;
+    private int stepsWithRoom = Integer.MAX_VALUE;
 
     MemoryLogStore(long identity, RandomGenerator random, FaultCounts<ReplicaFault> counts) {
         this.identity = identity;
@@ -33,6 +34,16 @@
         crashChance = chance;
     }
 
+    /** Fails every write step after a number of further ones. */
+    void fillAfter(int steps) {
+        stepsWithRoom = steps;
+    }
+
+    /** Lets writes succeed again. */
+    void makeRoom() {
+        stepsWithRoom = Integer.MAX_VALUE;
+    }
+
     /** Crashes; a random number of unsynced batches, from the first on, is kept. */
     void crash() {
         crashChance = 0;
@@ -114,6 +125,10 @@
     }
 
     private void crashAtRandom() {
+        if (stepsWithRoom == 0) {
+            throw new SimulatedCrash();
+        }
+        stepsWithRoom -= stepsWithRoom < Integer.MAX_VALUE ? 1 : 0;
         if (random.nextDouble() < crashChance) {
             throw new SimulatedCrash();
         }
--- a/daemon/src/test/java/org/crocushaven/consensus/SimulatedReplica.java
+++ b/daemon/src/test/java/org/crocushaven/consensus/SimulatedReplica.java
@@ -144,6 +144,16 @@
         store.setCrashChance(chance);
     }
 
+    /** Lets the replica stop at every write after a number of further write steps. */
+    void fillDiskAfter(int steps) {
+        store.fillAfter(steps);
+    }
+
+    /** Ends the effect of {@link #fillDiskAfter}. */
+    void makeRoom() {
+        store.makeRoom();
+    }
+
     void crash() {
         if (core.isLeader() && core.lastIndex() > core.commitIndex()) {
             counts.count(ReplicaFault.LEADER_LOST_BEFORE_COMMIT);
--- a/daemon/src/test/java/org/crocushaven/fleet/ControlFleet.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/ControlFleet.java
@@ -3,6 +3,7 @@
 import io.netty.channel.DefaultEventLoop;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
@@ -17,8 +18,10 @@
 import org.agrona.concurrent.SystemNanoClock;
 import org.crocushaven.admission.ShareHolder;
 import org.crocushaven.ingress.IngressConfiguration;
+import org.crocushaven.ingress.IngressLimits;
 import org.crocushaven.outbound.AnsweredRequest;
 import org.crocushaven.protocol.Message;
+import org.crocushaven.storage.FaultyDisk;
 
 /** Runs control instances in one process on a {@link ControlNetwork}. */
 final class ControlFleet implements AutoCloseable {
@@ -31,6 +34,7 @@
     private final AtomicLong clockOffsetMillis = new AtomicLong();
     private final Map<String, DefaultEventLoop> loops = new TreeMap<>();
     private final Map<String, ControlInstance> instances = new TreeMap<>();
+    private final Map<String, FaultyDisk> disks = new TreeMap<>();
 
     ControlFleet(Path folder) {
         this.folder = folder;
@@ -47,7 +51,7 @@
                 ControlInstance.open(
                         new ControlSettings(
                                 name,
-                                folder.resolve(name),
+                                disk(name).wrap(folder.resolve(name)),
                                 VOTERS.contains(name) ? VOTERS : List.of(),
                                 1,
                                 HEARTBEAT_MILLIS,
@@ -65,6 +69,34 @@
         instance.start(VOTERS);
     }
 
+    /** Returns the disk of an instance. */
+    FaultyDisk disk(String name) {
+        return disks.computeIfAbsent(name, added -> new FaultyDisk());
+    }
+
+    /** Sends an instance a configuration, as an operator does. */
+    CompletableFuture<Void> replace(String instance, long version) {
+        return CompletableFuture.supplyAsync(
+                        () -> instances.get(instance).replace(version, document(version)),
+                        loops.get(instance))
+                .thenCompose(sent -> sent);
+    }
+
+    /** Returns the version of the configuration that an instance reads back; 0 if it reads none. */
+    long readVersion(String instance) {
+        final CompletableFuture<byte[]> document =
+                CompletableFuture.supplyAsync(
+                                () -> instances.get(instance).describe(), loops.get(instance))
+                        .thenCompose(asked -> asked);
+        return isAnswered(document)
+                ? Long.parseLong(new String(document.join(), StandardCharsets.US_ASCII))
+                : 0;
+    }
+
+    private static byte[] document(long version) {
+        return Long.toString(version).getBytes(StandardCharsets.US_ASCII);
+    }
+
     /** Lets an instance prepare its end as one does that was asked to stop. */
     void giveVoteBack(String name) {
         instances.get(name).giveVoteBack(CALL_TIMEOUT_MILLIS).join();
@@ -165,7 +197,7 @@
         List.copyOf(instances.keySet()).forEach(this::stop);
     }
 
-    /** Stands in for the platform's calls, of which these tests make none. */
+    /** Stands in for the platform's calls; these tests only send configurations. */
     private static final class NoDialect implements ControlDialect {
         @Override
         public ControlCall decode(FullHttpRequest request) {
@@ -174,7 +206,12 @@
 
         @Override
         public IngressConfiguration decodeConfiguration(byte[] document) {
-            throw new UnsupportedOperationException();
+            return IngressConfiguration.of(
+                    Long.parseLong(new String(document, StandardCharsets.US_ASCII)),
+                    List.of(),
+                    List.of(),
+                    Optional.empty(),
+                    IngressLimits.DEFAULT);
         }
 
         @Override
