--- a/daemon/src/main/java/org/crocushaven/forwarding/ForwardingSummary.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/ForwardingSummary.java
@@ -23,6 +23,7 @@
  *     aborted
  * @param code result code
  * @param reason human-readable reason
+ * @param retryMillis time after which a refusal told the client to come back; -1 when it did not
  * @param waitedMillis time until the first byte for the client, or until the refusal
  * @param totalMillis time until the end of the request
  * @param events number of forwarded events
@@ -43,6 +44,7 @@
         int status,
         ResultCode code,
         String reason,
+        long retryMillis,
         long waitedMillis,
         long totalMillis,
         long events,
--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestEnd.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestEnd.java
@@ -17,6 +17,7 @@
  * run. Used on the event loop only.
  */
 final class RequestEnd {
+    private static final long NO_RETRY_TOLD = -1;
     private static final Duration REFUSAL_RETRY_DELAY = Duration.ofMillis(300);
 
     private final ForwardedRequest served;
@@ -30,6 +31,7 @@
     private ResultException lastRefusal;
     private BackendAttempt lastFailure;
     private HandOver handOver;
+    private long retryMillis = NO_RETRY_TOLD;
 
     /**
      * Creates the end of one request.
@@ -203,6 +205,7 @@
             return;
         }
         client.refuse(refusal);
+        retryMillis = refusal.retryAfter().map(Duration::toMillis).orElse(NO_RETRY_TOLD);
         finish(refusal.code(), refusal.code().httpStatus(), refusal.getMessage());
     }
 
@@ -245,6 +248,7 @@
                                 status,
                                 code,
                                 reason,
+                                retryMillis,
                                 millisFromArrival(waitedUntil),
                                 millisFromArrival(nowNanos),
                                 succession.splitter().eventCount(),
--- a/daemon/src/main/java/org/crocushaven/instance/ForwardingLog.java
+++ b/daemon/src/main/java/org/crocushaven/instance/ForwardingLog.java
@@ -296,6 +296,7 @@
                 .with("status", summary.status())
                 .with("code", summary.code().number())
                 .with("reason", summary.reason())
+                .with("retry_ms", summary.retryMillis())
                 .with("waited_ms", summary.waitedMillis())
                 .with("total_ms", summary.totalMillis())
                 .with("events", summary.events())
