Let refused streams that clients take up come back in turn

The answers were 429.

Cause: for two seconds the organisations had hardly any tokens left, and each of the refused was told when the tokens of one request would be there, whoever else had been told the same. They came back together, 0.04 to 0.24 s later, and had no try left when there were tokens again.

Evidence: 1301 on 1,172 and 1,236 requests in the two seconds after the first two outages, with 81 to 124 % of each organisation's rate charged in them, and on 5 to 10 a second (55 and 28 after the second one) from then on; after the second one, 124 streams were refused three times within 0.84 s (median). Nine refusals with 1411: not the software versions.

Nothing is set aside and no more is lent than before. Requests that begin are told as before, as they have a first event to bring in time. The two new components stand last, so that other builds read on without them.

--- a/daemon/src/main/java/org/crocushaven/admission/HeldShare.java
+++ b/daemon/src/main/java/org/crocushaven/admission/HeldShare.java
@@ -16,6 +16,7 @@
     private double level;
     private double largestRequest;
     private double pendingRefund;
+    private double returningTokens;
 
     static HeldShare declared(ShareEntry entry) {
         final HeldShare held = new HeldShare();
@@ -32,6 +33,7 @@
         level = entry.level();
         largestRequest = entry.largestRequest();
         pendingRefund = entry.pendingRefund();
+        returningTokens = entry.returningTokens();
     }
 
     void recordGrant(double newRate, double newCapacity) {
@@ -76,6 +78,10 @@
         return pendingRefund;
     }
 
+    double returningTokens() {
+        return returningTokens;
+    }
+
     double largestRequest() {
         return largestRequest;
     }
--- a/daemon/src/main/java/org/crocushaven/admission/OrganisationPool.java
+++ b/daemon/src/main/java/org/crocushaven/admission/OrganisationPool.java
@@ -37,6 +37,7 @@
     private double rate;
     private double burst;
     private double totalDemand;
+    private double totalReturning;
     private double heldRate;
     private double heldCapacity;
     private double declaredCapacity;
@@ -103,6 +104,7 @@
         if (held != null) {
             adjustHeldTotals(held, -1);
             totalDemand = Math.max(0, totalDemand - held.demand());
+            totalReturning = Math.max(0, totalReturning - held.returningTokens());
             resizePool(nowNanos);
         }
     }
@@ -110,8 +112,10 @@
     void observe(String instance, ShareEntry entry, long nowNanos) {
         final HeldShare held = holders.computeIfAbsent(instance, name -> new HeldShare());
         totalDemand -= held.demand();
+        totalReturning -= held.returningTokens();
         held.observe(entry);
         totalDemand = Math.max(0, totalDemand + held.demand());
+        totalReturning = Math.max(0, totalReturning + held.returningTokens());
         refusedDemand.add(held.missingTokens(), nowNanos);
         if (held.missingTokens() > bucket.level(nowNanos)) {
             shortageUntilNanos = nowNanos + SHORTAGE_DURATION_NANOS;
@@ -181,7 +185,8 @@
                 taken,
                 rate,
                 burst,
-                bucket.level(nowNanos));
+                bucket.level(nowNanos),
+                Math.max(0, totalReturning - held.returningTokens()));
     }
 
     /** Returns the proposal that leaves the holder's bucket unchanged. */
--- a/daemon/src/main/java/org/crocushaven/admission/OrganisationShare.java
+++ b/daemon/src/main/java/org/crocushaven/admission/OrganisationShare.java
@@ -13,6 +13,7 @@
     private final TokenBucket bucket;
     private final DemandMeter demand = new DemandMeter();
     private final HeadroomHistory headrooms = new HeadroomHistory();
+    private final ReturnSchedule returns = new ReturnSchedule();
     private double organisationRate;
     private double organisationBurst;
     private double poolTokens;
@@ -85,6 +86,7 @@
         organisationRate = change.organisationTokensPerSecond();
         organisationBurst = change.organisationBurst();
         poolTokens = change.poolTokens();
+        returns.setTokensElsewhere(change.returningTokens(), nowNanos);
         appliedNanos = nowNanos;
         final double excess = bucket.resize(change.tokensPerSecond(), change.capacity(), nowNanos);
         returned = excess + bucket.add(change.addedTokens(), nowNanos);
@@ -128,6 +130,15 @@
         return Math.max(MINIMUM_RETRY_NANOS, Math.min(MAXIMUM_RETRY_NANOS, wait));
     }
 
+    /**
+     * Returns the time after which a request that is refused now should come back.
+     *
+     * @param earliestNanos time before which there are no tokens for it
+     */
+    long returnDelayNanos(long tokens, long earliestNanos, long nowNanos) {
+        return returns.nextDelayNanos(tokens, earliestNanos, organisationRate, nowNanos);
+    }
+
     /** Returns how many tokens are missing for the requests refused since the last report. */
     double missingTokens(long nowNanos) {
         return refusedSinceReport <= 0
@@ -149,7 +160,8 @@
                         returned,
                         refund,
                         refundSinceNanos,
-                        pendingRefund);
+                        pendingRefund,
+                        returns.tokensHere(nowNanos));
         refusedSinceReport = 0;
         largestRequest *= LARGEST_REQUEST_DECAY;
         return entry;
--- a/daemon/src/main/java/org/crocushaven/admission/ShareChange.java
+++ b/daemon/src/main/java/org/crocushaven/admission/ShareChange.java
@@ -12,6 +12,8 @@
  * @param organisationTokensPerSecond total rate of the organisation
  * @param organisationBurst total burst of the organisation
  * @param poolTokens tokens left in the pool, for estimates only
+ * @param returningTokens tokens of requests that take up streams and that other holders expect
+ *     back; 0 from software without this component
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record ShareChange(
@@ -21,9 +23,10 @@
         double addedTokens,
         double organisationTokensPerSecond,
         double organisationBurst,
-        double poolTokens) {
+        double poolTokens,
+        double returningTokens) {
     /** Returns the change that removes the bucket. */
     static ShareChange none(String organisation) {
-        return new ShareChange(organisation, 0, 0, 0, 0, 0, 0);
+        return new ShareChange(organisation, 0, 0, 0, 0, 0, 0, 0);
     }
 }
--- a/daemon/src/main/java/org/crocushaven/admission/ShareEntry.java
+++ b/daemon/src/main/java/org/crocushaven/admission/ShareEntry.java
@@ -20,6 +20,8 @@
  * @param refundSinceNanos a time on the allocator's clock at or before the earliest charge of the
  *     refund
  * @param pendingRefund unused tokens of settled charges that wait for the next grant
+ * @param returningTokens tokens of refused requests that take up streams, were told to come back
+ *     and are not due yet; 0 from software without this component
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record ShareEntry(
@@ -34,4 +36,5 @@
         double returnedTokens,
         double refund,
         long refundSinceNanos,
-        double pendingRefund) {}
+        double pendingRefund,
+        double returningTokens) {}
--- a/daemon/src/main/java/org/crocushaven/admission/ShareHolder.java
+++ b/daemon/src/main/java/org/crocushaven/admission/ShareHolder.java
@@ -66,6 +66,17 @@
         return charge(organisation, tokens, code, retry, share.poolMayHaveTokens(nowNanos));
     }
 
+    /**
+     * Returns the time after which a refused request that takes up a stream should come back, in
+     * turn with the others of its organisation. Must be called once for each.
+     */
+    public long streamReturnDelayNanos(Charge refused, long nowNanos) {
+        return refused.code() == ResultCode.RATE_EXCEEDED
+                ? share(refused.organisation(), nowNanos)
+                        .returnDelayNanos(refused.tokens(), refused.retryAfterNanos(), nowNanos)
+                : refused.retryAfterNanos();
+    }
+
     /**
      * Settles a charge with the tokens that were actually used.
      *
--- a/daemon/src/main/java/org/crocushaven/forwarding/KeyedAdmission.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/KeyedAdmission.java
@@ -78,12 +78,15 @@
         return shares.tryCharge(organisation.name(), organisation.chargeOf(request), nowNanos);
     }
 
-    /** Returns the refusal for a charge that was not granted. */
-    ResultException refusal(Charge charge, long nowNanos) {
+    /** Returns the refusal of a request whose charge was not granted; call once for each. */
+    ResultException refusal(Charge charge, boolean takesUpStream, long nowNanos) {
         final Duration retryAfter =
                 charge.code() == ResultCode.SHARE_UNAVAILABLE
                         ? freshness.retryDelay(nowNanos)
-                        : Duration.ofNanos(charge.retryAfterNanos());
+                        : Duration.ofNanos(
+                                takesUpStream
+                                        ? shares.streamReturnDelayNanos(charge, nowNanos)
+                                        : charge.retryAfterNanos());
         return ResultException.of(
                         charge.code() == ResultCode.REQUEST_EXCEEDS_BURST
                                 ? ResultCode.RATE_EXCEEDED
--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestAdmission.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestAdmission.java
@@ -143,7 +143,8 @@
         } else if (tokenRequestsLeft > 0 && tried.poolMayHaveTokens()) {
             environment.leader().afterNextReport(() -> tryCharge(charged, tokenRequestsLeft - 1));
         } else {
-            charged.completeExceptionally(environment.admission().refusal(tried, nowNanos));
+            charged.completeExceptionally(
+                    environment.admission().refusal(tried, request.takesUpStream(), nowNanos));
         }
     }
 }
--- a/daemon/src/main/java/org/crocushaven/forwarding/StreamContinuation.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/StreamContinuation.java
@@ -85,8 +85,7 @@
     }
 
     private boolean takesUpStream() {
-        return admission.route().kind() == RouteKind.STREAM
-                && (request.resumedRequestId().isPresent() || request.lastEventId().isPresent());
+        return admission.route().kind() == RouteKind.STREAM && request.takesUpStream();
     }
 
     private void goOnAt(StreamOrigin origin) {
--- a/daemon/src/main/java/org/crocushaven/ingress/IngressRequest.java
+++ b/daemon/src/main/java/org/crocushaven/ingress/IngressRequest.java
@@ -51,4 +51,9 @@
     public boolean isRelayed() {
         return relayedAttempts.isPresent();
     }
+
+    /** Returns whether the client has received a part of the stream that it asks for. */
+    public boolean takesUpStream() {
+        return resumedRequestId.isPresent() || lastEventId.isPresent();
+    }
 }
--- a/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
@@ -428,7 +428,7 @@
         final long report = admission.report(nowNanos).reportSequence();
         final List<ShareChange> shares =
                 organisations.stream()
-                        .map(known -> new ShareChange(known.name(), 0, 1, 1, 1, 1, 0))
+                        .map(known -> new ShareChange(known.name(), 0, 1, 1, 1, 1, 0, 0))
                         .toList();
         final long leaseNanos = TimeUnit.MILLISECONDS.toNanos(AWAIT_MILLIS);
         admission.apply(new ShareGrant(1, 1, 1, report, leaseNanos, 1, shares), nowNanos);
--- a/daemon/src/test/java/org/crocushaven/forwarding/PairedGateway.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/PairedGateway.java
@@ -80,7 +80,7 @@
         final KeyedAdmission admission = KeyedAdmission.of(freshness, 1);
         final long nowNanos = System.nanoTime();
         final long report = admission.report(nowNanos).reportSequence();
-        final ShareChange share = new ShareChange(ORGANISATION.name(), 0, 1, 1, 1, 1, 0);
+        final ShareChange share = new ShareChange(ORGANISATION.name(), 0, 1, 1, 1, 1, 0, 0);
         admission.apply(
                 new ShareGrant(1, 1, 1, report, TimeUnit.MINUTES.toNanos(1), 1, List.of(share)),
                 nowNanos);
