Deliver no unnamed success on a connection that names requests, older client

Cause: checkRequestId refuses an answer that names another request, but accepted one that names none, whatever its connection had carried.

Evidence: HttpBackendClientTest.UnnamedAnswers, before: the unnamed copy on a used connection was delivered, so that the test ran out of time waiting for the failure (1 of 32 red).

Change: once an answer on a connection has named a request, a success that names none ends the request as failed, and the connection. Orders' answers, which engines need not name, are exempt.

--- a/daemon/src/main/java/org/crocushaven/backend/BackendConnection.java
+++ b/daemon/src/main/java/org/crocushaven/backend/BackendConnection.java
@@ -29,6 +29,7 @@
     private boolean inInformationalResponse;
     private boolean reusable;
     private boolean releasePending;
+    private boolean namesRequests;
 
     BackendConnection(
             ConnectionPool pool, Channel channel, AnswerDecoder decoder, NanoClock clock) {
@@ -154,10 +155,28 @@
                         || HttpUtil.isTransferEncodingChunked(response)
                         || decoder.isContentAlwaysEmpty(response);
         reusable = selfDelimiting && HttpUtil.isKeepAlive(response);
-        if (!current.handleHead(response, selfDelimiting)) {
+        if (!isAwaited(response)) {
+            current.handleException("its answer names no request, though others did");
             current = null;
             close();
+        } else if (!current.handleHead(response, selfDelimiting)) {
+            current = null;
+            close();
+        }
+    }
+
+    /**
+     * Returns whether an answer may be the one that is due. Where answers have named their requests
+     * before, a success that names none may be a late copy of any of them.
+     */
+    private boolean isAwaited(HttpResponse response) {
+        if (response.headers().contains(AnswerHeaders.REQUEST_ID)) {
+            namesRequests = true;
+            return true;
         }
+        return !namesRequests
+                || current.isOrder()
+                || !AnswerHeaders.isSuccess(response.status().code());
     }
 
     private void handleContent(HttpContent content) {
--- a/daemon/src/main/java/org/crocushaven/backend/BackendExchange.java
+++ b/daemon/src/main/java/org/crocushaven/backend/BackendExchange.java
@@ -88,6 +88,11 @@
         return HttpMethod.HEAD.name().equals(request.method());
     }
 
+    /** Returns whether this is an order, whose answers engines need not name. */
+    boolean isOrder() {
+        return rule instanceof OrderAnswerRule;
+    }
+
     /**
      * Returns whether the request must be sent on a new connection. The backend server may be
      * closing an idle connection just when a request is sent on it.
--- a/daemon/src/test/java/org/crocushaven/backend/HttpBackendClientTest.java
+++ b/daemon/src/test/java/org/crocushaven/backend/HttpBackendClientTest.java
@@ -14,6 +14,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -335,6 +336,55 @@
         }
     }
 
+    @Nested
+    class UnnamedAnswers {
+        private static final int REQUESTS = 20;
+
+        private String named(String requestId) {
+            return ECHO + "Crocushaven-Request-Id: " + requestId + "\r\n";
+        }
+
+        /** Serves requests with named answers until one comes on a used connection. */
+        private ScriptedServer.Received awaitUsedConnection(List<Recorder> recorders)
+                throws Exception {
+            final Set<Socket> sockets = new HashSet<>();
+            for (int count = 0; count < REQUESTS; count++) {
+                recorders.add(send("r" + count));
+                final ScriptedServer.Received request = engine.next();
+                if (!sockets.add(request.socket())) {
+                    return request;
+                }
+                request.answer(answer(named("r" + count), "{}"));
+                recorders.get(count).expect("sending", "head 200", "bytes {}", "end -1");
+            }
+            throw new AssertionError("no connection was used again");
+        }
+
+        // Guards against: a late copy without a name was delivered as the next request's success.
+        @Test
+        void areNoSuccessOnConnectionThatNamesRequests() throws Exception {
+            final List<Recorder> recorders = new ArrayList<>();
+
+            awaitUsedConnection(recorders).answer(answer(ECHO, "{\"late\":1}"));
+
+            final Recorder last = recorders.get(recorders.size() - 1);
+            assertFailure(last, ResultCode.BACKEND_SERVER_FAILED, Execution.UNKNOWN);
+            assertTrue(last.deliveredNothing());
+        }
+
+        // Guards against: an honest refusal, which engines need not name, was not believed.
+        @Test
+        void areRefusalsOnAnyConnection() throws Exception {
+            final List<Recorder> recorders = new ArrayList<>();
+
+            awaitUsedConnection(recorders)
+                    .answer(status("503 Busy", "Crocushaven-Execution: not-run\r\n", ""));
+
+            final Recorder last = recorders.get(recorders.size() - 1);
+            assertEquals(ResultCode.BACKEND_SERVER_REFUSED, last.failure().code());
+        }
+    }
+
     @Nested
     class CutAnswers {
         // Guards against: an answer that was cut within its head ended as whole.
