Answer the calls to a failed replica also where its files do not close

Calls that reached a replica after its disk had failed stayed unanswered for ever if the closing of its store reported a failure too (close may, on a disk that is full): no proposal, change of voters or message in its queue was answered or dropped. By reading, two users of such a call wait for its answer before their next one, on the same instance and beyond its reopened replica: the log of departures and the maintenance of voters.

Cause: GroupHost.stop() closed the store first; its exception ended the thread before the calls were refused.

Evidence: GroupHostFailureTest.FullDisk failed before: "expected: ExecutionException but was: TimeoutException", and the thread ended with "No space left on device".

Change: a failure to close is logged, and the calls are refused.

After it, GroupHostFailureTest.FullDisk, GroupHostTest, FullDiskTest and ReplicaSupervisorTest passed.

--- a/daemon/src/main/java/org/crocushaven/consensus/GroupHost.java
+++ b/daemon/src/main/java/org/crocushaven/consensus/GroupHost.java
@@ -272,7 +272,7 @@
      */
     private void stop() {
         view = view.stopped();
-        loop.stop();
+        closeLoop();
         rejectsInputs = true;
         LongConsumer input = inputs.poll();
         while (input != null) {
@@ -280,4 +280,16 @@
             input = inputs.poll();
         }
     }
+
+    /** Closes the store; one that reports a failure is closed all the same. */
+    private void closeLoop() {
+        try {
+            loop.stop();
+        } catch (RuntimeException exception) {
+            Logger.warn(
+                    "event=group-closed-with-failure group={} reason=\"{}\"",
+                    settings.groupId(),
+                    exception.getMessage());
+        }
+    }
 }
--- a/daemon/src/test/java/org/crocushaven/storage/FaultyChannel.java
+++ b/daemon/src/test/java/org/crocushaven/storage/FaultyChannel.java
@@ -109,5 +109,6 @@
     @Override
     protected void implCloseChannel() throws IOException {
         delegate.close();
+        disk.checkClosing();
     }
 }
--- a/daemon/src/test/java/org/crocushaven/storage/FaultyDisk.java
+++ b/daemon/src/test/java/org/crocushaven/storage/FaultyDisk.java
@@ -71,6 +71,13 @@
         }
     }
 
+    /** Fails if a file cannot be closed without an error; it is closed all the same. */
+    synchronized void checkClosing() throws IOException {
+        if (kind == Kind.WRITES_AND_CLOSING && isFullNow()) {
+            throw new IOException(NO_ROOM);
+        }
+    }
+
     /** Returns how many bytes of a content find room. */
     synchronized int roomFor(ByteBuffer content) throws IOException {
         if (!isFullNow()) {
@@ -97,7 +104,9 @@
         /** Each write fails. */
         WRITES,
         /** Each write, creation, renaming, removal and sync fails. */
-        EVERY_OPERATION
+        EVERY_OPERATION,
+        /** Each write fails, and so does the closing of each file. */
+        WRITES_AND_CLOSING
     }
 
     /** Marks a path of this disk. */
