Count each name on a connection, also that of another request's answer

Cause: since a connection is held to names once an answer on it has named its own request. An answer that named another one before that showed as well that the server names requests, but did not count.

Change: any name counts.

--- a/daemon/src/main/java/org/crocushaven/outbound/BackendChannel.java
+++ b/daemon/src/main/java/org/crocushaven/outbound/BackendChannel.java
@@ -253,12 +253,12 @@
         readKeepAlive(head);
         final AnsweredRequest request = listener.answeredRequest(head);
         skippingForeignAnswer = !isAwaited(request);
+        namesRequests |= request != AnsweredRequest.UNNAMED;
         if (skippingForeignAnswer) {
             skipForeignAnswer(head);
             return;
         }
         headReceived = true;
-        namesRequests |= request == AnsweredRequest.OWN;
         reusable &= request == AnsweredRequest.OWN || listener.allowsReuseUnnamed();
         listener.head(head);
     }
