End a numbered stream at an event without number

Cause: a faulty server's chunk states more bytes than it has, so that the marks of the next ones become part of the body. An event without identifier was passed on in a stream whose events bear numbers.

Change: once an event with a number has gone to the client, an event without identifier breaks the stream, unless it begins with a comment, as one does that only keeps a stream open. Streams without numbers are as they were.

--- a/daemon/src/main/java/org/crocushaven/forwarding/EventSplitter.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/EventSplitter.java
@@ -20,6 +20,7 @@
 
     private static final byte LINE_FEED = '\n';
     private static final byte CARRIAGE_RETURN = '\r';
+    private static final byte COMMENT = ':';
     private static final String ID_FIELD = "id:";
 
     private static final int SMALL_BUFFER_BYTES = 512;
@@ -39,7 +40,7 @@
     private long lastNumber = -1;
     private long eventCount;
     private long repeatedBytes;
-    private boolean eventsMissing;
+    private boolean outOfSequence;
 
     /** Returns a splitter that goes on after the last forwarded event of this one. */
     EventSplitter continued() {
@@ -58,7 +59,7 @@
         pending.writeBytes(data);
         ByteBuf complete = null;
         int end = endOfEvent();
-        while (end >= 0 && !eventsMissing) {
+        while (end >= 0 && !outOfSequence) {
             final ByteBuf event = pending.readSlice(end - pending.readerIndex());
             if (accept(event)) {
                 if (complete == null) {
@@ -76,15 +77,15 @@
     }
 
     /**
-     * Discards a partially received event and forgets missing ones, before another backend server
-     * resumes the stream.
+     * Discards a partially received event and forgets events out of sequence, before another
+     * backend server resumes the stream.
      */
     void discardPartialEvent() {
         pending = Unpooled.buffer(SMALL_BUFFER_BYTES);
         searchedBytes = 0;
         lineOffset = 0;
         repeatedBytes = 0;
-        eventsMissing = false;
+        outOfSequence = false;
     }
 
     /** Returns the size, in bytes, of the buffer of an incomplete event. */
@@ -98,11 +99,11 @@
     }
 
     /**
-     * Returns whether an event is too long, events are missing or are repeated without end, so that
-     * no further event may be forwarded.
+     * Returns whether an event is too long, events are missing, without the numbers of those before
+     * them or repeated without end, so that no further event may be forwarded.
      */
     boolean isBroken() {
-        return eventsMissing
+        return outOfSequence
                 || repeatedBytes > MAXIMUM_REPEATED_BYTES
                 || pending.readableBytes() > MAXIMUM_EVENT_BYTES;
     }
@@ -128,13 +129,17 @@
     private boolean accept(ByteBuf event) {
         final String id = idOf(event);
         final long number = numberOf(id);
+        if (id.isEmpty() && lastNumber >= 0 && !isComment(event)) {
+            outOfSequence = true;
+            return false;
+        }
         if (number >= 0 && lastNumber >= 0) {
             if (number <= lastNumber) {
                 repeatedBytes += event.readableBytes();
                 return false;
             }
             if (number > lastNumber + 1) {
-                eventsMissing = true;
+                outOfSequence = true;
                 return false;
             }
         }
@@ -194,6 +199,13 @@
         return "";
     }
 
+    /**
+     * Returns whether an event begins with a comment, as one does that only keeps a stream open.
+     */
+    private static boolean isComment(ByteBuf event) {
+        return event.getByte(event.readerIndex()) == COMMENT;
+    }
+
     private static boolean startsWithId(ByteBuf event, int start, int end) {
         return end - start >= ID_FIELD.length()
                 && event.getByte(start) == 'i'
--- a/daemon/src/test/java/org/crocushaven/forwarding/EventSplitterTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/EventSplitterTest.java
@@ -106,4 +106,38 @@
     void acceptsCarriageReturnLineFeed() {
         assertEquals("id: 1\r\ndata: x\r\n\r\n", add(splitter, "id: 1\r\ndata: x\r\n\r\n"));
     }
+
+    @Nested
+    class EventWithoutNumber {
+        // Guards against: the marks of chunks were passed on as an event of a numbered stream.
+        @Test
+        void breaksNumberedStream() {
+            assertEquals(event(1), add(splitter, event(1) + "7\n\n" + event(2)));
+
+            assertTrue(splitter.isBroken());
+        }
+
+        @Test
+        void breaksNumberedStreamAsEmptyLine() {
+            assertEquals(event(1), add(splitter, event(1) + "\r\n" + event(2)));
+
+            assertTrue(splitter.isBroken());
+        }
+
+        @Test
+        void isPassedOnAsComment() {
+            final String all = event(1) + ": open\n\n" + event(2);
+
+            assertEquals(all, add(splitter, all));
+            assertFalse(splitter.isBroken());
+        }
+
+        @Test
+        void isPassedOnInStreamWithoutNumbers() {
+            final String all = "data: a\n\ndata: b\n\n";
+
+            assertEquals(all, add(splitter, all));
+            assertFalse(splitter.isBroken());
+        }
+    }
 }
