Await a second gateway's head whole after the refusal of a first one

What callers saw: 502 for a request that a gateway was about to serve.

Cause: HandOver kept the status of the gateway that had refused. When the head of the next one came in parts, the check at the end of a read took it for an answer under way, and failed on memory that was returned. The request was then given up as one that may have run.

Evidence: HandOverTest.headOfTheNextGatewayMayComeInPartsAfterTheRefusal- OfAnother, new: "expected: <200> but was: <502>" before.

Change: what is left of a gateway includes its status.

--- a/daemon/src/main/java/org/crocushaven/forwarding/HandOver.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/HandOver.java
@@ -176,6 +176,7 @@
         }
         relay = null;
         channel = null;
+        status = null;
         memory = null;
         answer = null;
         sent = false;
--- a/daemon/src/test/java/org/crocushaven/forwarding/HandOverTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/HandOverTest.java
@@ -18,6 +18,9 @@
     /** Time within which a gateway that was cut off serves as well as the others. */
     private static final long DETECTION_MILLIS = 1_000;
 
+    /** Time in which a gateway has handled bytes that lie at its socket. */
+    private static final long HANDLED_MILLIS = 100;
+
     private GatewayPair pair;
 
     @AfterEach
@@ -148,6 +151,26 @@
             }
         }
 
+        /** Guards against a head that comes in parts and ends the request. */
+        @Test
+        void headOfTheNextGatewayMayComeInPartsAfterTheRefusalOfAnother() throws Exception {
+            pair = GatewayPair.start(RouteKind.IDEMPOTENT, SERVERS);
+            pair.cutWithRefusals(pair.first());
+            try (StandInServer refusing = StandInServer.start("refusing");
+                    StandInServer serving = StandInServer.start("serving")) {
+                pair.first().introduce(refusing, serving);
+                try (PairClient client = pair.first().send("request")) {
+                    refusing.awaitRequest().answer(503, "", "refused");
+                    final StandInServer.Exchange exchange = serving.awaitRequest();
+                    exchange.write("HTTP/1.1 200 OK\r\nSigna");
+                    pair.first().passOnLoop(HANDLED_MILLIS);
+                    exchange.write("ture: s\r\nContent-Length: 6\r\n\r\nserved");
+
+                    assertEquals(200, client.awaitStatus());
+                }
+            }
+        }
+
         @Test
         void streamThatFellSilentGoesOnThroughTheOtherAfterItsLastEvent() throws Exception {
             pair = GatewayPair.start(RouteKind.STREAM, SERVERS);
