Open a replica again that an error has ended

A replica whose thread ended with an error, such as no memory, was never opened again: the process ran on, its instance knew no leader through it, and a second loss like it would have ended the group.

Cause: GroupHost counted only runtime exceptions as a failure, which is what ReplicaSupervisor asks for.

Evidence: GroupHostFailureTest.ShortOfMemory failed before: "it does not fail ==> expected: <true> but was: <false>", and the thread ended with the error. Change: errors count. After it, GroupHostFailureTest, GroupHostTest and ReplicaSupervisorTest passed.

--- a/daemon/src/main/java/org/crocushaven/consensus/GroupHost.java
+++ b/daemon/src/main/java/org/crocushaven/consensus/GroupHost.java
@@ -245,7 +245,7 @@
             }
         } catch (InterruptedException exception) {
             Logger.info("event=group-interrupted group={}", settings.groupId());
-        } catch (RuntimeException exception) {
+        } catch (RuntimeException | Error exception) {
             failed = true;
             Logger.error(
                     "event=group-failed group={} reason=\"{}\"",
--- a/daemon/src/test/java/org/crocushaven/consensus/GroupHostFailureTest.java
+++ b/daemon/src/test/java/org/crocushaven/consensus/GroupHostFailureTest.java
@@ -80,4 +80,34 @@
             }
         }
     }
+
+    @Nested
+    class ShortOfMemory {
+        // Guards against: a replica that an error ended was never opened again.
+        @Test
+        void replicaThatAnErrorEndsHasFailed() {
+            startOnlyVoter(new StateMachineWithoutMemory());
+
+            assertRefused(host.propose(new byte[1]));
+            await("it does not fail", host::hasFailed);
+        }
+    }
+
+    /** A state machine for which no memory is left. */
+    private static final class StateMachineWithoutMemory implements StateMachine {
+        @Override
+        public byte[] apply(long index, byte[] command) {
+            throw new OutOfMemoryError("no memory in this test");
+        }
+
+        @Override
+        public byte[] snapshot() {
+            return new byte[0];
+        }
+
+        @Override
+        public void restore(long index, byte[] snapshot) {
+            throw new UnsupportedOperationException();
+        }
+    }
 }
