Find the next answer's status line in a head whatever blanks it has

Cause: a cut head was known by the next status line within it, written with one blank; the library reads others as well.

--- a/daemon/src/main/java/org/crocushaven/outbound/AnswerFraming.java
+++ b/daemon/src/main/java/org/crocushaven/outbound/AnswerFraming.java
@@ -20,7 +20,7 @@
     private static final String VERSION_BEGINNING = "HTTP/1.";
 
     /** Status line of another answer, which begins where the rest of this head is missing. */
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-9][0-9][0-9]");
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01]\\s+[1-9][0-9][0-9]");
 
     private static final int SWITCHING_PROTOCOLS = 101;
     private static final int NO_CONTENT = 204;
--- a/daemon/src/test/java/org/crocushaven/forwarding/AnswerFramingTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/AnswerFramingTest.java
@@ -197,6 +197,15 @@
         void withinItsHeadHidesNoFailureOfTheNextAnswer(String part) throws Exception {
             assertRefused(part + named("request-2", 404, "", "own"));
         }
+
+        // Guards against: the same where the next status line has more blanks.
+        @ParameterizedTest
+        @ValueSource(strings = {"  ", "\t", " \t "})
+        void withinItsHeadHidesNoFailureOfWidelySpacedAnswer(String blanks) throws Exception {
+            assertRefused(
+                    "HTTP/1.1 200 OK\r\nServer: name"
+                            + named("request-2", 404, "", "own").replaceFirst(" ", blanks));
+        }
     }
 
     // Guards against: an answer that states its end properly was refused.
