Check the numbers of a stream's events to its end

Cause: an identifier that is no number ended the check of the later ones, and an event was taken for a comment by its first line.

Change: in a numbered stream each event bears a number, or consists of comments. So a last event like "data: [DONE]" ends it as broken; the platform promises increasing identifiers.

--- a/daemon/src/main/java/org/crocushaven/forwarding/EventSplitter.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/EventSplitter.java
@@ -129,7 +129,7 @@
     private boolean accept(ByteBuf event) {
         final String id = idOf(event);
         final long number = numberOf(id);
-        if (id.isEmpty() && lastNumber >= 0 && !isComment(event)) {
+        if (number < 0 && lastNumber >= 0 && !isComment(event)) {
             outOfSequence = true;
             return false;
         }
@@ -199,11 +199,16 @@
         return "";
     }
 
-    /**
-     * Returns whether an event begins with a comment, as one does that only keeps a stream open.
-     */
+    /** Returns whether each line of an event is a comment, as in one that keeps a stream open. */
     private static boolean isComment(ByteBuf event) {
-        return event.getByte(event.readerIndex()) == COMMENT;
+        int lineStart = event.readerIndex();
+        boolean comment = event.getByte(lineStart) == COMMENT;
+        while (comment && lineStart < event.writerIndex()) {
+            final byte first = event.getByte(lineStart);
+            comment = first == COMMENT || first == LINE_FEED || first == CARRIAGE_RETURN;
+            lineStart = event.indexOf(lineStart, event.writerIndex(), LINE_FEED) + 1;
+        }
+        return comment;
     }
 
     private static boolean startsWithId(ByteBuf event, int start, int end) {
--- a/daemon/src/test/java/org/crocushaven/forwarding/EventSplitterTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/EventSplitterTest.java
@@ -124,6 +124,21 @@
             assertTrue(splitter.isBroken());
         }
 
+        // Guards against: an identifier that is no number ended the check of the later ones.
+        @Test
+        void breaksNumberedStreamAsOtherIdentifier() {
+            assertEquals(event(1), add(splitter, event(1) + "id: x\n\n"));
+
+            assertTrue(splitter.isBroken());
+        }
+
+        @Test
+        void breaksNumberedStreamBehindComment() {
+            assertEquals(event(1), add(splitter, event(1) + ": c\ndata: stray\n\n"));
+
+            assertTrue(splitter.isBroken());
+        }
+
         @Test
         void isPassedOnAsComment() {
             final String all = event(1) + ": open\n\n" + event(2);
