Take engines' answers without names beside named ones, as before

What operators could see: an order or report that runs into its time limit, at an engine that names some calls only.

Cause: since a connection is held to names also for calls to engines, although these need not name them.

Change: the rule asks the listener, as the reuse of the connection does. An answer that names another call is skipped as before.

--- a/daemon/src/main/java/org/crocushaven/outbound/BackendChannel.java
+++ b/daemon/src/main/java/org/crocushaven/outbound/BackendChannel.java
@@ -269,7 +269,8 @@
      */
     private boolean isAwaited(AnsweredRequest request) {
         return request == AnsweredRequest.OWN
-                || request == AnsweredRequest.UNNAMED && !namesRequests;
+                || request == AnsweredRequest.UNNAMED
+                        && (!namesRequests || listener.allowsReuseUnnamed());
     }
 
     private void skipForeignAnswer(HttpResponse head) {
