--- a/daemon/src/test/java/org/crocushaven/forwarding/EndlessAnswersTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/EndlessAnswersTest.java
@@ -194,7 +194,7 @@
 
             exchange.write("HTTP/1.1 200 OK\r\nRequest-Id: another\r\nContent-Length: 1\r\n\r\nx");
             fixture.passOnLoop(CUT_MILLIS + 500);
-            exchange.answer(200, "", "own");
+            exchange.answer(200, "Request-Id: request\r\n", "own");
 
             assertEquals("200 own", answer.awaitEnd());
         }
