--- a/daemon/src/test/java/org/crocushaven/outbound/BackendCallTest.java
+++ b/daemon/src/test/java/org/crocushaven/outbound/BackendCallTest.java
@@ -111,6 +111,57 @@
         }
     }
 
+    @Nested
+    class AnswersWithoutName {
+        private static final String NAMED = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 0\r\n\r\n";
+        private static final String UNNAMED = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
+
+        private CompletableFuture<BackendCall.Answer> call(int port) throws Exception {
+            return loop.submit(
+                            () ->
+                                    BackendCall.send(
+                                            pool,
+                                            loop,
+                                            new InetSocketAddress(
+                                                    InetAddress.getLoopbackAddress(), port),
+                                            new DefaultFullHttpRequest(
+                                                    HttpVersion.HTTP_1_1,
+                                                    HttpMethod.GET,
+                                                    "/report",
+                                                    Unpooled.EMPTY_BUFFER),
+                                            LONG_TIMEOUT_MILLIS,
+                                            head ->
+                                                    head.headers().contains("Id")
+                                                            ? AnsweredRequest.OWN
+                                                            : AnsweredRequest.UNNAMED))
+                    .get();
+        }
+
+        private int statusOf(int port, Socket socket, String answer) throws Exception {
+            final CompletableFuture<BackendCall.Answer> received = call(port);
+            readRequest(socket);
+            socket.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
+            return received.get(AWAIT_SECONDS, TimeUnit.SECONDS).status();
+        }
+
+        // Guards against: a call ran into its time limit at an engine that names some calls only.
+        @Test
+        void areTheCallsAlsoAfterNamedOnes() throws Exception {
+            try (ServerSocket listener = new ServerSocket(0)) {
+                final int port = listener.getLocalPort();
+                final CompletableFuture<BackendCall.Answer> first = call(port);
+                try (Socket socket = listener.accept()) {
+                    readRequest(socket);
+                    socket.getOutputStream().write(NAMED.getBytes(StandardCharsets.US_ASCII));
+                    assertEquals(200, first.get(AWAIT_SECONDS, TimeUnit.SECONDS).status());
+
+                    assertEquals(202, statusOf(port, socket, UNNAMED));
+                    assertEquals(200, statusOf(port, socket, NAMED));
+                }
+            }
+        }
+    }
+
     @Nested
     class HeadRequests {
         private CompletableFuture<BackendCall.Answer> call(int port) throws Exception {
