--- a/daemon/src/main/java/org/crocushaven/forwarding/GrantedRequests.java
+++ b/daemon/src/main/java/org/crocushaven/admission/GrantedRequests.java
@@ -1,29 +1,36 @@
-package org.crocushaven.forwarding;
+package org.crocushaven.admission;
 
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
-import org.crocushaven.fleet.LimitGrant;
 
 /** Holds the requests that the leader granted to one backend server. Not thread-safe. */
-final class GrantedRequests {
-    private static final long VALID_NANOS = TimeUnit.MILLISECONDS.toNanos(LimitGrant.VALID_MILLIS);
-
+public final class GrantedRequests {
+    private final long validNanos;
     private final Deque<Grant> grants = new ArrayDeque<>();
 
-    /** Adds requests that may be sent from now on until their grant lapses. */
-    void add(int requests, long nowNanos) {
-        grants.addLast(new Grant(requests, nowNanos + VALID_NANOS));
+    private GrantedRequests(long validMillis) {
+        this.validNanos = TimeUnit.MILLISECONDS.toNanos(validMillis);
+    }
+
+    /** Returns a holder of no requests, in which each grant is valid for the given time. */
+    public static GrantedRequests validForMillis(long validMillis) {
+        return new GrantedRequests(validMillis);
+    }
+
+    /** Adds requests whose grant is valid from the given time on. */
+    public void add(int requests, long fromNanos) {
+        grants.addLast(new Grant(requests, fromNanos + validNanos));
     }
 
     /** Returns how many requests may be sent now. */
-    int left(long nowNanos) {
+    public int left(long nowNanos) {
         removeLapsed(nowNanos);
         return grants.stream().mapToInt(Grant::requests).sum();
     }
 
     /** Takes one request, of the grant that lapses first; returns whether there was one. */
-    boolean tryTake(long nowNanos) {
+    public boolean tryTake(long nowNanos) {
         removeLapsed(nowNanos);
         final Grant first = grants.pollFirst();
         if (first == null) {
@@ -35,6 +42,11 @@
         return true;
     }
 
+    /** Forgets all grants. */
+    public void clear() {
+        grants.clear();
+    }
+
     private void removeLapsed(long nowNanos) {
         grants.removeIf(grant -> grant.endNanos() - nowNanos <= 0);
     }
--- a/daemon/src/main/java/org/crocushaven/fleet/AdapterPlanner.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/AdapterPlanner.java
@@ -24,6 +24,7 @@
     private final AdapterPopularity popularity = new AdapterPopularity();
     private final Map<AdapterKey, Long> requiredVersions = new HashMap<>();
     private final StoreLoads storeLoads = new StoreLoads();
+    private Set<String> evacuatedDomains = Set.of();
     private final EngineChoice choice =
             new EngineChoice(engines, new EvictionChoice(popularity, requiredVersions), popularity);
 
@@ -37,6 +38,7 @@
                 known == null || restarted ? new PlannedEngine(announcement, profile) : known;
         engines.put(announcement.backend(), engine);
         engine.announced(announcement, profile);
+        engine.setEvacuated(evacuatedDomains.contains(announcement.failureDomain()));
         if (announcement.holdsModels()) {
             engine.slots().announced(announcement.held(), nowNanos);
         }
@@ -227,6 +229,33 @@
                 .flatMap(copy -> choice.copy(copy, requiredVersion(copy.key()), nowNanos));
     }
 
+    /** Keeps everything away from the engines of some failure domains, and only from those. */
+    void evacuate(Set<String> failureDomains) {
+        evacuatedDomains = Set.copyOf(failureDomains);
+        engines.values()
+                .forEach(
+                        engine ->
+                                engine.setEvacuated(
+                                        evacuatedDomains.contains(
+                                                engine.announcement().failureDomain())));
+    }
+
+    /**
+     * Returns a placement that loads an adapter of an evacuated engine elsewhere; empty if none is
+     * needed, or if the weight store is busy with adapters that requests wait for.
+     */
+    Optional<AdapterPlacement> nextEvacuated(long nowNanos) {
+        storeLoads.setEngineCount(engines.size());
+        if (evacuatedDomains.isEmpty() || storeLoads.isBusy(nowNanos)) {
+            return Optional.empty();
+        }
+        return EvacuatedAdapters.next(engines.values(), popularity, nowNanos)
+                .flatMap(
+                        request ->
+                                choice.load(
+                                        request, requiredVersion(request.key()), true, nowNanos));
+    }
+
     /** Returns the services of all engines. */
     Set<String> services() {
         return engines.values().stream()
--- a/daemon/src/main/java/org/crocushaven/fleet/AdapterSpread.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/AdapterSpread.java
@@ -40,7 +40,8 @@
     static Optional<Copy> next(Collection<PlannedEngine> engines, long nowNanos) {
         final List<PlannedEngine> ready = new ArrayList<>();
         for (final PlannedEngine engine : engines) {
-            if (engine.announcement().state() == BackendState.READY
+            if (!engine.isEvacuated()
+                    && engine.announcement().state() == BackendState.READY
                     && !engine.slots().holdsNoModel()) {
                 ready.add(engine);
             }
--- a/daemon/src/main/java/org/crocushaven/fleet/BackendAnnouncement.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/BackendAnnouncement.java
@@ -20,6 +20,7 @@
  * @param held base models and adapters that it holds
  * @param softwareVersion version of its software; empty if not reported, or if the announcement was
  *     stored before the component existed
+ * @param coldMillis time for which it still is cold, in milliseconds
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record BackendAnnouncement(
@@ -34,7 +35,8 @@
         long sequence,
         boolean holdsModels,
         List<HeldAdapter> held,
-        String softwareVersion)
+        String softwareVersion,
+        long coldMillis)
         implements Message {
     public BackendAnnouncement {
         held = List.copyOf(held);
@@ -55,7 +57,8 @@
                 Long.MAX_VALUE,
                 false,
                 List.of(),
-                "");
+                "",
+                0);
     }
 
     /** Returns whether this is a deregistration, which names nothing but the backend server. */
@@ -98,7 +101,8 @@
                 sequence,
                 holdsModels,
                 held,
-                softwareVersion);
+                softwareVersion,
+                coldMillis);
     }
 
     /** Returns the same announcement without what the backend server holds. */
@@ -115,7 +119,8 @@
                 sequence,
                 false,
                 List.of(),
-                softwareVersion);
+                softwareVersion,
+                coldMillis);
     }
 
     /** Returns the same announcement with another state. */
@@ -132,7 +137,8 @@
                 sequence,
                 holdsModels,
                 held,
-                softwareVersion);
+                softwareVersion,
+                coldMillis);
     }
 
     /** Returns the address as {@code host:port}. */
--- a/daemon/src/main/java/org/crocushaven/fleet/BackendRegistry.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/BackendRegistry.java
@@ -99,6 +99,12 @@
         return Optional.ofNullable(entries.get(backend)).map(entry -> entry.announcement);
     }
 
+    /** Returns the time since the last announcement of a backend server; 0 if it is unknown. */
+    long ageNanos(String backend, long nowNanos) {
+        final Entry entry = entries.get(backend);
+        return entry == null ? 0 : nowNanos - entry.receivedNanos;
+    }
+
     /** Returns whether a backend server is unknown or has missed several heartbeats. */
     public boolean isSilent(String backend, long nowNanos) {
         final Entry entry = entries.get(backend);
--- a/daemon/src/main/java/org/crocushaven/fleet/ControlCall.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/ControlCall.java
@@ -28,4 +28,12 @@
      * @param version the version
      */
     record RequireVersion(AdapterVersion version) implements ControlCall {}
+
+    /**
+     * An operator begins the evacuation of a failure domain, or takes it back.
+     *
+     * @param failureDomain the failure domain
+     * @param begins whether the evacuation begins
+     */
+    record Evacuate(String failureDomain, boolean begins) implements ControlCall {}
 }
--- a/daemon/src/main/java/org/crocushaven/fleet/ControlInstance.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/ControlInstance.java
@@ -15,6 +15,7 @@
 import org.crocushaven.consensus.ReplicaSupervisor;
 import org.crocushaven.consensus.ReplicaTiming;
 import org.crocushaven.coordination.VoterChange;
+import org.crocushaven.evacuation.EvacuationQuery;
 import org.crocushaven.observability.GuardedTask;
 import org.crocushaven.outbound.BackendPool;
 import org.crocushaven.protocol.Message;
@@ -53,6 +54,7 @@
     private final DepartureLog departures;
     private final UpdateNotices notices;
     private final AnnouncementIntake announcements;
+    private final EvacuationIntake evacuations;
     private final FleetCommits commits;
     private final LeaderTerms terms;
     private long ticks;
@@ -114,6 +116,16 @@
                         this::askLeader,
                         clock,
                         epochClock);
+        this.evacuations =
+                new EvacuationIntake(
+                        settings.failureDomains(),
+                        state,
+                        registry,
+                        this::currentLeader,
+                        this::askLeader,
+                        this::propose,
+                        clock,
+                        epochClock);
         final GroupRouter router = GroupRouter.create(transport);
         attach();
         this.supervisor = ReplicaSupervisor.open(() -> openGroup(router, seed));
@@ -203,6 +215,14 @@
         return propose(FleetCommand.adapterVersion(version));
     }
 
+    /**
+     * Begins the evacuation of a failure domain, or takes it back; completes when that is
+     * committed.
+     */
+    public CompletableFuture<Void> evacuate(String failureDomain, boolean begins) {
+        return evacuations.order(failureDomain, begins);
+    }
+
     /** Returns the configuration in force as the operator sent it. */
     public CompletableFuture<byte[]> describe() {
         final CompletableFuture<FleetDocument> document =
@@ -246,6 +266,8 @@
         transport.registerHandler(VoterChange.class, (sender, message) -> voterStops(message));
         transport.registerHandler(FleetProposal.class, (sender, message) -> proposed(message));
         transport.registerHandler(FleetRead.class, (sender, message) -> read());
+        transport.registerHandler(
+                EvacuationQuery.class, (sender, message) -> evacuationRequested(message));
     }
 
     private CompletableFuture<Message> announced(BackendAnnouncement announcement) {
@@ -311,6 +333,12 @@
                 : CompletableFuture.completedFuture(document());
     }
 
+    private CompletableFuture<Message> evacuationRequested(EvacuationQuery query) {
+        return currentLeader() == null
+                ? CompletableFuture.failedFuture(notLeader())
+                : CompletableFuture.completedFuture(state.evacuation(query.failureDomain()));
+    }
+
     private FleetDocument document() {
         final FleetState.View view = state.view();
         return new FleetDocument(view.configurationVersion(), view.document());
--- a/daemon/src/main/java/org/crocushaven/fleet/ControlServer.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/ControlServer.java
@@ -67,6 +67,10 @@
         if (call instanceof ControlCall.RequireVersion named) {
             return control.requireVersion(named.version()).thenApply(done -> EMPTY_OBJECT);
         }
+        if (call instanceof ControlCall.Evacuate order) {
+            return control.evacuate(order.failureDomain(), order.begins())
+                    .thenApply(done -> EMPTY_OBJECT);
+        }
         return control.describe();
     }
 
--- a/daemon/src/main/java/org/crocushaven/fleet/ControlSettings.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/ControlSettings.java
@@ -14,6 +14,7 @@
  * @param orderPauseMillis time after an election in which no orders are sent, because engines that
  *     do not check fencing tokens could still receive orders of the previous leader
  * @param rateSlack tokens beyond an organisation's rate that are tolerated in one window
+ * @param failureDomains all failure domains; empty if the settings do not name them
  */
 public record ControlSettings(
         String instance,
@@ -22,8 +23,10 @@
         int toleratedLosses,
         long heartbeatMillis,
         long orderPauseMillis,
-        double rateSlack) {
+        double rateSlack,
+        List<String> failureDomains) {
     public ControlSettings {
         firstVoters = List.copyOf(firstVoters);
+        failureDomains = List.copyOf(failureDomains);
     }
 }
--- a/daemon/src/main/java/org/crocushaven/fleet/EnginePlacement.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/EnginePlacement.java
@@ -4,7 +4,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 import org.agrona.concurrent.NanoClock;
@@ -16,6 +18,9 @@
  * keeps the planner's view of the engines up to date. Used on one event loop only.
  */
 final class EnginePlacement {
+    /** Loads of adapters of evacuated engines that are ordered at a time. */
+    private static final int MAXIMUM_EVACUATED_LOADS = 8;
+
     private final BackendRegistry registry;
     private final NanoClock clock;
     private final long ordersFromNanos;
@@ -79,6 +84,11 @@
         planner.addStarted(started, clock.nanoTime());
     }
 
+    /** Keeps everything away from the engines of some failure domains, and only from those. */
+    void evacuate(Set<String> failureDomains) {
+        planner.evacuate(failureDomains);
+    }
+
     /** Returns the base models and adapters that can be used on an engine now. */
     List<HeldAdapter> usable(String backend) {
         return planner.usable(backend, clock.nanoTime());
@@ -104,6 +114,7 @@
         }
         planner.services()
                 .forEach(service -> planner.nextCopy(service, nowNanos).ifPresent(this::loadCopy));
+        loadEvacuated(nowNanos);
     }
 
     /** Refuses what waits and stops sending orders. */
@@ -112,6 +123,21 @@
         orderQueues.close();
     }
 
+    /** Loads adapters of evacuated engines elsewhere, before requests ask for them there. */
+    private void loadEvacuated(long nowNanos) {
+        for (int count = 0; count < MAXIMUM_EVACUATED_LOADS; count++) {
+            final Optional<AdapterPlacement> chosen = planner.nextEvacuated(nowNanos);
+            if (chosen.isEmpty()) {
+                return;
+            }
+            EventLine.of("adapter-evacuated")
+                    .with("backend", chosen.get().backend())
+                    .with("adapter", chosen.get().key().adapter())
+                    .info();
+            loads.load(chosen.get(), 0);
+        }
+    }
+
     /** Loads an adapter on a second engine; no request waits for this load. */
     private void loadCopy(AdapterPlacement chosen) {
         EventLine.of("adapter-spread")
--- a/daemon/src/main/java/org/crocushaven/fleet/FleetCommand.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/FleetCommand.java
@@ -2,6 +2,8 @@
 
 import com.fasterxml.jackson.annotation.JsonFormat;
 import java.util.List;
+import org.crocushaven.evacuation.EvacuationChange;
+import org.crocushaven.evacuation.EvacuationOrder;
 
 /**
  * A change of the replicated state of a fleet.
@@ -17,6 +19,7 @@
  * @param softwareVersions software versions in use; null if the command does not change them
  * @param snapshotRevision revision of the state of which this is a snapshot; 0 in a change, and in
  *     snapshots of software without this component
+ * @param evacuations change of the evacuations of failure domains
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record FleetCommand(
@@ -29,7 +32,8 @@
         List<BackendAnnouncement> departuresRemoved,
         VerdictChange verdicts,
         SoftwareVersionsInUse softwareVersions,
-        long snapshotRevision) {
+        long snapshotRevision,
+        EvacuationChange evacuations) {
     private static final byte[] NO_DOCUMENT = new byte[0];
 
     public FleetCommand {
@@ -39,6 +43,7 @@
         departuresAdded = copyOrEmpty(departuresAdded);
         departuresRemoved = copyOrEmpty(departuresRemoved);
         verdicts = verdicts == null ? VerdictChange.NONE : verdicts;
+        evacuations = evacuations == null ? EvacuationChange.NONE : evacuations;
     }
 
     /** Copies a list; one that was stored before the component existed is null. */
@@ -58,7 +63,8 @@
                 List.of(),
                 VerdictChange.NONE,
                 null,
-                0);
+                0,
+                EvacuationChange.NONE);
     }
 
     /** Returns the command that requires a version of an adapter. */
@@ -73,7 +79,8 @@
                 List.of(),
                 VerdictChange.NONE,
                 null,
-                0);
+                0,
+                EvacuationChange.NONE);
     }
 
     /** Returns the command that changes which gateways may hold shares. */
@@ -88,7 +95,8 @@
                 List.of(),
                 VerdictChange.NONE,
                 null,
-                0);
+                0,
+                EvacuationChange.NONE);
     }
 
     /** Returns the command that changes which departures of backend servers are remembered. */
@@ -104,21 +112,29 @@
                 removed,
                 VerdictChange.NONE,
                 null,
-                0);
+                0,
+                EvacuationChange.NONE);
     }
 
     /** Returns the command that changes the verdicts on traits of requests. */
     public static FleetCommand verdicts(VerdictChange change) {
-        return withoutLists(change, null);
+        return withoutLists(change, null, EvacuationChange.NONE);
     }
 
     /** Returns the command that changes which software versions may be in use. */
     public static FleetCommand softwareVersions(SoftwareVersionsInUse versions) {
-        return withoutLists(VerdictChange.NONE, versions);
+        return withoutLists(VerdictChange.NONE, versions, EvacuationChange.NONE);
+    }
+
+    /** Returns the command that begins or takes back an evacuation. */
+    public static FleetCommand evacuation(EvacuationOrder order) {
+        return withoutLists(VerdictChange.NONE, null, EvacuationChange.of(order));
     }
 
     private static FleetCommand withoutLists(
-            VerdictChange verdicts, SoftwareVersionsInUse softwareVersions) {
+            VerdictChange verdicts,
+            SoftwareVersionsInUse softwareVersions,
+            EvacuationChange evacuations) {
         return new FleetCommand(
                 0,
                 NO_DOCUMENT,
@@ -129,6 +145,7 @@
                 List.of(),
                 verdicts,
                 softwareVersions,
-                0);
+                0,
+                evacuations);
     }
 }
--- a/daemon/src/main/java/org/crocushaven/fleet/FleetCommits.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/FleetCommits.java
@@ -6,6 +6,8 @@
 import org.crocushaven.consensus.GroupHost;
 import org.crocushaven.observability.EventLine;
 import org.crocushaven.protocol.MessageCodec;
+import org.crocushaven.result.ResultCode;
+import org.crocushaven.result.ResultException;
 
 /** Commits changes of the replicated state on an instance that leads. Used on one event loop. */
 final class FleetCommits {
@@ -24,9 +26,18 @@
         this.applied = applied;
     }
 
-    /** Commits a command; the future completes on the event loop. */
+    /**
+     * Commits a command; the future completes on the event loop, with {@code EVACUATION_OVERTAKEN}
+     * if the state refuses the command.
+     */
     CompletableFuture<Void> commit(byte[] command) {
-        return onLoop(group.get().propose(command)).thenApply(result -> null);
+        return onLoop(group.get().propose(command)).thenAccept(FleetCommits::requireApplied);
+    }
+
+    private static void requireApplied(byte[] result) {
+        if (FleetState.isRefused(result)) {
+            throw ResultException.of(ResultCode.EVACUATION_OVERTAKEN, "named in it");
+        }
     }
 
     /** Commits a command and passes the change on; the future completes on the event loop. */
--- a/daemon/src/main/java/org/crocushaven/fleet/FleetLeader.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/FleetLeader.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.agrona.concurrent.NanoClock;
+import org.crocushaven.coldstart.ColdStartBound;
 import org.crocushaven.ingress.EngineProfile;
 import org.crocushaven.ingress.IngressConfiguration;
 import org.crocushaven.ingress.IngressService;
@@ -34,6 +35,8 @@
     private final EnginePlacement placement;
     private final GatewayReports reports = new GatewayReports();
     private final LimitLedger limits = new LimitLedger();
+    private final ColdStarts coldStarts;
+    private final EvacuationProgress evacuations;
     private final BackendChanges changes;
     private final LeaderLoad load;
     private final StreamDirectory streams;
@@ -82,6 +85,8 @@
                         registry,
                         clock,
                         nowNanos + TimeUnit.MILLISECONDS.toNanos(orderPauseMillis));
+        this.coldStarts = new ColdStarts(registry, this::coldStartOf);
+        this.evacuations = new EvacuationProgress(registry, placement, coldStarts);
         refresh();
     }
 
@@ -111,6 +116,7 @@
     void announced(BackendAnnouncement announcement) {
         streams.observe(announcement, clock.nanoTime());
         verdicts.announced(announcement);
+        coldStarts.announced(announcement, clock.nanoTime());
         final Optional<EngineProfile> profile = profileOf(announcement.service());
         final Optional<BackendAnnouncement> known = registry.find(announcement.backend());
         if (profile.isPresent() && known.isPresent()) {
@@ -154,7 +160,9 @@
                         lending.lend(report, nowNanos),
                         verdicts.update(report, !gatewayHasState),
                         limits.exchange(report.limits(), nowNanos),
-                        RelayDirectory.relaysFor(report, reports.latest()));
+                        RelayDirectory.relaysFor(report, reports.latest()),
+                        coldStarts.exchange(report.coldStarts(), nowNanos),
+                        view.evacuatedDomains());
         load.recordReport(nowNanos, clock.nanoTime(), update.changed().size());
         return update;
     }
@@ -180,6 +188,7 @@
         refresh();
         streams.tick(clock.nanoTime());
         limits.tick(clock.nanoTime());
+        coldStarts.tick(clock.nanoTime());
         lending.tick(clock.nanoTime());
         verdicts.tick(reports.gateways());
         placement.tick();
@@ -209,6 +218,13 @@
                     takeUpTime.millisWith(configuration.get().longestStreamMillis()));
             registry.present().forEach(this::announced);
         }
+        evacuations.apply(view.evacuations(), nowNanos);
+    }
+
+    private Optional<ColdStartBound> coldStartOf(String service) {
+        return configuration
+                .flatMap(known -> known.service(service))
+                .flatMap(IngressService::coldStart);
     }
 
     private Optional<EngineProfile> profileOf(String service) {
--- a/daemon/src/main/java/org/crocushaven/fleet/FleetState.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/FleetState.java
@@ -1,6 +1,7 @@
 package org.crocushaven.fleet;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -8,17 +9,24 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import org.crocushaven.consensus.StateMachine;
+import org.crocushaven.evacuation.Evacuation;
+import org.crocushaven.evacuation.EvacuationChange;
+import org.crocushaven.evacuation.EvacuationOrder;
+import org.crocushaven.evacuation.Evacuations;
 import org.crocushaven.protocol.MessageCodec;
 
 /**
  * The replicated state of a fleet: the newest configuration, the newest adapter versions, the
  * gateways that may hold shares, the backend servers that leave, the verdicts on traits of
- * requests, and the software versions in use.
+ * requests, the software versions in use, and the evacuations of failure domains.
  *
  * <p>A configuration or adapter version that is not higher than the current one changes nothing.
  * Thread-safe; guarded by its own monitor.
  */
 public final class FleetState implements StateMachine {
+    /** Result of a command that was refused, because it came too late. */
+    private static final byte[] REFUSED = {1};
+
     private static final byte[] NO_RESULT = new byte[0];
     private static final byte[] NO_DOCUMENT = new byte[0];
 
@@ -32,6 +40,7 @@
     private final Map<String, BackendAnnouncement> departures = new TreeMap<>();
     private final Map<List<Long>, TraitVerdict> verdicts = new LinkedHashMap<>();
     private List<TraitVerdict> verdictList = List.of();
+    private final Evacuations evacuations = Evacuations.none();
     private volatile SoftwareVersionsInUse softwareVersions = SoftwareVersionsInUse.NONE_KNOWN;
 
     /** The last term that began, as far as applied. */
@@ -61,7 +70,7 @@
         if (decoded.softwareVersions() != null) {
             applySoftwareVersions(decoded.softwareVersions());
         }
-        return NO_RESULT;
+        return applyEvacuations(decoded.evacuations(), index) ? NO_RESULT : REFUSED;
     }
 
     @Override
@@ -77,7 +86,8 @@
                         List.of(),
                         new VerdictChange(verdictList, List.of()),
                         softwareVersionsOfSnapshot(),
-                        revision));
+                        revision,
+                        EvacuationChange.ofSnapshot(evacuations.all())));
     }
 
     @Override
@@ -89,6 +99,7 @@
         verdicts.clear();
         verdictList = List.of();
         softwareVersions = SoftwareVersionsInUse.NONE_KNOWN;
+        evacuations.restore(List.of());
         currentTerm = 0;
         configurationVersion = 0;
         document = NO_DOCUMENT;
@@ -101,7 +112,36 @@
 
     /** Returns the current state. */
     public synchronized View view() {
-        return new View(revision, configurationVersion, document, adapterVersionList, verdictList);
+        return new View(
+                revision,
+                configurationVersion,
+                document,
+                adapterVersionList,
+                verdictList,
+                evacuations.all());
+    }
+
+    /** Returns whether a result is that of a command that was refused. */
+    static boolean isRefused(byte[] result) {
+        return Arrays.equals(result, REFUSED);
+    }
+
+    /** Returns the last evacuation of a failure domain. */
+    synchronized Evacuation evacuation(String failureDomain) {
+        return evacuations.find(failureDomain);
+    }
+
+    /** Returns whether each failure domain is now in the ordered state. */
+    private boolean applyEvacuations(EvacuationChange change, long index) {
+        if (!change.held().isEmpty()) {
+            evacuations.restore(change.held());
+        }
+        boolean applied = true;
+        for (final EvacuationOrder order : change.orders()) {
+            applied &= evacuations.apply(order, index);
+            revision = index;
+        }
+        return applied;
     }
 
     /** Returns the gateways that may hold shares. */
@@ -203,11 +243,21 @@
      * @param document the configuration as the operator sent it, compressed
      * @param adapterVersions versions that the operator requires
      * @param verdicts verdicts on traits of requests
+     * @param evacuations the last evacuation of each failure domain that ever had one
      */
     public record View(
             long revision,
             long configurationVersion,
             byte[] document,
             List<AdapterVersion> adapterVersions,
-            List<TraitVerdict> verdicts) {}
+            List<TraitVerdict> verdicts,
+            List<Evacuation> evacuations) {
+        /** Returns the failure domains that are evacuated. */
+        List<String> evacuatedDomains() {
+            return evacuations.stream()
+                    .filter(Evacuation::underWay)
+                    .map(Evacuation::failureDomain)
+                    .toList();
+        }
+    }
 }
--- a/daemon/src/main/java/org/crocushaven/fleet/GatewayReport.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/GatewayReport.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.annotation.JsonFormat;
 import java.util.List;
 import org.crocushaven.admission.ShareReport;
+import org.crocushaven.coldstart.ColdUse;
 import org.crocushaven.protocol.Message;
 
 /**
@@ -24,6 +25,8 @@
  *     component
  * @param paths its paths to backend servers; nothing if the gateway runs software without this
  *     component
+ * @param coldStarts backend servers that are cold or in doubt; none if the gateway runs software
+ *     without this component
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record GatewayReport(
@@ -38,7 +41,8 @@
         List<BegunStreams> streams,
         TraitReport traits,
         List<LimitUse> limits,
-        PathReport paths)
+        PathReport paths,
+        List<ColdUse> coldStarts)
         implements Message {
     public GatewayReport {
         loads = List.copyOf(loads);
@@ -47,5 +51,6 @@
         traits = traits == null ? TraitReport.EMPTY : traits;
         limits = limits == null ? List.of() : List.copyOf(limits);
         paths = paths == null ? PathReport.EMPTY : paths;
+        coldStarts = coldStarts == null ? List.of() : List.copyOf(coldStarts);
     }
 }
--- a/daemon/src/main/java/org/crocushaven/fleet/GatewayUpdate.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/GatewayUpdate.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.crocushaven.admission.ShareGrant;
+import org.crocushaven.coldstart.ColdGrant;
 import org.crocushaven.protocol.Message;
 
 /**
@@ -31,6 +32,10 @@
  *     none if the leader runs software without this component
  * @param relays gateways that can take requests over, if the gateway wants any; none if the leader
  *     runs software without this component
+ * @param coldStarts backend servers that are cold, and the requests that the gateway may send
+ *     there; none if the leader runs software without this component
+ * @param evacuatedDomains failure domains to which nothing may be sent; none if the leader runs
+ *     software without this component
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record GatewayUpdate(
@@ -50,7 +55,9 @@
         Optional<ShareGrant> shares,
         TraitUpdate traits,
         List<LimitGrant> limits,
-        List<Relay> relays)
+        List<Relay> relays,
+        List<ColdGrant> coldStarts,
+        List<String> evacuatedDomains)
         implements Message {
     public GatewayUpdate {
         adapterVersions = List.copyOf(adapterVersions);
@@ -61,5 +68,7 @@
         traits = traits == null ? TraitUpdate.EMPTY : traits;
         limits = limits == null ? List.of() : List.copyOf(limits);
         relays = relays == null ? List.of() : List.copyOf(relays);
+        coldStarts = coldStarts == null ? List.of() : List.copyOf(coldStarts);
+        evacuatedDomains = evacuatedDomains == null ? List.of() : List.copyOf(evacuatedDomains);
     }
 }
--- a/daemon/src/main/java/org/crocushaven/fleet/LimitLedger.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/LimitLedger.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import org.crocushaven.admission.TokenBucket;
+import org.crocushaven.admission.GrantBucket;
 
 /**
  * Keeps the limits that backend servers named to gateways, and hands their requests out: all that
@@ -34,7 +34,8 @@
                         grants.add(
                                 new LimitGrant(
                                         entry.statement(backend, nowNanos),
-                                        entry.take(wanted.getOrDefault(backend, 0), nowNanos))));
+                                        entry.bucket.take(
+                                                wanted.getOrDefault(backend, 0), nowNanos))));
         return grants;
     }
 
@@ -60,13 +61,9 @@
                 : 0;
     }
 
-    private static double capacityOf(LimitStatement said) {
-        return said.isLimit() ? Math.max(1, KEPT_SECONDS * rateOf(said)) : 0;
-    }
-
     /** The last statement of a backend server, and the requests that are left of its limit. */
     private static final class Entry {
-        private final TokenBucket bucket;
+        private final GrantBucket bucket;
         private long startedMillis;
         private double perSecond;
         private long saidNanos;
@@ -76,7 +73,7 @@
             this.startedMillis = said.startedMillis();
             this.perSecond = said.perSecond();
             this.saidNanos = saidNanos;
-            this.bucket = TokenBucket.create(rateOf(said), capacityOf(said), 0, nowNanos);
+            this.bucket = GrantBucket.empty(rateOf(said), KEPT_SECONDS, nowNanos);
         }
 
         private boolean isFollowedBy(LimitStatement said, long otherNanos) {
@@ -86,19 +83,12 @@
         }
 
         private void change(LimitStatement said, long newSaidNanos, long nowNanos) {
-            bucket.resize(rateOf(said), capacityOf(said), nowNanos);
+            bucket.setRate(rateOf(said), nowNanos);
             startedMillis = said.startedMillis();
             perSecond = said.perSecond();
             saidNanos = newSaidNanos;
         }
 
-        /** Takes whole requests, at most half of those left, so that others get some too. */
-        private int take(int wanted, long nowNanos) {
-            final double level = bucket.level(nowNanos);
-            final int taken = (int) Math.min(wanted, Math.max(Math.min(1, level), level / 2));
-            return taken > 0 && bucket.tryTake(taken, nowNanos) ? taken : 0;
-        }
-
         private LimitStatement statement(String backend, long nowNanos) {
             return new LimitStatement(
                     backend,
--- a/daemon/src/main/java/org/crocushaven/fleet/PlannedEngine.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/PlannedEngine.java
@@ -9,6 +9,7 @@
     private BackendAnnouncement announcement;
     private EngineProfile profile;
     private int requests;
+    private boolean evacuated;
 
     /** Creates an engine whose held adapters are not known yet. */
     PlannedEngine(BackendAnnouncement announcement, EngineProfile profile) {
@@ -27,6 +28,15 @@
         requests = newRequests;
     }
 
+    /** Sets whether its failure domain is evacuated, so that nothing is placed on it. */
+    void setEvacuated(boolean isEvacuated) {
+        evacuated = isEvacuated;
+    }
+
+    boolean isEvacuated() {
+        return evacuated;
+    }
+
     BackendAnnouncement announcement() {
         return announcement;
     }
@@ -50,7 +60,8 @@
 
     /** Returns whether it accepts requests of a service for adapters of a base model. */
     boolean serves(String service, String model) {
-        return announcement.state() == BackendState.READY
+        return !evacuated
+                && announcement.state() == BackendState.READY
                 && announcement.service().equals(service)
                 && slots.holdsModel(model);
     }
--- a/daemon/src/main/java/org/crocushaven/fleet/RelayDirectory.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/RelayDirectory.java
@@ -49,7 +49,8 @@
                                 new Relay(
                                         other.gateway(),
                                         other.paths().address(),
-                                        other.paths().unreachable()))
+                                        other.paths().unreachable(),
+                                        other.paths().failureDomain()))
                 .toList();
     }
 
--- a/daemon/src/main/java/org/crocushaven/forwarding/AttemptSender.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/AttemptSender.java
@@ -57,10 +57,11 @@
         final BackendRecord backend = attempt.target().backend();
         if (failure != null) {
             environment.paths().connectionFailed(backend, environment.nowNanos());
+            environment.doubt(backend);
             forwarding.handleFailure(attempt, false, "no connection");
         } else if (forwarding.isStale(attempt) || forwarding.remainingMillis() <= 0) {
             channel.close();
-        } else if (!isWanted(attempt)) {
+        } else if (!environment.view().trySend(backend, environment.nowNanos())) {
             channel.close();
             forwarding.withdraw(attempt);
         } else {
@@ -78,20 +79,6 @@
         }
     }
 
-    private boolean isWanted(BackendAttempt attempt) {
-        final BackendRecord backend = attempt.target().backend();
-        final long nowNanos = environment.nowNanos();
-        return environment.view().notices().allowRequests(backend, nowNanos)
-                && environment
-                        .view()
-                        .brittle()
-                        .tryTake(
-                                backend,
-                                environment.view().requestsAt(backend.backend()) - 1,
-                                nowNanos)
-                && environment.view().limits().tryTake(backend, nowNanos);
-    }
-
     private void sendOn(BackendChannel channel, BackendAttempt attempt) {
         attempt.sending(channel, environment.nowNanos());
         final String backend = attempt.target().backend().backend();
--- a/daemon/src/main/java/org/crocushaven/forwarding/BackendLimits.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/BackendLimits.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
+import org.crocushaven.admission.GrantedRequests;
 import org.crocushaven.fleet.BackendRecord;
 import org.crocushaven.fleet.LimitGrant;
 import org.crocushaven.fleet.LimitStatement;
@@ -149,7 +150,8 @@
     }
 
     private GrantedRequests grantedTo(String backend) {
-        return granted.computeIfAbsent(backend, name -> new GrantedRequests());
+        return granted.computeIfAbsent(
+                backend, name -> GrantedRequests.validForMillis(LimitGrant.VALID_MILLIS));
     }
 
     /**
--- a/daemon/src/main/java/org/crocushaven/forwarding/ForwardingEnvironment.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/ForwardingEnvironment.java
@@ -9,8 +9,10 @@
 import org.crocushaven.fleet.BackendRecord;
 import org.crocushaven.ingress.IngressConfiguration;
 import org.crocushaven.ingress.IngressRequest;
+import org.crocushaven.ingress.IngressService;
 import org.crocushaven.outbound.BackendChannel;
 import org.crocushaven.outbound.BackendPool;
+import org.crocushaven.residency.RegionMap;
 
 /**
  * Contains the objects that all requests of a gateway share.
@@ -34,6 +36,8 @@
  * @param paths which paths of this gateway to backend servers are open
  * @param probes tries those that may be closed
  * @param relays other gateways that can take requests over
+ * @param regions region of each failure domain
+ * @param region region of this gateway; empty if not known
  * @param observer is notified of sends, failures and results
  */
 record ForwardingEnvironment(
@@ -56,11 +60,31 @@
         BackendPaths paths,
         PathProbes probes,
         Relays relays,
+        RegionMap regions,
+        String region,
         ForwardingObserver observer) {
     long nowNanos() {
         return clock.nanoTime();
     }
 
+    /**
+     * Records that no connection to a backend server can be opened, so it may have started anew.
+     */
+    void doubt(BackendRecord backend) {
+        configuration
+                .current()
+                .flatMap(known -> known.service(backend.service()))
+                .flatMap(IngressService::coldStart)
+                .ifPresent(
+                        bound ->
+                                view.cold()
+                                        .doubt(
+                                                backend.backend(),
+                                                backend.startedMillis(),
+                                                bound,
+                                                nowNanos()));
+    }
+
     /**
      * Returns a connection for a request; one without identifier gets a new one, since only the
      * place of its answer says what it answers.
--- a/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
@@ -120,6 +120,8 @@
                                 paths,
                                 probes,
                                 relays,
+                                settings.regions(),
+                                settings.regions().regionOf(settings.failureDomain()),
                                 observer));
         transport.registerHandler(
                 FleetUpdateNotice.class,
@@ -221,7 +223,8 @@
                         settings.failureDomain(),
                         stopping ? "" : settings.ingress(),
                         paths.unreachableServices(view.records(), nowNanos),
-                        paths.isAnyClosed()));
+                        paths.isAnyClosed()),
+                view.cold().report(nowNanos));
     }
 
     private void openConnection(BackendRecord backend, Consumer<Boolean> then) {
@@ -249,7 +252,7 @@
 
     private void applyUpdate(GatewayUpdate update, long sentNanos) {
         final long nowNanos = clock.nanoTime();
-        view.apply(update, nowNanos);
+        view.apply(update, sentNanos, nowNanos);
         streams.reportAnswered(update.epoch());
         crashes.apply(
                 update, update.hasState() && update.stateRevision() >= stateRevision, nowNanos);
@@ -297,6 +300,7 @@
         if (suspension.wasSuspended(nowNanos, epochClock.time())) {
             EventLine.of("suspension-suspected").warn();
             admission.invalidate(nowNanos);
+            view.cold().withdrawGrants();
             link.reportSoon();
         }
     }
--- a/daemon/src/main/java/org/crocushaven/forwarding/GatewayBackends.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/GatewayBackends.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
+import org.crocushaven.coldstart.ColdBackends;
 import org.crocushaven.fleet.AdapterKey;
 import org.crocushaven.fleet.AdapterVersion;
 import org.crocushaven.fleet.BackendRecord;
@@ -34,6 +35,8 @@
     private final BackendNotices notices = new BackendNotices();
     private final BackendLimits limits = new BackendLimits();
     private final BrittleBackends brittle;
+    private final ColdBackends cold = new ColdBackends();
+    private Set<String> evacuatedDomains = Set.of();
     private long epoch;
     private long revision;
 
@@ -49,8 +52,10 @@
     /**
      * Applies an update of the leader. Adapters that are still loading at the request of this
      * gateway stay recorded unless their backend server is removed.
+     *
+     * @param askedNanos time at which the report was sent that the update answers
      */
-    void apply(GatewayUpdate update, long nowNanos) {
+    void apply(GatewayUpdate update, long askedNanos, long nowNanos) {
         if (update.complete()) {
             final Set<String> reported = new HashSet<>();
             update.changed().forEach(record -> reported.add(record.backend()));
@@ -68,11 +73,20 @@
         }
         loads.apply(update.otherLoads(), nowNanos);
         limits.apply(update.limits(), nowNanos);
+        cold.apply(update.coldStarts(), askedNanos, nowNanos);
+        applyEvacuations(Set.copyOf(update.evacuatedDomains()));
         brittle.viewChanged(update.gateways());
         epoch = update.epoch();
         revision = update.revision();
     }
 
+    private void applyEvacuations(Set<String> domains) {
+        if (!domains.equals(evacuatedDomains)) {
+            EventLine.of("evacuations-received").with("failure_domains", domains).info();
+            evacuatedDomains = domains;
+        }
+    }
+
     /** Returns the epoch of the leader that sent the last update; 0 before the first one. */
     long epoch() {
         return epoch;
@@ -108,15 +122,37 @@
         return brittle;
     }
 
+    /** Returns the backend servers that are cold. */
+    ColdBackends cold() {
+        return cold;
+    }
+
+    /**
+     * Takes a request out of all that bounds those of a backend server, just before it is sent;
+     * returns whether it may be sent.
+     */
+    boolean trySend(BackendRecord backend, long nowNanos) {
+        return !evacuatedDomains.contains(backend.failureDomain())
+                && notices.allowRequests(backend, nowNanos)
+                && brittle.tryTake(backend, requestsAt(backend.backend()) - 1, nowNanos)
+                && limits.tryTake(backend, nowNanos)
+                && cold.tryTake(backend.backend(), backend.startedMillis(), nowNanos);
+    }
+
     /** Returns whether a backend server accepts requests by its record and by its own answers. */
     boolean acceptsRequests(BackendRecord record, long nowNanos) {
         return record.acceptsRequests() && wantsRequests(record, nowNanos);
     }
 
-    /** Returns whether a backend server wants requests by its own answers. */
+    /**
+     * Returns whether a backend server wants requests by its own answers, and may have them while
+     * it is cold or its failure domain evacuated.
+     */
     private boolean wantsRequests(BackendRecord record, long nowNanos) {
-        return notices.allowRequests(record, nowNanos)
+        return !evacuatedDomains.contains(record.failureDomain())
+                && notices.allowRequests(record, nowNanos)
                 && limits.allows(record, nowNanos)
+                && cold.allows(record.backend(), record.startedMillis(), nowNanos)
                 && brittle.allows(record, requestsAt(record.backend()), nowNanos);
     }
 
@@ -140,18 +176,48 @@
                 .forEach(limits::recordWanted);
     }
 
+    /**
+     * Records that a request would be sent to one of the cold backend servers of a service, so that
+     * the next grant brings one there.
+     */
+    void recordWantedOfCold(String service, RandomGenerator random, long nowNanos) {
+        final List<BackendRecord> withheld =
+                select(
+                        service,
+                        record ->
+                                record.acceptsRequests()
+                                        && !evacuatedDomains.contains(record.failureDomain())
+                                        && !cold.allows(
+                                                record.backend(),
+                                                record.startedMillis(),
+                                                nowNanos));
+        if (!withheld.isEmpty()) {
+            cold.recordWanted(withheld.get(random.nextInt(withheld.size())).backend());
+        }
+    }
+
     /**
      * Returns the time until the first backend server of a service takes requests again; empty
      * unless all that do not leave want a pause, or have named a limit that is used up.
      */
     Optional<Duration> pauseOf(String service, long nowNanos) {
-        return select(service, record -> record.acceptsRequests() && !notices.isLeaving(record))
+        return select(
+                        service,
+                        record ->
+                                record.acceptsRequests()
+                                        && !notices.isLeaving(record)
+                                        && !evacuatedDomains.contains(record.failureDomain()))
                 .stream()
                 .map(
                         record ->
                                 Math.max(
                                         notices.pauseNanos(record, nowNanos),
-                                        limits.waitNanos(record, nowNanos)))
+                                        Math.max(
+                                                limits.waitNanos(record, nowNanos),
+                                                cold.waitNanos(
+                                                        record.backend(),
+                                                        record.startedMillis(),
+                                                        nowNanos))))
                 .min(Long::compare)
                 .filter(pauseNanos -> pauseNanos > 0)
                 .map(Duration::ofNanos);
--- a/daemon/src/main/java/org/crocushaven/forwarding/GatewaySettings.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/GatewaySettings.java
@@ -1,5 +1,7 @@
 package org.crocushaven.forwarding;
 
+import org.crocushaven.residency.RegionMap;
+
 /**
  * Contains the settings of a gateway.
  *
@@ -9,6 +11,7 @@
  * @param freshnessMillis maximum age of the control state for serving keyed requests
  * @param retryRatio retries allowed for each first send, over all gateways
  * @param retryExtra additional retries allowed to all gateways together in one window
+ * @param regions region of each failure domain
  */
 public record GatewaySettings(
         String instance,
@@ -16,4 +19,5 @@
         String ingress,
         long freshnessMillis,
         double retryRatio,
-        double retryExtra) {}
+        double retryExtra,
+        RegionMap regions) {}
--- a/daemon/src/main/java/org/crocushaven/forwarding/HandOver.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/HandOver.java
@@ -91,7 +91,19 @@
                 ? Optional.empty()
                 : environment
                         .relays()
-                        .choose(served.admission().service(), tried, environment.nowNanos());
+                        .choose(
+                                served.admission().service(),
+                                tried,
+                                this::mayHaveBody,
+                                environment.nowNanos());
+    }
+
+    private boolean mayHaveBody(Relay candidate) {
+        return served.admission()
+                .allowedRegions()
+                .allowsBody(
+                        environment.regions().regionOf(candidate.failureDomain()),
+                        environment.region());
     }
 
     private void start(Relay chosen, String reason) {
--- a/daemon/src/main/java/org/crocushaven/forwarding/Relays.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/Relays.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.crocushaven.fleet.Relay;
 
 /**
@@ -30,11 +31,14 @@
      * Returns a relay for a request; empty if there is none.
      *
      * @param tried names of the relays that did not take the request
+     * @param mayHaveBody whether the body of the request may be sent to a relay
      */
-    Optional<Relay> choose(String service, Collection<String> tried, long nowNanos) {
+    Optional<Relay> choose(
+            String service, Collection<String> tried, Predicate<Relay> mayHaveBody, long nowNanos) {
         return known.stream()
                 .filter(relay -> !tried.contains(relay.gateway()))
                 .filter(relay -> !relay.unreachable().contains(service))
+                .filter(mayHaveBody)
                 .min(
                         Comparator.comparing((Relay relay) -> failedLately(relay, nowNanos))
                                 .thenComparingInt(
--- a/daemon/src/main/java/org/crocushaven/forwarding/ReplacementSearch.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/ReplacementSearch.java
@@ -87,7 +87,7 @@
     private CompletableFuture<Target> find(Set<String> excluded) {
         try {
             return new TargetFinder(environment)
-                    .find(admission.service(), request, excluded, "", continuation);
+                    .find(admission, request, excluded, "", continuation);
         } catch (RuntimeException fault) {
             environment.observer().faulted(fault, true);
             return CompletableFuture.failedFuture(fault);
--- a/daemon/src/main/java/org/crocushaven/forwarding/RequestAdmission.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/RequestAdmission.java
@@ -1,5 +1,6 @@
 package org.crocushaven.forwarding;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.crocushaven.admission.Charge;
@@ -7,6 +8,7 @@
 import org.crocushaven.ingress.IngressRequest;
 import org.crocushaven.ingress.IngressRoute;
 import org.crocushaven.ingress.KeyedOrganisation;
+import org.crocushaven.residency.AllowedRegions;
 import org.crocushaven.result.ResultCode;
 import org.crocushaven.result.ResultException;
 
@@ -24,6 +26,7 @@
     private IngressRoute route;
     private String service = "-";
     private Optional<KeyedOrganisation> organisation = Optional.empty();
+    private AllowedRegions allowedRegions = AllowedRegions.ALL;
     private Optional<Charge> charge = Optional.empty();
     private long configurationVersion;
     private long controlAgeMillis;
@@ -51,6 +54,14 @@
         }
         route = found.get();
         organisation = environment.admission().identify(configuration, route, request, nowNanos);
+        allowedRegions =
+                AllowedRegions.of(
+                        route.allowedRegions(),
+                        organisation.map(KeyedOrganisation::allowedRegions).orElse(List.of()));
+        if (allowedRegions.isContradiction()) {
+            throw ResultException.of(
+                    ResultCode.NO_ALLOWED_REGION, route.name(), organisationName());
+        }
         service = route.serviceAt(environment.random().nextDouble());
     }
 
@@ -103,6 +114,11 @@
         return service;
     }
 
+    /** Returns the regions in which the request may run. */
+    AllowedRegions allowedRegions() {
+        return allowedRegions;
+    }
+
     Optional<KeyedOrganisation> organisation() {
         return organisation;
     }
--- a/daemon/src/main/java/org/crocushaven/forwarding/TargetFinder.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/TargetFinder.java
@@ -8,11 +8,13 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.crocushaven.fleet.AdapterGrant;
 import org.crocushaven.fleet.AdapterKey;
 import org.crocushaven.fleet.AdapterRequest;
 import org.crocushaven.fleet.BackendRecord;
 import org.crocushaven.ingress.IngressRequest;
+import org.crocushaven.residency.AllowedRegions;
 import org.crocushaven.result.ResultCode;
 import org.crocushaven.result.ResultException;
 
@@ -54,29 +56,49 @@
     /**
      * Returns the target of a request. The future fails with a refusal that says when to retry.
      *
+     * @param admission route and organisation of the request, with the regions that they allow
      * @param tried backend servers that were already tried
      * @param missingAt backend server that did not hold the request's adapter although it should;
      *     empty if there is none
      * @param continuation decides which software versions may serve the request
      */
     CompletableFuture<Target> find(
-            String service,
+            RequestAdmission admission,
             IngressRequest request,
             Set<String> tried,
             String missingAt,
             StreamContinuation continuation) {
+        final String service = admission.service();
         environment.view().recordWantedOfLimited(service, environment.nowNanos());
+        environment
+                .view()
+                .recordWantedOfCold(service, environment.random(), environment.nowNanos());
         final Optional<Duration> pause =
                 environment.view().pauseOf(service, environment.nowNanos());
         if (pause.isPresent()) {
             return refused(ResultCode.QUEUE_FULL, service, pause.get());
         }
-        final Set<String> excluded = continuation.excluded(tried);
+        final Set<String> excluded = withoutForbidden(admission, continuation.excluded(tried));
         return request.model().isPresent()
                 ? findForModel(service, request, excluded, missingAt, continuation)
                 : findWithoutModel(service, request, excluded);
     }
 
+    /** Adds the backend servers in regions where the request may not run. */
+    private Set<String> withoutForbidden(RequestAdmission admission, Set<String> excluded) {
+        final AllowedRegions allowed = admission.allowedRegions();
+        if (!allowed.isBound()) {
+            return excluded;
+        }
+        final Set<String> all = new LinkedHashSet<>(excluded);
+        for (final BackendRecord record : environment.view().records()) {
+            if (!allowed.allows(environment.regions().regionOf(record.failureDomain()))) {
+                all.add(record.backend());
+            }
+        }
+        return all;
+    }
+
     private CompletableFuture<Target> findWithoutModel(
             String service, IngressRequest request, Set<String> excluded) {
         final Optional<BackendSelector.Candidate> best =
@@ -127,7 +149,15 @@
                 .whenComplete(
                         (grant, failure) -> {
                             try {
-                                completeWithGrant(found, service, key, holder, grant, continuation);
+                                completeWithGrant(
+                                        found,
+                                        service,
+                                        key,
+                                        holder,
+                                        grant,
+                                        backend ->
+                                                continuation.allows(backend)
+                                                        && !excluded.contains(backend.backend()));
                             } catch (RuntimeException fault) {
                                 found.completeExceptionally(fault);
                             }
@@ -189,12 +219,12 @@
             AdapterKey key,
             Optional<BackendSelector.Candidate> holder,
             AdapterGrant grant,
-            StreamContinuation continuation) {
+            Predicate<BackendRecord> condition) {
         final Optional<BackendRecord> backend =
                 grant == null || !grant.isGranted()
                         ? Optional.empty()
                         : environment.view().find(grant.backend());
-        if (backend.filter(this::acceptsRequests).filter(continuation::allows).isPresent()) {
+        if (backend.filter(this::acceptsRequests).filter(condition).isPresent()) {
             final long usableNanos =
                     environment.nowNanos() + TimeUnit.MILLISECONDS.toNanos(grant.readyInMillis());
             environment.view().addHolder(grant.backend(), key, grant.version(), usableNanos);
--- a/daemon/src/main/java/org/crocushaven/forwarding/TargetWait.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/TargetWait.java
@@ -88,7 +88,7 @@
                 () ->
                         new TargetFinder(environment)
                                 .find(
-                                        served.admission().service(),
+                                        served.admission(),
                                         served.request(),
                                         served.retries().excluded(),
                                         served.retries().takeMissingAt(),
--- a/daemon/src/main/java/org/crocushaven/ingress/IngressRoute.java
+++ b/daemon/src/main/java/org/crocushaven/ingress/IngressRoute.java
@@ -19,6 +19,7 @@
  * @param maximumAttempts maximum number of backend servers to which one request may be sent
  * @param open whether requests need no key
  * @param resumable whether a broken stream may resume at another backend server
+ * @param allowedRegions regions in which its requests may run; empty for all
  */
 public record IngressRoute(
         String name,
@@ -32,9 +33,11 @@
         List<WeightedService> targets,
         int maximumAttempts,
         boolean open,
-        boolean resumable) {
+        boolean resumable,
+        List<String> allowedRegions) {
     public IngressRoute {
         targets = List.copyOf(targets);
+        allowedRegions = List.copyOf(allowedRegions);
     }
 
     /** Returns whether a request of this route may be sent again after a send that may have run. */
--- a/daemon/src/main/java/org/crocushaven/ingress/IngressService.java
+++ b/daemon/src/main/java/org/crocushaven/ingress/IngressService.java
@@ -1,6 +1,7 @@
 package org.crocushaven.ingress;
 
 import java.util.Optional;
+import org.crocushaven.coldstart.ColdStartBound;
 
 /**
  * Describes a service to which routes send requests.
@@ -9,5 +10,10 @@
  * @param maximumConnections maximum number of connections that one backend server accepts from all
  *     instances together
  * @param engine present when its backend servers are model engines
+ * @param coldStart what its backend servers bear while they are cold; empty if that is not bounded
  */
-public record IngressService(String name, int maximumConnections, Optional<EngineProfile> engine) {}
+public record IngressService(
+        String name,
+        int maximumConnections,
+        Optional<EngineProfile> engine,
+        Optional<ColdStartBound> coldStart) {}
--- a/daemon/src/main/java/org/crocushaven/ingress/KeyedOrganisation.java
+++ b/daemon/src/main/java/org/crocushaven/ingress/KeyedOrganisation.java
@@ -13,6 +13,7 @@
  * @param defaultTokens number of tokens charged for a request without declared usage
  * @param allowedPerSecond rate limit over all instances together; 0 for no limit
  * @param burst maximum amount that may be used at once beyond the rate
+ * @param allowedRegions regions in which its requests may run; empty for all
  */
 public record KeyedOrganisation(
         String name,
@@ -21,9 +22,11 @@
         boolean countsTokens,
         long defaultTokens,
         long allowedPerSecond,
-        long burst) {
+        long burst,
+        List<String> allowedRegions) {
     public KeyedOrganisation {
         keys = List.copyOf(keys);
+        allowedRegions = List.copyOf(allowedRegions);
     }
 
     /** Returns whether the organisation has a rate limit. */
--- a/daemon/src/main/java/org/crocushaven/instance/InstanceSettings.java
+++ b/daemon/src/main/java/org/crocushaven/instance/InstanceSettings.java
@@ -4,6 +4,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
+import org.crocushaven.residency.RegionMap;
 
 /**
  * Settings of an instance.
@@ -31,6 +32,8 @@
  * @param retryRatio retries allowed for each first send of a request, over all gateways
  * @param retryExtra additional retries allowed to all gateways together in any time window
  * @param rateSlack tokens beyond an organisation's rate that are tolerated in any time window
+ * @param failureDomains all failure domains; empty if the file does not name them
+ * @param regions region of each failure domain, as far as the file names them
  */
 public record InstanceSettings(
         String instance,
@@ -53,9 +56,12 @@
         long stopGraceMillis,
         double retryRatio,
         double retryExtra,
-        double rateSlack) {
+        double rateSlack,
+        List<String> failureDomains,
+        RegionMap regions) {
     public InstanceSettings {
         seeds = List.copyOf(seeds);
+        failureDomains = List.copyOf(failureDomains);
     }
 
     /** Returns the hosts of the seeds, which are the names of the instances there. */
--- a/daemon/src/main/java/org/crocushaven/instance/InstanceSettingsLoader.java
+++ b/daemon/src/main/java/org/crocushaven/instance/InstanceSettingsLoader.java
@@ -5,11 +5,14 @@
 import static org.crocushaven.configuration.check.ValueType.INTEGER;
 import static org.crocushaven.configuration.check.ValueType.NUMBER;
 import static org.crocushaven.configuration.check.ValueType.STRING;
+import static org.crocushaven.configuration.check.ValueType.TABLE;
 
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.crocushaven.configuration.check.AddressCheck;
@@ -25,6 +28,7 @@
 import org.crocushaven.configuration.check.TomlNode;
 import org.crocushaven.configuration.check.UnknownKeyCheck;
 import org.crocushaven.configuration.check.ValueTypeCheck;
+import org.crocushaven.residency.RegionMap;
 import org.crocushaven.result.ResultCode;
 import org.crocushaven.result.ResultException;
 
@@ -117,6 +121,15 @@
 
     private static final double MAXIMUM_RATE_SLACK = 1e12;
 
+    /** Failure domains with their regions. */
+    private static final String DOMAINS = "domains";
+
+    private static final String DOMAIN = "domains[]";
+    private static final String DOMAIN_NAME = "domains[].name";
+
+    /** Region of a failure domain; not known when absent. */
+    private static final String DOMAIN_REGION = "domains[].region";
+
     /** Upper bound of every duration, in the unit of its key: milliseconds or seconds. */
     private static final double MAXIMUM_DURATION = 3_600_000;
 
@@ -146,7 +159,11 @@
                     KeyDescription.optional(STOP_GRACE_SECONDS, NUMBER),
                     KeyDescription.optional(RETRY_RATIO, NUMBER),
                     KeyDescription.optional(RETRY_EXTRA, NUMBER),
-                    KeyDescription.optional(RATE_SLACK, NUMBER));
+                    KeyDescription.optional(RATE_SLACK, NUMBER),
+                    KeyDescription.optional(DOMAINS, ARRAY),
+                    KeyDescription.optional(DOMAIN, TABLE),
+                    KeyDescription.required(DOMAIN_NAME, STRING),
+                    KeyDescription.optional(DOMAIN_REGION, STRING));
 
     private static final List<Check> CHECKS =
             List.of(
@@ -169,7 +186,9 @@
                     RangeCheck.of(STOP_GRACE_SECONDS, 0, MAXIMUM_DURATION),
                     RangeCheck.of(RETRY_RATIO, 0, MAXIMUM_RETRIES),
                     RangeCheck.of(RETRY_EXTRA, 0, MAXIMUM_RETRIES),
-                    RangeCheck.of(RATE_SLACK, 0, MAXIMUM_RATE_SLACK));
+                    RangeCheck.of(RATE_SLACK, 0, MAXIMUM_RATE_SLACK),
+                    PatternCheck.name(DOMAIN_NAME),
+                    PatternCheck.name(DOMAIN_REGION));
 
     private static final CheckEngine ENGINE = CheckEngine.of(CHECKS);
 
@@ -226,7 +245,26 @@
                                 * TimeUnit.SECONDS.toMillis(1)),
                 number(RETRY_RATIO, DEFAULT_RETRY_RATIO),
                 number(RETRY_EXTRA, DEFAULT_RETRY_EXTRA),
-                number(RATE_SLACK, 0));
+                number(RATE_SLACK, 0),
+                domains().stream().flatMap(domain -> textOf(domain, "name").stream()).toList(),
+                regions());
+    }
+
+    private List<TomlNode> domains() {
+        return root.child(DOMAINS).map(TomlNode::children).orElse(List.of());
+    }
+
+    private RegionMap regions() {
+        final Map<String, String> regions = new HashMap<>();
+        for (final TomlNode domain : domains()) {
+            textOf(domain, "region")
+                    .ifPresent(region -> regions.put(textOf(domain, "name").orElseThrow(), region));
+        }
+        return new RegionMap(regions);
+    }
+
+    private static Optional<String> textOf(TomlNode table, String key) {
+        return table.child(key).flatMap(TomlNode::text);
     }
 
     private static void requireRoleKeys(InstanceSettings settings) {
--- a/daemon/src/main/java/org/crocushaven/protocol/MessageType.java
+++ b/daemon/src/main/java/org/crocushaven/protocol/MessageType.java
@@ -31,6 +31,8 @@
 import org.crocushaven.dispatch.PermitReturn;
 import org.crocushaven.dispatch.PermitsHeld;
 import org.crocushaven.dispatch.ReportForward;
+import org.crocushaven.evacuation.Evacuation;
+import org.crocushaven.evacuation.EvacuationQuery;
 import org.crocushaven.fleet.AdapterGrant;
 import org.crocushaven.fleet.AdapterRequest;
 import org.crocushaven.fleet.AnnouncementAcknowledged;
@@ -105,7 +107,9 @@
     FLEET_READ(131, FleetRead.class),
     FLEET_DOCUMENT(132, FleetDocument.class),
     STREAM_ORIGIN_QUERY(133, StreamOriginQuery.class),
-    STREAM_ORIGIN_ANSWER(134, StreamOriginAnswer.class);
+    STREAM_ORIGIN_ANSWER(134, StreamOriginAnswer.class),
+    EVACUATION_QUERY(135, EvacuationQuery.class),
+    EVACUATION(136, Evacuation.class);
 
     private static final Map<Integer, MessageType> BY_NUMBER =
             Arrays.stream(values())
--- a/daemon/src/test/java/org/crocushaven/fleet/AdapterPlannerTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/AdapterPlannerTest.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.crocushaven.ingress.BaseModel;
 import org.crocushaven.ingress.EngineProfile;
@@ -58,7 +59,19 @@
 
     private static BackendAnnouncement announcement(String backend, List<HeldAdapter> held) {
         return new BackendAnnouncement(
-                backend, "service", backend, 1, "a", BackendState.READY, 8, 1, 1, true, held, "");
+                backend,
+                "service",
+                backend,
+                1,
+                "a",
+                BackendState.READY,
+                8,
+                1,
+                1,
+                true,
+                held,
+                "",
+                0);
     }
 
     private Optional<AdapterPlacement> place(String adapter, String... avoided) {
@@ -318,7 +331,8 @@
                             1,
                             true,
                             List.of(new HeldAdapter(MODEL, "", 1)),
-                            "");
+                            "",
+                            0);
             planner.announced(restarted, PROFILE, nowNanos);
 
             assertEquals(List.of("one"), planner.enginesDueForReport(nowNanos));
@@ -352,4 +366,86 @@
                     Optional.of(new AdapterKey(MODEL, "old")), place("a9").orElseThrow().evicted());
         }
     }
+
+    @Nested
+    class EvacuatedFailureDomains {
+        private void engineIn(String failureDomain, String backend, String... adapters) {
+            final BackendAnnouncement usual = announcement(backend, List.of());
+            engine(backend, adapters);
+            planner.announced(
+                    new BackendAnnouncement(
+                            backend,
+                            usual.service(),
+                            usual.host(),
+                            usual.port(),
+                            failureDomain,
+                            usual.state(),
+                            usual.requestSlots(),
+                            usual.startedMillis(),
+                            2,
+                            false,
+                            List.of(),
+                            "",
+                            0),
+                    PROFILE,
+                    nowNanos);
+        }
+
+        private void use(String adapter, int requests) {
+            planner.addStarted(List.of(new AdapterUse("x", MODEL, adapter, 0, requests)), nowNanos);
+        }
+
+        @Test
+        void getNoPlacement() {
+            engineIn("b", "two", "a1");
+            planner.evacuate(Set.of("b"));
+
+            assertEquals(Optional.empty(), place("a1"));
+            assertEquals(Optional.empty(), place("a2"));
+        }
+
+        @Test
+        void getPlacementsAgainOnceTheyReturn() {
+            engineIn("b", "two", "a1");
+            planner.evacuate(Set.of("b"));
+            planner.evacuate(Set.of());
+
+            assertEquals("two", place("a1").orElseThrow().backend());
+        }
+
+        @Test
+        void haveTheirMostRequestedAdapterLoadedElsewhereFirst() {
+            engineIn("b", "two", "a1", "a2");
+            engine("one");
+            use("a1", 2);
+            use("a2", 9);
+            planner.evacuate(Set.of("b"));
+
+            final AdapterPlacement first = planner.nextEvacuated(nowNanos).orElseThrow();
+            planner.commit(first, nowNanos);
+            final AdapterPlacement second = planner.nextEvacuated(nowNanos).orElseThrow();
+            planner.commit(second, nowNanos);
+
+            assertEquals(List.of("a2", "one"), List.of(first.key().adapter(), first.backend()));
+            assertEquals("a1", second.key().adapter());
+            assertEquals(Optional.empty(), planner.nextEvacuated(nowNanos));
+        }
+
+        @Test
+        void keepAdaptersThatNobodyAsksFor() {
+            engineIn("b", "two", "a1");
+            engine("one");
+            planner.evacuate(Set.of("b"));
+
+            assertEquals(Optional.empty(), planner.nextEvacuated(nowNanos));
+        }
+
+        @Test
+        void holdForEnginesThatStartThere() {
+            planner.evacuate(Set.of("b"));
+            engineIn("b", "two", "a1");
+
+            assertEquals(Optional.empty(), place("a1"));
+        }
+    }
 }
--- a/daemon/src/test/java/org/crocushaven/fleet/AdapterRefusalTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/AdapterRefusalTest.java
@@ -32,7 +32,8 @@
                                 1,
                                 true,
                                 held,
-                                ""),
+                                "",
+                                0),
                         PROFILE);
         engine.slots().announced(held, nowNanos);
         if (verified) {
--- a/daemon/src/test/java/org/crocushaven/fleet/AdapterSpreadTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/AdapterSpreadTest.java
@@ -40,7 +40,8 @@
                                 1,
                                 true,
                                 held,
-                                ""),
+                                "",
+                                0),
                         PROFILE);
         engine.slots().announced(held, nowNanos);
         engine.slots()
--- a/daemon/src/test/java/org/crocushaven/fleet/AnnouncementRuleTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/AnnouncementRuleTest.java
@@ -28,7 +28,8 @@
                 sequence,
                 true,
                 List.of(),
-                "v1");
+                "v1",
+                0);
     }
 
     private static void assertRefused(String field, BackendAnnouncement announcement) {
--- a/daemon/src/test/java/org/crocushaven/fleet/BackendRegistryTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/BackendRegistryTest.java
@@ -28,7 +28,8 @@
                 sequence,
                 false,
                 List.of(),
-                "v1");
+                "v1",
+                0);
     }
 
     private static long seconds(long seconds) {
--- a/daemon/src/test/java/org/crocushaven/fleet/ControlFleet.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/ControlFleet.java
@@ -56,7 +56,8 @@
                                 1,
                                 HEARTBEAT_MILLIS,
                                 0,
-                                0),
+                                0,
+                                List.of("a", "b")),
                         network.endpoint(name, loop),
                         loop,
                         new NoDialect(),
@@ -82,6 +83,18 @@
                 .thenCompose(sent -> sent);
     }
 
+    /** Sends an instance an order on a failure domain, as an operator does. */
+    CompletableFuture<Void> orderEvacuation(String instance, String domain, boolean begins) {
+        return CompletableFuture.supplyAsync(
+                        () -> instances.get(instance).evacuate(domain, begins), loops.get(instance))
+                .thenCompose(sent -> sent);
+    }
+
+    /** Returns whether an instance acknowledges an order within the time of a call. */
+    boolean evacuate(String instance, String domain, boolean begins) {
+        return isAnswered(orderEvacuation(instance, domain, begins));
+    }
+
     /** Returns the version of the configuration that an instance reads back; 0 if it reads none. */
     long readVersion(String instance) {
         final CompletableFuture<byte[]> document =
@@ -189,7 +202,8 @@
                 List.of(),
                 TraitReport.EMPTY,
                 List.of(),
-                PathReport.EMPTY);
+                PathReport.EMPTY,
+                List.of());
     }
 
     @Override
--- a/daemon/src/test/java/org/crocushaven/fleet/ControlInstanceTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/ControlInstanceTest.java
@@ -47,7 +47,8 @@
                 sequence,
                 false,
                 List.of(),
-                "");
+                "",
+                0);
     }
 
     /** Returns the update of the leader other than the given instance, once there is one. */
@@ -215,7 +216,8 @@
                     1,
                     false,
                     List.of(),
-                    softwareVersion);
+                    softwareVersion,
+                    0);
         }
     }
 
--- a/daemon/src/test/java/org/crocushaven/fleet/DepartureScenario.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/DepartureScenario.java
@@ -269,7 +269,8 @@
                     number,
                     false,
                     List.of(),
-                    "");
+                    "",
+                    0);
         }
     }
 }
--- a/daemon/src/test/java/org/crocushaven/fleet/EngineOrderQueueTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/EngineOrderQueueTest.java
@@ -83,7 +83,8 @@
                 1,
                 false,
                 List.of(),
-                "");
+                "",
+                0);
     }
 
     private CompletableFuture<OrderOutcome> submit() throws Exception {
--- a/daemon/src/test/java/org/crocushaven/fleet/FleetLeaderTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/FleetLeaderTest.java
@@ -80,7 +80,8 @@
                 1,
                 false,
                 List.of(),
-                "");
+                "",
+                0);
     }
 
     private static String nameOf(int gateway) {
@@ -104,7 +105,8 @@
                 List.of(),
                 TraitReport.EMPTY,
                 List.of(),
-                PathReport.EMPTY);
+                PathReport.EMPTY,
+                List.of());
     }
 
     /** Returns the least processor time of a report over several rounds, in microseconds. */
--- a/daemon/src/test/java/org/crocushaven/fleet/FleetStateTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/FleetStateTest.java
@@ -74,7 +74,8 @@
                 sequence,
                 false,
                 List.of(),
-                "");
+                "",
+                0);
     }
 
     private static byte[] added(BackendAnnouncement departure) {
@@ -145,6 +146,7 @@
                         false,
                         List.of(),
                         "",
+                        0,
                         "later");
 
         assertEquals(
--- a/daemon/src/test/java/org/crocushaven/fleet/GatewayReportsTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/GatewayReportsTest.java
@@ -34,7 +34,8 @@
                         List.of(),
                         TraitReport.EMPTY,
                         List.of(),
-                        PathReport.EMPTY),
+                        PathReport.EMPTY,
+                        List.of()),
                 nowNanos);
     }
 
@@ -128,7 +129,8 @@
                 List.of(),
                 TraitReport.EMPTY,
                 List.of(),
-                PathReport.EMPTY);
+                PathReport.EMPTY,
+                List.of());
     }
 
     @Test
--- a/daemon/src/test/java/org/crocushaven/fleet/PlacementSimulation.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/PlacementSimulation.java
@@ -80,7 +80,8 @@
                 1,
                 true,
                 List.of(new HeldAdapter(MODEL, "", 1)),
-                "");
+                "",
+                0);
     }
 
     /** Sends requests at a rate over a span of time, for adapters of uneven popularity. */
--- a/daemon/src/test/java/org/crocushaven/fleet/RelayDirectoryTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/RelayDirectoryTest.java
@@ -39,7 +39,8 @@
                 List.of(),
                 TraitReport.EMPTY,
                 List.of(),
-                new PathReport(domain, address, unreachable, wantsRelays));
+                new PathReport(domain, address, unreachable, wantsRelays),
+                List.of());
     }
 
     private void addGateways(String domain, int count) {
--- a/daemon/src/test/java/org/crocushaven/fleet/ShareLendingTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/ShareLendingTest.java
@@ -35,7 +35,8 @@
                         List.of(),
                         TraitReport.EMPTY,
                         List.of(),
-                        PathReport.EMPTY),
+                        PathReport.EMPTY,
+                        List.of()),
                 nowNanos);
     }
 
--- a/daemon/src/test/java/org/crocushaven/fleet/StreamDirectoryTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/StreamDirectoryTest.java
@@ -45,7 +45,8 @@
                 1,
                 false,
                 List.of(),
-                softwareVersion);
+                softwareVersion,
+                0);
     }
 
     private Optional<StreamOrigin> find(long stream) {
--- a/daemon/src/test/java/org/crocushaven/fleet/TraitTrialTest.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/TraitTrialTest.java
@@ -55,7 +55,8 @@
                 1,
                 false,
                 List.of(),
-                "");
+                "",
+                0);
     }
 
     private TraitReport broken(BackendStart start, long request, String model, Long... traits) {
--- a/daemon/src/test/java/org/crocushaven/forwarding/BackendNoticesFuzzTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/BackendNoticesFuzzTest.java
@@ -136,7 +136,7 @@
 
         private void receive(List<BackendRecord> changed, List<String> gone) {
             changed.forEach(this::countRecord);
-            view.apply(GatewayUpdateBuilder.ofBackends(changed, gone), now);
+            view.apply(GatewayUpdateBuilder.ofBackends(changed, gone), now, now);
         }
 
         private void countRecord(BackendRecord record) {
--- a/daemon/src/test/java/org/crocushaven/forwarding/ChatRouteBuilder.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/ChatRouteBuilder.java
@@ -78,7 +78,8 @@
                 targets,
                 maximumAttempts,
                 open,
-                resumable);
+                resumable,
+                List.of());
     }
 
     /** Returns a configuration of version 1 with only this route. */
--- a/daemon/src/test/java/org/crocushaven/forwarding/ForwardingEnvironmentBuilder.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/ForwardingEnvironmentBuilder.java
@@ -9,6 +9,7 @@
 import org.agrona.concurrent.SystemNanoClock;
 import org.crocushaven.ingress.IngressConfiguration;
 import org.crocushaven.outbound.BackendPool;
+import org.crocushaven.residency.RegionMap;
 
 /**
  * Builds the surroundings of a request at a gateway that has just heard its leader. What a test
@@ -29,6 +30,7 @@
     private long freshMillis = 10_000;
     private BegunStreamMemory streams = new BegunStreamMemory();
     private PathProbes.Prober prober = (backend, then) -> {};
+    private RegionMap regions = RegionMap.EMPTY;
     private Relays relays = new Relays();
     private ForwardingObserver observer;
 
@@ -110,6 +112,11 @@
         return this;
     }
 
+    ForwardingEnvironmentBuilder regions(RegionMap known) {
+        regions = known;
+        return this;
+    }
+
     ForwardingEnvironment build() {
         final long nowNanos = clock.nanoTime();
         final BackendPool pool = BackendPool.create(loop, SystemNanoClock.INSTANCE);
@@ -137,6 +144,8 @@
                 paths,
                 new PathProbes(clock, paths, prober),
                 relays,
+                regions,
+                regions.regionOf("a"),
                 observer);
     }
 }
--- a/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/ForwardingFixture.java
@@ -134,7 +134,14 @@
     void allowOneRequest() {
         organisations.add(
                 new KeyedOrganisation(
-                        ORGANISATION, List.of(KEY), OptionalInt.empty(), false, 1, 1, 1));
+                        ORGANISATION,
+                        List.of(KEY),
+                        OptionalInt.empty(),
+                        false,
+                        1,
+                        1,
+                        1,
+                        List.of()));
     }
 
     /** Lets requests wait for tokens, since the leader has granted none yet. */
@@ -202,7 +209,7 @@
     /** Withdraws all backend servers. */
     void removeAllBackendServers() throws Exception {
         records.clear();
-        loop.submit(() -> view.apply(update(2), System.nanoTime())).get();
+        loop.submit(() -> view.apply(update(2), System.nanoTime(), System.nanoTime())).get();
     }
 
     /** Stops the server of client connections; the future completes when it may end. */
@@ -388,7 +395,7 @@
 
     private ForwardingEnvironment environment() {
         if (environment == null) {
-            view.apply(update(1), System.nanoTime());
+            view.apply(update(1), System.nanoTime(), System.nanoTime());
             environment = createEnvironment();
         }
         return environment;
--- a/daemon/src/test/java/org/crocushaven/forwarding/GatewayBackendsTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/GatewayBackendsTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import org.crocushaven.coldstart.ColdGrant;
 import org.crocushaven.fleet.AdapterKey;
 import org.crocushaven.fleet.AdapterVersion;
 import org.crocushaven.fleet.BackendLoad;
@@ -60,6 +61,7 @@
                         .gone(gone)
                         .otherLoads(otherLoads)
                         .build(),
+                nowNanos,
                 nowNanos);
     }
 
@@ -179,4 +181,89 @@
                     view.loads().ownLoads(HALF_LIFE_NANOS));
         }
     }
+
+    @Nested
+    class EvacuatedDomains {
+        private void evacuate(String... domains) {
+            view.apply(
+                    GatewayUpdateBuilder.ofTerm(1)
+                            .changed(List.of(engine("one", adapter(1))))
+                            .evacuated(domains)
+                            .build(),
+                    0,
+                    0);
+        }
+
+        @Test
+        void getNothingMore() {
+            evacuate("zone");
+
+            assertEquals(List.of(), holdersAt(0));
+            assertEquals(List.of(), view.ofService("engines", 0));
+            assertFalse(view.trySend(view.find("one").orElseThrow(), 0));
+        }
+
+        @Test
+        void areNotWaitedFor() {
+            evacuate("zone");
+
+            assertTrue(view.pauseOf("engines", 0).isEmpty());
+        }
+
+        @Test
+        void ofAnotherNameChangeNothing() {
+            evacuate("other");
+
+            assertEquals(List.of("one"), holdersAt(0));
+        }
+
+        @Test
+        void returnWithTheNextUpdate() {
+            evacuate("zone");
+            evacuate();
+
+            assertTrue(view.trySend(view.find("one").orElseThrow(), 0));
+        }
+    }
+
+    @Nested
+    class ColdBackendServers {
+        private void cold(int granted) {
+            view.apply(
+                    GatewayUpdateBuilder.ofTerm(1)
+                            .changed(List.of(engine("one", adapter(1))))
+                            .coldStarts(
+                                    new ColdGrant(
+                                            "one", engine("one").startedMillis(), 1_000, granted))
+                            .build(),
+                    0,
+                    0);
+        }
+
+        @Test
+        void getWhatWasGranted() {
+            cold(1);
+
+            assertEquals(List.of("one"), holdersAt(0));
+            assertTrue(view.trySend(view.find("one").orElseThrow(), 0));
+            assertFalse(view.trySend(view.find("one").orElseThrow(), 0));
+            assertEquals(List.of(), holdersAt(0));
+        }
+
+        @Test
+        void makeRequestsComeBackIfThereAreNoOthers() {
+            cold(0);
+
+            assertTrue(view.pauseOf("engines", 0).isPresent());
+        }
+
+        @Test
+        void areAskedForIfRequestsCouldGoThere() {
+            cold(0);
+
+            view.recordWantedOfCold("engines", new Random(1), 0);
+
+            assertEquals(1, view.cold().report(0).get(0).wanted());
+        }
+    }
 }
--- a/daemon/src/test/java/org/crocushaven/forwarding/GatewayTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/GatewayTest.java
@@ -16,6 +16,7 @@
 import org.crocushaven.protocol.Message;
 import org.crocushaven.protocol.MessageHandler;
 import org.crocushaven.protocol.PeerTransport;
+import org.crocushaven.residency.RegionMap;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -35,7 +36,14 @@
         final CountDownLatch checks = new CountDownLatch(2);
         final Gateway gateway =
                 Gateway.create(
-                        new GatewaySettings("gateway", "a", "127.0.0.1:1", TIMEOUT_MILLIS, 0, 0),
+                        new GatewaySettings(
+                                "gateway",
+                                "a",
+                                "127.0.0.1:1",
+                                TIMEOUT_MILLIS,
+                                0,
+                                0,
+                                RegionMap.EMPTY),
                         group,
                         new UnconnectedTransport(),
                         null,
--- a/daemon/src/test/java/org/crocushaven/forwarding/GatewayUpdateBuilder.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/GatewayUpdateBuilder.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.crocushaven.coldstart.ColdGrant;
 import org.crocushaven.fleet.AdapterVersion;
 import org.crocushaven.fleet.BackendLoad;
 import org.crocushaven.fleet.BackendRecord;
@@ -20,6 +21,8 @@
     private List<String> gone = List.of();
     private List<BackendLoad> otherLoads = List.of();
     private List<String> controlInstances = List.of();
+    private List<ColdGrant> coldStarts = List.of();
+    private List<String> evacuatedDomains = List.of();
     private TraitUpdate traits = TraitUpdate.EMPTY;
 
     private GatewayUpdateBuilder(long epoch) {
@@ -74,6 +77,16 @@
         return this;
     }
 
+    GatewayUpdateBuilder coldStarts(ColdGrant... cold) {
+        coldStarts = List.of(cold);
+        return this;
+    }
+
+    GatewayUpdateBuilder evacuated(String... domains) {
+        evacuatedDomains = List.of(domains);
+        return this;
+    }
+
     GatewayUpdateBuilder controlInstances(String... instances) {
         controlInstances = List.of(instances);
         return this;
@@ -102,6 +115,8 @@
                 Optional.empty(),
                 traits,
                 List.of(),
-                List.of());
+                List.of(),
+                coldStarts,
+                evacuatedDomains);
     }
 }
--- a/daemon/src/test/java/org/crocushaven/forwarding/LeaderLinkTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/LeaderLinkTest.java
@@ -83,7 +83,8 @@
                 List.of(),
                 TraitReport.EMPTY,
                 List.of(),
-                PathReport.EMPTY);
+                PathReport.EMPTY,
+                List.of());
     }
 
     private static GatewayUpdate update(long epoch) {
--- a/daemon/src/test/java/org/crocushaven/forwarding/NoticeFixture.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/NoticeFixture.java
@@ -181,7 +181,10 @@
     }
 
     private void apply(List<BackendRecord> changed) {
-        view.apply(GatewayUpdateBuilder.ofBackends(changed, List.of()), System.nanoTime());
+        view.apply(
+                GatewayUpdateBuilder.ofBackends(changed, List.of()),
+                System.nanoTime(),
+                System.nanoTime());
     }
 
     private void onLoop(Runnable action) {
--- a/daemon/src/test/java/org/crocushaven/forwarding/PairedGateway.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/PairedGateway.java
@@ -25,7 +25,8 @@
 final class PairedGateway {
     static final String KEY = "key";
     static final KeyedOrganisation ORGANISATION =
-            new KeyedOrganisation("first", List.of(KEY), OptionalInt.empty(), false, 1, 1, 1);
+            new KeyedOrganisation(
+                    "first", List.of(KEY), OptionalInt.empty(), false, 1, 1, 1, List.of());
     private static final int PROBE_TIMEOUT_MILLIS = 200;
     private static final long LEADER_AWAY_MILLIS = 700;
 
@@ -110,6 +111,7 @@
                                         GatewayUpdateBuilder.ofTerm(1)
                                                 .completeAt(++revision, records)
                                                 .build(),
+                                        System.nanoTime(),
                                         System.nanoTime()))
                 .get();
     }
@@ -125,7 +127,7 @@
     }
 
     private static Relay relayAt(String gateway, int port) {
-        return new Relay(gateway, "127.0.0.1:" + port, List.of());
+        return new Relay(gateway, "127.0.0.1:" + port, List.of(), "a");
     }
 
     private void know(List<Relay> others) throws Exception {
@@ -134,13 +136,14 @@
 
     /** Lets this gateway know only of another one, at the given port. */
     void introduceAt(int otherPort) throws Exception {
-        final Relay other = new Relay("another", "127.0.0.1:" + otherPort, List.of());
+        final Relay other = new Relay("another", "127.0.0.1:" + otherPort, List.of(), "a");
         loop.submit(() -> relays.apply(List.of(other))).get();
     }
 
     /** Lets this gateway know only of another one that reaches the service no more than it does. */
     void knowOnlyAnotherWithoutPaths() throws Exception {
-        final Relay other = new Relay("another", "127.0.0.1:" + port, List.of(GatewayPair.SERVICE));
+        final Relay other =
+                new Relay("another", "127.0.0.1:" + port, List.of(GatewayPair.SERVICE), "a");
         know(List.of(other));
     }
 
--- a/daemon/src/test/java/org/crocushaven/forwarding/RelaysTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/RelaysTest.java
@@ -11,8 +11,8 @@
 import org.junit.jupiter.api.Test;
 
 class RelaysTest {
-    private static final Relay FIRST = new Relay("first", "10.0.0.1:80", List.of());
-    private static final Relay SECOND = new Relay("second", "10.0.0.2:80", List.of("desk"));
+    private static final Relay FIRST = new Relay("first", "10.0.0.1:80", List.of(), "a");
+    private static final Relay SECOND = new Relay("second", "10.0.0.2:80", List.of("desk"), "a");
 
     private final Relays relays = new Relays();
 
@@ -21,7 +21,7 @@
     }
 
     private Optional<String> chosen(String service, String... tried) {
-        return relays.choose(service, Set.of(tried), 0).map(Relay::gateway);
+        return relays.choose(service, Set.of(tried), relay -> true, 0).map(Relay::gateway);
     }
 
     @Test
@@ -43,7 +43,7 @@
         relays.requestStarted(SECOND);
         assertEquals(
                 Optional.of("first"),
-                relays.choose("engines", Set.of(), TimeUnit.SECONDS.toNanos(1))
+                relays.choose("engines", Set.of(), relay -> true, TimeUnit.SECONDS.toNanos(1))
                         .map(Relay::gateway));
     }
 
--- a/daemon/src/test/java/org/crocushaven/forwarding/RequestForwardingTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/RequestForwardingTest.java
@@ -78,7 +78,10 @@
     }
 
     private void update(List<BackendRecord> changed, List<String> gone) {
-        view.apply(GatewayUpdateBuilder.ofBackends(changed, gone), System.nanoTime());
+        view.apply(
+                GatewayUpdateBuilder.ofBackends(changed, gone),
+                System.nanoTime(),
+                System.nanoTime());
     }
 
     private ForwardingEnvironment environment() {
--- a/daemon/src/test/java/org/crocushaven/forwarding/RetryStateTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/RetryStateTest.java
@@ -33,7 +33,8 @@
                 List.of(new WeightedService("service", 1)),
                 attempts,
                 false,
-                resumable);
+                resumable,
+                List.of());
     }
 
     private static Target target(boolean adapterPending) {
--- a/daemon/src/test/java/org/crocushaven/forwarding/SimulatedBackend.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/SimulatedBackend.java
@@ -87,6 +87,7 @@
                 1,
                 false,
                 List.of(),
-                "v1");
+                "v1",
+                0);
     }
 }
--- a/daemon/src/test/java/org/crocushaven/forwarding/SimulatedGateway.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/SimulatedGateway.java
@@ -147,7 +147,8 @@
                         List.of(),
                         guard.report(time.nanoTime()),
                         List.of(),
-                        PathReport.EMPTY);
+                        PathReport.EMPTY,
+                        List.of());
         inFlight = true;
         if (leader.isEmpty() || random.nextDouble() < LOSS) {
             counts.count(CrashFault.REPORT_LOST);
--- a/daemon/src/test/java/org/crocushaven/forwarding/StreamOriginFuzzTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/StreamOriginFuzzTest.java
@@ -258,7 +258,8 @@
                     1,
                     false,
                     List.of(),
-                    version);
+                    version,
+                    0);
         }
 
         /** Tells a gateway which versions it may use. */
--- a/daemon/src/test/java/org/crocushaven/ingress/RouteTableTest.java
+++ b/daemon/src/test/java/org/crocushaven/ingress/RouteTableTest.java
@@ -26,7 +26,8 @@
                 List.of(new WeightedService("service", 1)),
                 1,
                 true,
-                false);
+                false,
+                List.of());
     }
 
     private static String path(Random random, int parts) {
