Learn how long a load from the weight store takes

Cause: the leader took 258 ms for the time of a load at full speed. Change: LoadTime tells a slow store from a used-up one: when loads go on to be late, fewer are let begin for 0.7 s at most once in 30 s; if these are late as well, all loads take longer, and the capacity is learned anew.

--- a/common/src/main/java/org/crocushaven/result/ResultException.java
+++ b/common/src/main/java/org/crocushaven/result/ResultException.java
@@ -14,8 +14,12 @@
     private final transient Optional<Duration> retryAfter;
 
     private ResultException(
-            ResultCode code, Execution execution, String detail, Optional<Duration> retryAfter) {
-        super(detail, null, false, false);
+            ResultCode code,
+            Execution execution,
+            String detail,
+            Optional<Duration> retryAfter,
+            Throwable cause) {
+        super(detail, cause, false, false);
         this.code = code;
         this.execution = execution;
         this.retryAfter = retryAfter;
@@ -24,17 +28,17 @@
     /** Returns an exception with the code's message text formatted with the given arguments. */
     public static ResultException of(ResultCode code, Object... arguments) {
         return new ResultException(
-                code, code.execution(), Messages.format(code, arguments), Optional.empty());
+                code, code.execution(), Messages.format(code, arguments), Optional.empty(), null);
     }
 
     /** Returns an exception with the given detail instead of the message text of the code. */
     public static ResultException withDetail(ResultCode code, String detail) {
-        return new ResultException(code, code.execution(), detail, Optional.empty());
+        return new ResultException(code, code.execution(), detail, Optional.empty(), null);
     }
 
     /** Returns a copy with the delay after which the request may be sent again. */
     public ResultException withRetryAfter(Duration delay) {
-        return new ResultException(code, execution, getMessage(), Optional.of(delay));
+        return new ResultException(code, execution, getMessage(), Optional.of(delay), getCause());
     }
 
     /**
@@ -42,7 +46,12 @@
      * code.
      */
     public ResultException withExecution(Execution actual) {
-        return new ResultException(code, actual, getMessage(), retryAfter);
+        return new ResultException(code, actual, getMessage(), retryAfter, getCause());
+    }
+
+    /** Returns a copy with the failure that led to it. */
+    public ResultException withCause(Throwable cause) {
+        return new ResultException(code, execution, getMessage(), retryAfter, cause);
     }
 
     /** Returns the result code. */
--- a/daemon/src/main/java/org/crocushaven/coldstart/ColdBackends.java
+++ b/daemon/src/main/java/org/crocushaven/coldstart/ColdBackends.java
@@ -37,7 +37,7 @@
         }
     }
 
-    /** Records that a backend server may have started anew, since no connection can be opened. */
+    /** Records that a backend server may start anew, since it refused a connection. */
     public void doubt(String backend, long startedMillis, ColdStartBound bound, long nowNanos) {
         final ColdStart start = startOf(backend);
         start.doubtedUntilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(bound.durationMillis());
--- a/daemon/src/main/java/org/crocushaven/fleet/AdapterPlanner.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/AdapterPlanner.java
@@ -26,7 +26,11 @@
     private final StoreLoads storeLoads = new StoreLoads();
     private Set<String> evacuatedDomains = Set.of();
     private final EngineChoice choice =
-            new EngineChoice(engines, new EvictionChoice(popularity, requiredVersions), popularity);
+            new EngineChoice(
+                    engines,
+                    new EvictionChoice(popularity, requiredVersions),
+                    popularity,
+                    storeLoads);
 
     /** Applies an engine's announcement. */
     void announced(BackendAnnouncement announcement, EngineProfile profile, long nowNanos) {
--- a/daemon/src/main/java/org/crocushaven/fleet/EngineChoice.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/EngineChoice.java
@@ -32,20 +32,24 @@
     private final Map<String, PlannedEngine> engines;
     private final EvictionChoice eviction;
     private final AdapterPopularity popularity;
+    private final StoreLoads storeLoads;
 
     /**
      * Creates the choice.
      *
      * @param engines all engines, updated by the caller
      * @param popularity recent requests by adapter, updated by the caller
+     * @param storeLoads loads from the weight store, updated by the caller
      */
     EngineChoice(
             Map<String, PlannedEngine> engines,
             EvictionChoice eviction,
-            AdapterPopularity popularity) {
+            AdapterPopularity popularity,
+            StoreLoads storeLoads) {
         this.engines = engines;
         this.eviction = eviction;
         this.popularity = popularity;
+        this.storeLoads = storeLoads;
     }
 
     /**
@@ -170,7 +174,7 @@
                 && !request.excludedBackends().contains(engine.backend());
     }
 
-    private static long loadMillis(boolean cached) {
-        return cached ? CACHED_LOAD_MILLIS : StoreLoads.USUAL_MILLIS;
+    private long loadMillis(boolean cached) {
+        return cached ? CACHED_LOAD_MILLIS : storeLoads.usualMillis();
     }
 }
--- a/daemon/src/main/java/org/crocushaven/fleet/StoreLoads.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/StoreLoads.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.crocushaven.observability.EventLine;
 
 /**
  * Tracks the loads from the weight store that are on their way, and when each is expected to end.
@@ -14,12 +15,6 @@
  * so that those that have begun take the usual time. Not thread-safe.
  */
 final class StoreLoads {
-    /**
-     * Duration of a load at full speed; the platform's data sheet gives 250 ms, and one load more
-     * than the store serves at full speed costs 3 % at the sizes that it names.
-     */
-    static final long USUAL_MILLIS = 258;
-
     /** Time after its expected end in which a load may still be found to be late. */
     private static final long SETTLING_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
@@ -32,17 +27,24 @@
     /** Shortest time after which a late load is looked for again. */
     private static final long SHORTEST_EXTENSION_MILLIS = 40;
 
-    private final StoreCapacity capacity = new StoreCapacity();
+    private final LoadTime loadTime = new LoadTime();
+    private StoreCapacity capacity = new StoreCapacity();
+    private int engineCount;
     private final Map<LoadedAt, Load> loads = new HashMap<>();
 
     /** Sets how many engines share the store. */
     void setEngineCount(int engines) {
+        engineCount = engines;
         capacity.setEngineCount(engines);
     }
 
     /** Returns whether another load may begin without slowing those that run. */
     boolean hasRoom(long nowNanos) {
-        return running(nowNanos) < capacity.loads();
+        return running(nowNanos) < usableLoads(nowNanos);
+    }
+
+    private int usableLoads(long nowNanos) {
+        return Math.max(1, (int) (loadTime.usablePart(nowNanos) * capacity.loads()));
     }
 
     /** Returns whether running loads use at least half of the store. */
@@ -50,14 +52,21 @@
         return running(nowNanos) * 2 >= capacity.loads();
     }
 
+    /** Returns the duration of a load at full speed, in milliseconds. */
+    long usualMillis() {
+        return loadTime.usualMillis();
+    }
+
     /** Returns the time in which the store serves a number of further loads, in milliseconds. */
     long millisFor(int furtherLoads) {
-        return furtherLoads * USUAL_MILLIS / capacity.loads();
+        return furtherLoads * usualMillis() / capacity.loads();
     }
 
     /** Records that a load begins. */
     void begin(String backend, AdapterKey key, long nowNanos) {
-        loads.put(new LoadedAt(backend, key), new Load(nowNanos));
+        loads.put(new LoadedAt(backend, key), new Load(nowNanos, usualMillis()));
+        final int running = running(nowNanos);
+        loads.values().forEach(load -> load.mostRunning = Math.max(load.mostRunning, running));
         if (!hasRoom(nowNanos)) {
             loads.values().forEach(load -> load.usesUp = true);
         }
@@ -88,15 +97,20 @@
         // Those that should have ended just now may be late as well.
         final int running = loads.size();
         final long runMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - late.beginNanos);
-        if (running >= SHOWING_FRACTION * capacity.loads()) {
-            capacity.wasLate(running, USUAL_MILLIS, runMillis, nowNanos);
+        final boolean learned =
+                !late.wasLate && loadTime.late(late.beginNanos, late.mostRunning, nowNanos);
+        late.wasLate = true;
+        if (learned) {
+            usualTimeGrew();
+        } else if (runMillis >= usualMillis() && running >= SHOWING_FRACTION * capacity.loads()) {
+            capacity.wasLate(running, usualMillis(), runMillis, nowNanos);
         }
         final double slowdown = Math.max(1, running / (double) capacity.loads());
         final long leftMillis =
                 Math.max(
-                        SHORTEST_EXTENSION_MILLIS, Math.round(USUAL_MILLIS * slowdown) - runMillis);
+                        SHORTEST_EXTENSION_MILLIS,
+                        Math.round(usualMillis() * slowdown) - runMillis);
         late.endNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(leftMillis);
-        late.wasLate = true;
         return extendOthers(late, slowdown, nowNanos);
     }
 
@@ -107,7 +121,8 @@
                     final long slowedEnd =
                             load.beginNanos
                                     + Math.round(
-                                            slowdown * TimeUnit.MILLISECONDS.toNanos(USUAL_MILLIS));
+                                            slowdown
+                                                    * TimeUnit.MILLISECONDS.toNanos(usualMillis()));
                     final boolean isSlower =
                             load.endNanos - nowNanos > 0 && slowedEnd - load.endNanos > 0;
                     if (isSlower) {
@@ -143,6 +158,13 @@
         }
     }
 
+    /** Learns the capacity anew: what was found late was not late because of it. */
+    private void usualTimeGrew() {
+        capacity = new StoreCapacity();
+        capacity.setEngineCount(engineCount);
+        EventLine.of("load-time-learned").with("usual_ms", usualMillis()).info();
+    }
+
     /**
      * A load that is expected to end later than before.
      *
@@ -159,10 +181,11 @@
         private long endNanos;
         private boolean usesUp;
         private boolean wasLate;
+        private int mostRunning;
 
-        private Load(long beginNanos) {
+        private Load(long beginNanos, long usualMillis) {
             this.beginNanos = beginNanos;
-            this.endNanos = beginNanos + TimeUnit.MILLISECONDS.toNanos(USUAL_MILLIS);
+            this.endNanos = beginNanos + TimeUnit.MILLISECONDS.toNanos(usualMillis);
         }
     }
 }
--- a/daemon/src/main/java/org/crocushaven/forwarding/AttemptSender.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/AttemptSender.java
@@ -7,6 +7,7 @@
 import org.crocushaven.fleet.BackendRecord;
 import org.crocushaven.ingress.IngressRequest;
 import org.crocushaven.outbound.BackendChannel;
+import org.crocushaven.outbound.ConnectionTry;
 import org.crocushaven.result.ResultException;
 
 /** Sends the attempts of one request to their backend servers. Used on the event loop only. */
@@ -57,7 +58,9 @@
         final BackendRecord backend = attempt.target().backend();
         if (failure != null) {
             environment.paths().connectionFailed(backend, environment.nowNanos());
-            environment.doubt(backend);
+            if (ConnectionTry.isRefusal(failure.getCause())) {
+                environment.doubt(backend);
+            }
             forwarding.handleFailure(attempt, false, "no connection");
         } else if (forwarding.isStale(attempt) || forwarding.remainingMillis() <= 0) {
             channel.close();
--- a/daemon/src/main/java/org/crocushaven/forwarding/ForwardingEnvironment.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/ForwardingEnvironment.java
@@ -67,9 +67,7 @@
         return clock.nanoTime();
     }
 
-    /**
-     * Records that no connection to a backend server can be opened, so it may have started anew.
-     */
+    /** Records that a backend server refused a connection, so that it may start anew. */
     void doubt(BackendRecord backend) {
         configuration
                 .current()
--- a/daemon/src/main/java/org/crocushaven/outbound/BackendPool.java
+++ b/daemon/src/main/java/org/crocushaven/outbound/BackendPool.java
@@ -184,7 +184,8 @@
                                                         ResultCode.BACKEND_SERVER_FAILED,
                                                         address,
                                                         "no connection")
-                                                .withExecution(Execution.NOT_RUN));
+                                                .withExecution(Execution.NOT_RUN)
+                                                .withCause(attempt.cause()));
                             }
                         });
         return opened;
--- a/daemon/src/main/java/org/crocushaven/outbound/ConnectionTry.java
+++ b/daemon/src/main/java/org/crocushaven/outbound/ConnectionTry.java
@@ -35,10 +35,12 @@
         if (opened.isSuccess()) {
             return Finding.REACHED;
         }
-        final Throwable failure = opened.cause();
-        return failure instanceof ConnectException && !(failure instanceof ConnectTimeoutException)
-                ? Finding.REFUSED
-                : Finding.UNANSWERED;
+        return isRefusal(opened.cause()) ? Finding.REFUSED : Finding.UNANSWERED;
+    }
+
+    /** Returns whether an address refused a connection, by the exception that ended its opening. */
+    public static boolean isRefusal(Throwable failure) {
+        return failure instanceof ConnectException && !(failure instanceof ConnectTimeoutException);
     }
 
     /** What an address did with a connection. */
--- a/daemon/src/test/java/org/crocushaven/fleet/PlacementSimulation.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/PlacementSimulation.java
@@ -46,8 +46,14 @@
 
     /** Creates a leader with engines that hold a base model and no adapter. */
     PlacementSimulation(long seed, int engineCount, int fullSpeedLoads, double lostAnswers) {
+        this(seed, engineCount, fullSpeedLoads, lostAnswers, SimulatedStore.USUAL_LOAD_MILLIS);
+    }
+
+    /** Creates the same with a weight store whose loads take another time at full speed. */
+    PlacementSimulation(
+            long seed, int engineCount, int fullSpeedLoads, double lostAnswers, double loadMillis) {
         random = RandomGeneratorFactory.of("SplittableRandom").create(seed);
-        store = new SimulatedStore(time, fullSpeedLoads);
+        store = new SimulatedStore(time, fullSpeedLoads, loadMillis);
         final BackendRegistry registry = BackendRegistry.of(HEARTBEAT_MILLIS);
         placement =
                 new EnginePlacement(
--- a/daemon/src/test/java/org/crocushaven/fleet/SimulatedStore.java
+++ b/daemon/src/test/java/org/crocushaven/fleet/SimulatedStore.java
@@ -6,25 +6,27 @@
 
 /** Serves a number of loads at full speed; more of them share that speed evenly. */
 final class SimulatedStore {
-    private static final double LOAD_MILLIS = 250;
+    static final double USUAL_LOAD_MILLIS = 250;
 
     private final SimulatedTime time;
     private final int fullSpeedLoads;
+    private final double loadMillis;
     private final Map<Runnable, Double> leftMillis = new HashMap<>();
     private long advancedMillis;
     private long version;
     private int begun;
 
-    SimulatedStore(SimulatedTime time, int fullSpeedLoads) {
+    SimulatedStore(SimulatedTime time, int fullSpeedLoads, double loadMillis) {
         this.time = time;
         this.fullSpeedLoads = fullSpeedLoads;
+        this.loadMillis = loadMillis;
     }
 
     /** Begins a load. */
     void load(Runnable loaded) {
         begun++;
         advance();
-        leftMillis.put(loaded, LOAD_MILLIS);
+        leftMillis.put(loaded, loadMillis);
         scheduleNext();
     }
 
