--- a/daemon/src/main/java/org/crocushaven/forwarding/ForwardingObserver.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/ForwardingObserver.java
@@ -78,6 +78,14 @@
     /** Called when another gateway that has a request fails. */
     void handOverFailed(IngressRequest request, String gateway, String reason);
 
+    /**
+     * Called with each update of the leader.
+     *
+     * @param evacuatedDomains number of failure domains to which nothing is sent
+     * @param coldBackends number of backend servers that get granted requests only
+     */
+    void updated(int evacuatedDomains, int coldBackends);
+
     /** Called when a request ends. */
     void ended(ForwardingSummary summary);
 
--- a/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/Gateway.java
@@ -41,6 +41,7 @@
     private static final int PROBE_TIMEOUT_MILLIS = 200;
 
     private final GatewaySettings settings;
+    private final ForwardingObserver observer;
     private final EventLoopGroup group;
     private final EventLoop loop;
     private final NanoClock clock;
@@ -76,6 +77,7 @@
             NanoClock clock,
             EpochClock epochClock) {
         this.settings = settings;
+        this.observer = observer;
         this.group = group;
         this.loop = (EventLoop) group.next();
         this.clock = clock;
@@ -253,6 +255,7 @@
     private void applyUpdate(GatewayUpdate update, long sentNanos) {
         final long nowNanos = clock.nanoTime();
         view.apply(update, sentNanos, nowNanos);
+        observer.updated(update.evacuatedDomains().size(), update.coldStarts().size());
         streams.reportAnswered(update.epoch());
         crashes.apply(
                 update, update.hasState() && update.stateRevision() >= stateRevision, nowNanos);
--- a/daemon/src/main/java/org/crocushaven/instance/ForwardingLog.java
+++ b/daemon/src/main/java/org/crocushaven/instance/ForwardingLog.java
@@ -1,6 +1,7 @@
 package org.crocushaven.instance;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
@@ -95,6 +96,16 @@
                     .help("What a stopping gateway left of its connections, by kind.")
                     .labelNames("work")
                     .register(registry);
+    private final Gauge evacuatedDomains =
+            Gauge.builder()
+                    .name("crocushaven_gateway_evacuated_domains")
+                    .help("Failure domains to which nothing is sent.")
+                    .register(registry);
+    private final Gauge coldBackends =
+            Gauge.builder()
+                    .name("crocushaven_gateway_cold_backends")
+                    .help("Backend servers that get granted requests only.")
+                    .register(registry);
     private final Histogram waits =
             Histogram.builder()
                     .name("crocushaven_gateway_wait_seconds")
@@ -272,6 +283,12 @@
                 .info();
     }
 
+    @Override
+    public void updated(int evacuated, int cold) {
+        evacuatedDomains.set(evacuated);
+        coldBackends.set(cold);
+    }
+
     @Override
     public void ended(ForwardingSummary summary) {
         requests.labelValues(Integer.toString(summary.code().number())).inc();
--- a/daemon/src/test/java/org/crocushaven/forwarding/IgnoringObserver.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/IgnoringObserver.java
@@ -54,6 +54,9 @@
     public void foreignAnswer(
             IngressRequest request, String backend, int attempt, ForeignAnswer answer) {}
 
+    @Override
+    public void updated(int evacuatedDomains, int coldBackends) {}
+
     @Override
     public void ended(ForwardingSummary summary) {}
 
--- a/daemon/src/test/java/org/crocushaven/forwarding/RelaysTest.java
+++ b/daemon/src/test/java/org/crocushaven/forwarding/RelaysTest.java
@@ -34,6 +34,18 @@
         assertEquals(Optional.of("first"), chosen("engines"));
     }
 
+    @Test
+    void oneThatMayNotHaveTheBodyIsNotChosen() {
+        assertEquals(
+                Optional.of("second"),
+                relays.choose(
+                                "engines",
+                                Set.of(),
+                                relay -> !relay.gateway().equals("first"),
+                                TimeUnit.SECONDS.toNanos(1))
+                        .map(Relay::gateway));
+    }
+
     @Test
     void theOneThatFailedIsChosenOnlyIfThereIsNoOther() {
         relays.failed(FIRST, 0);
