Gather what bounds requests to backend servers in a class of its own

Result: no behaviour changes; the tests of GatewayBackends, notices, limits, brittle backend servers, forwarding and hand-overs pass.

--- a/daemon/src/main/java/org/crocushaven/forwarding/GatewayBackends.java
+++ b/daemon/src/main/java/org/crocushaven/forwarding/GatewayBackends.java
@@ -32,11 +32,7 @@
     private final Map<AdapterKey, Long> requiredVersions = new HashMap<>();
     private final BackendLoads loads = new BackendLoads();
     private final AdapterUses uses = new AdapterUses();
-    private final BackendNotices notices = new BackendNotices();
-    private final BackendLimits limits = new BackendLimits();
-    private final BrittleBackends brittle;
-    private final ColdBackends cold = new ColdBackends();
-    private Set<String> evacuatedDomains = Set.of();
+    private final BackendBounds bounds;
     private long epoch;
     private long revision;
 
@@ -46,7 +42,7 @@
      * @param random divides what is free at brittle ones
      */
     GatewayBackends(RandomGenerator random) {
-        this.brittle = new BrittleBackends(random);
+        this.bounds = new BackendBounds(random);
     }
 
     /**
@@ -72,21 +68,11 @@
             }
         }
         loads.apply(update.otherLoads(), nowNanos);
-        limits.apply(update.limits(), nowNanos);
-        cold.apply(update.coldStarts(), askedNanos, nowNanos);
-        applyEvacuations(Set.copyOf(update.evacuatedDomains()));
-        brittle.viewChanged(update.gateways());
+        bounds.apply(update, askedNanos, nowNanos);
         epoch = update.epoch();
         revision = update.revision();
     }
 
-    private void applyEvacuations(Set<String> domains) {
-        if (!domains.equals(evacuatedDomains)) {
-            EventLine.of("evacuations-received").with("failure_domains", domains).info();
-            evacuatedDomains = domains;
-        }
-    }
-
     /** Returns the epoch of the leader that sent the last update; 0 before the first one. */
     long epoch() {
         return epoch;
@@ -109,22 +95,22 @@
 
     /** Returns what backend servers said of themselves in their answers. */
     BackendNotices notices() {
-        return notices;
+        return bounds.notices();
     }
 
     /** Returns the limits that backend servers named in their answers. */
     BackendLimits limits() {
-        return limits;
+        return bounds.limits();
     }
 
     /** Returns the backend servers that said in their answers that they are brittle. */
     BrittleBackends brittle() {
-        return brittle;
+        return bounds.brittle();
     }
 
     /** Returns the backend servers that are cold. */
     ColdBackends cold() {
-        return cold;
+        return bounds.cold();
     }
 
     /**
@@ -132,11 +118,7 @@
      * returns whether it may be sent.
      */
     boolean trySend(BackendRecord backend, long nowNanos) {
-        return !evacuatedDomains.contains(backend.failureDomain())
-                && notices.allowRequests(backend, nowNanos)
-                && brittle.tryTake(backend, requestsAt(backend.backend()) - 1, nowNanos)
-                && limits.tryTake(backend, nowNanos)
-                && cold.tryTake(backend.backend(), backend.startedMillis(), nowNanos);
+        return bounds.tryTake(backend, requestsAt(backend.backend()) - 1, nowNanos);
     }
 
     /** Returns whether a backend server accepts requests by its record and by its own answers. */
@@ -149,11 +131,7 @@
      * it is cold or its failure domain evacuated.
      */
     private boolean wantsRequests(BackendRecord record, long nowNanos) {
-        return !evacuatedDomains.contains(record.failureDomain())
-                && notices.allowRequests(record, nowNanos)
-                && limits.allows(record, nowNanos)
-                && cold.allows(record.backend(), record.startedMillis(), nowNanos)
-                && brittle.allows(record, requestsAt(record.backend()), nowNanos);
+        return bounds.allow(record, requestsAt(record.backend()), nowNanos);
     }
 
     /** Returns the backend servers of a service that accept requests. */
@@ -172,8 +150,8 @@
 
     /** Records that a request would be sent to backend servers whose limits are used up. */
     void recordWantedOfLimited(String service, long nowNanos) {
-        select(service, record -> record.acceptsRequests() && !limits.allows(record, nowNanos))
-                .forEach(limits::recordWanted);
+        select(service, record -> record.acceptsRequests() && !limits().allows(record, nowNanos))
+                .forEach(limits()::recordWanted);
     }
 
     /**
@@ -186,38 +164,20 @@
                         service,
                         record ->
                                 record.acceptsRequests()
-                                        && !evacuatedDomains.contains(record.failureDomain())
-                                        && !cold.allows(
-                                                record.backend(),
-                                                record.startedMillis(),
-                                                nowNanos));
+                                        && bounds.isWithheldAsCold(record, nowNanos));
         if (!withheld.isEmpty()) {
-            cold.recordWanted(withheld.get(random.nextInt(withheld.size())).backend());
+            cold().recordWanted(withheld.get(random.nextInt(withheld.size())).backend());
         }
     }
 
     /**
      * Returns the time until the first backend server of a service takes requests again; empty
-     * unless all that do not leave want a pause, or have named a limit that is used up.
+     * unless all that stay want a pause, have named a limit that is used up, or are cold.
      */
     Optional<Duration> pauseOf(String service, long nowNanos) {
-        return select(
-                        service,
-                        record ->
-                                record.acceptsRequests()
-                                        && !notices.isLeaving(record)
-                                        && !evacuatedDomains.contains(record.failureDomain()))
+        return select(service, record -> record.acceptsRequests() && !bounds.isLeft(record))
                 .stream()
-                .map(
-                        record ->
-                                Math.max(
-                                        notices.pauseNanos(record, nowNanos),
-                                        Math.max(
-                                                limits.waitNanos(record, nowNanos),
-                                                cold.waitNanos(
-                                                        record.backend(),
-                                                        record.startedMillis(),
-                                                        nowNanos))))
+                .map(record -> bounds.waitNanos(record, nowNanos))
                 .min(Long::compare)
                 .filter(pauseNanos -> pauseNanos > 0)
                 .map(Duration::ofNanos);
@@ -359,7 +319,7 @@
             }
         }
         backends.put(backend, record);
-        notices.recordReceived(record, nowNanos);
+        notices().recordReceived(record, nowNanos);
         for (final HeldAdapter held : record.held()) {
             addHolder(backend, AdapterKey.of(held), held.version(), nowNanos);
         }
