--- a/daemon/src/main/java/org/crocushaven/fleet/AdapterGrants.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/AdapterGrants.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 import org.agrona.concurrent.NanoClock;
 import org.crocushaven.observability.EventLine;
 
@@ -98,9 +97,7 @@
 
     /** Returns whether a load for a request would begin before its patience ends. */
     private boolean mayGetTurn(AdapterRequest request) {
-        final long untilNanos =
-                clock.nanoTime() + TimeUnit.MILLISECONDS.toNanos(request.patienceMillis());
-        final int before = queue.countBefore(request.priority(), untilNanos);
+        final int before = queue.countBefore(request.priority());
         return !queue.isFull() && planner.storeMillisFor(before + 1) <= request.patienceMillis();
     }
 
--- a/daemon/src/main/java/org/crocushaven/fleet/AdapterQueue.java
+++ b/daemon/src/main/java/org/crocushaven/fleet/AdapterQueue.java
@@ -15,23 +15,18 @@
  * Holds the requests that wait for a load from the weight store, gathered by adapter.
  *
  * <p>Answers bursts that need more loads than the store serves: the most urgent request comes
- * first, among equals the one that can wait least, then the adapter that most wait for, and every
- * few loads the oldest of all, so that none starves. A request that will not get its turn in time
- * leaves at once. Not thread-safe.
+ * first, among equals the adapter that most wait for, and every few loads the oldest of all, so
+ * that none starves. A request that will not get its turn in time leaves at once. Not thread-safe.
  */
 final class AdapterQueue {
     /** Loads of which the last one goes to the request that has waited longest. */
     private static final int LOADS_FOR_OLDEST = 8;
 
-    /** Requests whose patience ends within the same step are alike. */
-    private static final long SLACK_STEP_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
-
     /** Bound on the number of loads that are waited for. */
     private static final int MAXIMUM_LOADS = 1_000;
 
     private static final Comparator<Waiting> BY_URGENCY =
             Comparator.comparingInt(Waiting::priority)
-                    .thenComparingLong(Waiting::slackStep)
                     .thenComparing(Comparator.comparingInt(Waiting::count).reversed())
                     .thenComparingLong(Waiting::sinceNanos);
 
@@ -62,21 +57,10 @@
         return waiting.size() >= MAXIMUM_LOADS;
     }
 
-    /** Returns the number of loads that come before one of the given priority and patience. */
-    int countBefore(int priority, long untilNanos) {
+    /** Returns the number of loads that come before one of the given priority. */
+    int countBefore(int priority) {
         return (int)
-                waiting.values().stream()
-                        .filter(
-                                entry ->
-                                        entry.priority() < priority
-                                                || entry.priority() == priority
-                                                        && entry.slackStep()
-                                                                <= slackStep(untilNanos))
-                        .count();
-    }
-
-    private static long slackStep(long untilNanos) {
-        return Math.floorDiv(untilNanos, SLACK_STEP_NANOS);
+                waiting.values().stream().filter(entry -> entry.priority() <= priority).count();
     }
 
     /** Returns the load that should begin next, apart from those that cannot. */
@@ -165,11 +149,6 @@
             return waiters.stream().mapToInt(waiter -> waiter.request.priority()).min().orElse(0);
         }
 
-        private long slackStep() {
-            return AdapterQueue.slackStep(
-                    waiters.stream().mapToLong(waiter -> waiter.untilNanos).min().orElse(0));
-        }
-
         private int count() {
             return waiters.size();
         }
